--- /dev/null
+++ b/src/ports/ControlPorts.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "ports/EntryPorts.h"
+
+namespace teaselfold {
+
+/** Pairs an operator's request on the admin port with its answer. */
+using AdminId = Id<struct AdminTag, std::uint64_t>;
+
+// Events of the entry's control duty, which keeps the configuration and the service orders.
+
+/** An operator submits a release note. */
+struct PublishNote {
+    AdminId admin;
+    ReleaseNote note;
+    /** Checks only; nothing is written. */
+    bool dryRun { false };
+};
+
+/** An operator takes a zone or an endpoint out of service or brings it back. */
+struct GiveOrder {
+    AdminId admin;
+    OrderSubject subject;
+    bool out { false };
+    std::string author;
+    std::string reason;
+};
+
+/** An operator asks for the configuration in force and the orders. */
+struct QueryConfiguration {
+    AdminId admin;
+};
+
+/** An operator asks for accepted notes after a version. */
+struct QueryHistory {
+    AdminId admin;
+    ReleaseVersion after;
+    std::uint32_t limit { 100 };
+};
+
+/** A peer told what it knows. */
+struct PeerKnowledge {
+    EndpointId endpoint;
+    std::variant<FleetCopy, NoteDelivery, OrdersDelivery, LoadReport> message;
+};
+
+/** The platform answered. */
+struct ControlPlatformReply {
+    PlatformReply reply;
+};
+
+/** The duty's period passed. */
+struct ControlTick { };
+
+using ControlEvent = std::variant<PublishNote, GiveOrder, QueryConfiguration, QueryHistory, PeerKnowledge,
+    ControlPlatformReply, ControlTick>;
+
+// Actions of the control duty.
+
+/** One fault of a release note. */
+struct NoteProblem {
+    /** Where in the note, such as `added.endpoints[2].zone`. */
+    std::string place;
+    std::string expected;
+    bool operator==(const NoteProblem&) const = default;
+};
+
+/** The note is in the table under this version. For a dry run, the version it would have got. */
+struct NoteAccepted {
+    ReleaseVersion version;
+    bool dryRun { false };
+    bool operator==(const NoteAccepted&) const = default;
+};
+
+/** The note's base is not the newest version. Nothing was written. */
+struct NoteStale {
+    ReleaseVersion current;
+    bool operator==(const NoteStale&) const = default;
+};
+
+/** The note is wrong in itself; every fault is listed. Nothing was written. */
+struct NoteInvalid {
+    std::vector<NoteProblem> problems;
+    bool operator==(const NoteInvalid&) const = default;
+};
+
+/** The order as it is in force at this entry; `order.recorded` says whether the table confirmed it. */
+struct OrderTaken {
+    ServiceOrder order;
+    bool operator==(const OrderTaken&) const = default;
+};
+
+/** Another operator's order won. */
+struct OrderSuperseded {
+    ServiceOrder winner;
+    bool operator==(const OrderSuperseded&) const = default;
+};
+
+struct ConfigurationView {
+    Fleet fleet;
+    std::vector<ServiceOrder> orders;
+    /** True while the platform's table answers. */
+    bool tableReachable { false };
+    bool operator==(const ConfigurationView&) const = default;
+};
+
+/** One accepted note with its version. */
+struct HistoryLine {
+    ReleaseVersion version;
+    ReleaseNote note;
+    bool operator==(const HistoryLine&) const = default;
+};
+
+struct HistoryView {
+    std::vector<HistoryLine> lines;
+    bool operator==(const HistoryView&) const = default;
+};
+
+using AdminMessage = std::variant<NoteAccepted, NoteStale, NoteInvalid, OrderTaken, OrderSuperseded, ConfigurationView,
+    HistoryView, Failure>;
+
+/** Hands an answer to the thread that serves an operator. */
+struct ToAdmin {
+    AdminId admin;
+    AdminMessage message;
+    bool operator==(const ToAdmin&) const = default;
+};
+
+/** Hands the platform adapter an operation. */
+struct ControlToPlatform {
+    PlatformOperation operation;
+    bool operator==(const ControlToPlatform&) const = default;
+};
+
+/** Hands the router a newer configuration, newer orders or the newest instance list. */
+struct ToRouter {
+    std::variant<FleetChanged, OrdersChanged, InstancesListed> event;
+};
+
+using ControlAction = std::variant<ToAdmin, ControlToPlatform, ToRouter, LogEvent>;
+
+}
--- /dev/null
+++ b/src/ports/DocumentCodec.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "ports/Fleet.h"
+#include "ports/Outcome.h"
+
+#include <string>
+
+namespace teaselfold {
+
+/** Port that turns configuration objects into the text kept in the table and object store, and back. */
+class DocumentCodec {
+public:
+    virtual ~DocumentCodec() = default;
+    virtual std::string encodeFleet(const Fleet& fleet) const = 0;
+    virtual Outcome<Fleet> decodeFleet(const std::string& document) const = 0;
+    virtual std::string encodeNote(const ReleaseNote& note) const = 0;
+    virtual Outcome<ReleaseNote> decodeNote(const std::string& document) const = 0;
+    virtual std::string encodeOrder(const ServiceOrder& order) const = 0;
+    virtual Outcome<ServiceOrder> decodeOrder(const std::string& document) const = 0;
+};
+
+}
--- /dev/null
+++ b/src/ports/EntryPorts.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "ports/CallerMessages.h"
+#include "ports/LinkMessages.h"
+#include "ports/PlatformMessages.h"
+#include "ports/Telemetry.h"
+
+namespace teaselfold {
+
+// Events of the entry's router duty.
+
+/** The link to an endpoint's agent is up; nothing was received on it yet. */
+struct LinkUp {
+    EndpointId endpoint;
+};
+
+/** The link to an endpoint's agent is gone; messages sent last may be lost. */
+struct LinkDown {
+    EndpointId endpoint;
+};
+
+/** A message from an endpoint's agent. */
+struct FromAgent {
+    EndpointId endpoint;
+    AgentMessage message;
+};
+
+/** A newer configuration is in force. Sent by the control duty. */
+struct FleetChanged {
+    Fleet fleet;
+};
+
+/** Orders that changed by a merge, recorded or not. Sent by the control duty. */
+struct OrdersChanged {
+    std::vector<ServiceOrder> orders;
+};
+
+/** The platform's instance list, newest read. */
+struct InstancesListed {
+    InstanceList list;
+};
+
+/** Takes no new work from here on; requests in progress are finished. */
+struct StopRequested { };
+
+/** The duty's period passed. */
+struct Tick { };
+
+using RouterEvent = std::variant<CompletionRequest, StreamResumeRequest, ServiceCallRequest, CallerGone, CallerConsumed,
+    LinkUp, LinkDown, FromAgent, FleetChanged, OrdersChanged, InstancesListed, StopRequested, Tick>;
+
+// Actions of the entry's router duty.
+
+/** Sends a message on the link to an endpoint; dropped when the link is down, which the LinkDown event tells. */
+struct ToAgent {
+    EndpointId endpoint;
+    EntryMessage message;
+    bool operator==(const ToAgent&) const = default;
+};
+
+/** Hands a message to the thread that serves a caller. */
+struct ToCaller {
+    RequestId request;
+    CallerMessage message;
+    bool operator==(const ToCaller&) const = default;
+};
+
+/** Opens a new connection to an endpoint's agent, dropping an older one without waiting for it. */
+struct OpenLink {
+    EndpointId endpoint;
+    Address address;
+    bool operator==(const OpenLink&) const = default;
+};
+
+/** Closes the connection to an endpoint's agent. */
+struct CloseLink {
+    EndpointId endpoint;
+    bool operator==(const CloseLink&) const = default;
+};
+
+/** Hands the control duty what a peer knows of configuration and orders. */
+struct ToControl {
+    EndpointId endpoint;
+    std::variant<FleetCopy, NoteDelivery, OrdersDelivery, LoadReport> message;
+    bool operator==(const ToControl&) const = default;
+};
+
+/** No request is in progress after a StopRequested; the process may end. */
+struct Drained {
+    bool operator==(const Drained&) const = default;
+};
+
+using RouterAction = std::variant<ToAgent, ToCaller, OpenLink, CloseLink, ToControl, LogEvent, Observation, Drained>;
+
+}
--- /dev/null
+++ b/src/ports/Telemetry.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "ports/Fleet.h"
+#include "ports/Ids.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace teaselfold {
+
+/** One key=value pair of a log line. */
+struct LogField {
+    std::string key;
+    std::string value;
+
+    bool operator==(const LogField&) const = default;
+};
+
+/** One event for the log: `event=<name> key=value ...`. */
+struct LogEvent {
+    std::string name;
+    std::vector<LogField> fields;
+
+    bool operator==(const LogEvent&) const = default;
+};
+
+/** What a histogram or counter measures. Durations are observed in milliseconds, lengths in tokens. */
+enum class Metric : std::uint8_t {
+    FirstToken,
+    BetweenTokens,
+    Stall,
+    QueueWait,
+    OutputLength,
+    CallDuration,
+    Preemption,
+    Refusal,
+    Retry,
+    LinkResume,
+    Completed,
+    Failed,
+    Cancelled,
+};
+constexpr std::size_t metricCount = 13;
+
+/** One measured value. Counters observe 1. */
+struct Observation {
+    Metric metric { Metric::Completed };
+    TeamId team;
+    PriorityClass priority { PriorityClass::Standard };
+    double value { 1 };
+    /** Refinement of a counter, such as the refusal's code; empty when there is none. */
+    std::string label;
+
+    bool operator==(const Observation&) const = default;
+};
+
+}
