--- /dev/null
+++ b/src/adapters/settings/CommandLine.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "adapters/settings/AgentSettings.h"
+#include "adapters/settings/EntrySettings.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace teaselfold {
+
+/** Exit codes of the servers, listed in `--help`. */
+enum class ExitCode : std::uint8_t {
+    Done = 0,
+    Failed = 1,
+    BadUsage = 2,
+    BadSettings = 3,
+};
+
+/** The process ends here: `--help`, `--version`, `--check`, `--print-settings`, or a fault. */
+struct ProcessExit {
+    ExitCode code { ExitCode::Done };
+    /** For standard output. */
+    std::string output;
+    /** For standard error. */
+    std::string errors;
+};
+
+/** Name and version of a binary. */
+struct ProgramName {
+    std::string name;
+    std::string version;
+};
+
+/** Reads an entry's command line and settings file. @param arguments without argv[0]. */
+std::variant<EntrySettings, ProcessExit> readEntryCommandLine(
+    const ProgramName& program, const std::vector<std::string>& arguments);
+
+/** Reads an agent's command line and settings file. @param arguments without argv[0]. */
+std::variant<AgentSettings, ProcessExit> readAgentCommandLine(
+    const ProgramName& program, const std::vector<std::string>& arguments);
+
+/** Prints both texts. @return the code as a process ends with it. */
+int finishProcess(const ProcessExit& exit);
+
+}
