Carry link frames, platform requests, settings, logs and metrics

Cause: entries and agents need their adapters to run as processes. Change: FlatBuffers frames with total decoding, one socket loop for each end of the links, an HTTP client for the platform, settings by a table of descriptors, one-line logs, and metrics with bounded cardinality. Conclusion: the processes can be wired.

--- a/src/adapters/link/EntryLinkClient.h
+++ b/src/adapters/link/EntryLinkClient.h
@@ -2,6 +2,7 @@
 
 #include "adapters/link/EventOutlet.h"
 #include "adapters/link/SocketLoop.h"
+#include "core/common/HandlerTable.h"
 #include "ports/EntryInterfaces.h"
 
 #include <memory>
--- /dev/null
+++ b/src/adapters/link/SocketLoop.cpp
@@ -0,0 +1,380 @@
+#include "adapters/link/SocketLoop.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <algorithm>
+#include <array>
+#include <sys/socket.h>
+#include <vector>
+
+namespace teaselfold {
+
+namespace {
+
+    constexpr Milliseconds tickPeriod(100);
+    /** Wait before a full ring is tried again. */
+    constexpr Milliseconds retryPeriod(5);
+    constexpr std::size_t readChunkBytes = 65536;
+    /** Bytes that may wait for a slow peer; room for one largest frame. */
+    constexpr std::size_t maximumOutboundBytes = maximumFrameBytes + std::size_t { 4 } * 1024 * 1024;
+    constexpr std::size_t maximumConnections = 4096;
+
+    Poco::Net::SocketAddress socketAddress(const Address& address) { return { address.host, address.port }; }
+
+}
+
+SocketLoop::SocketLoop()
+{
+    const Poco::Net::SocketAddress anyPort("127.0.0.1", 0);
+    this->wakeReceiver.bind(anyPort);
+    this->wakeSender.bind(anyPort);
+    this->wakeReceiver.connect(this->wakeSender.address());
+    this->wakeSender.connect(this->wakeReceiver.address());
+    this->wakeReceiver.setBlocking(false);
+    this->wakeSender.setBlocking(false);
+    this->pollSet.add(this->wakeReceiver, Poco::Net::PollSet::POLL_READ);
+}
+
+bool SocketLoop::listen(const Address& address)
+{
+    try {
+        this->listener.emplace();
+        this->listener->bind(socketAddress(address), true);
+        this->listener->listen();
+        this->listener->setBlocking(false);
+        this->listeningPort = this->listener->address().port();
+    } catch (const Poco::Exception&) {
+        this->listener.reset();
+        return false;
+    }
+    return true;
+}
+
+void SocketLoop::start(SocketHandler& owner)
+{
+    this->handler = &owner;
+    this->thread = std::thread([this] { this->run(); });
+}
+
+void SocketLoop::stop()
+{
+    this->stopping = true;
+    this->wake();
+    if (this->thread.joinable())
+        this->thread.join();
+}
+
+void SocketLoop::wake()
+{
+    if (this->wakePending.exchange(true))
+        return;
+    try {
+        const char byte = 0;
+        this->wakeSender.sendBytes(&byte, 1);
+    } catch (const Poco::Exception&) {
+        // The loop also looks for commands at each tick.
+        this->wakePending = false;
+    }
+}
+
+void SocketLoop::run()
+{
+    Instant nextTick = std::chrono::steady_clock::now() + tickPeriod;
+    while (!this->stopping)
+        this->iterate(nextTick);
+    this->handler->woken();
+    this->flushDirty();
+    this->connections.clear();
+    this->bySocket.clear();
+    this->listener.reset();
+}
+
+void SocketLoop::iterate(Instant& nextTick)
+{
+    const auto wait = Poco::Timespan(Microseconds(this->pollWait(nextTick)).count());
+    for (const auto& [socket, mode] : this->pollSet.poll(wait))
+        this->handleSocket(socket, mode);
+    this->resumePaused();
+    const Instant now = std::chrono::steady_clock::now();
+    if (now >= nextTick) {
+        this->handleTick(now);
+        nextTick = now + tickPeriod;
+    }
+    this->flushDirty();
+}
+
+Milliseconds SocketLoop::pollWait(Instant nextTick) const
+{
+    const auto untilTick = std::chrono::ceil<Milliseconds>(nextTick - std::chrono::steady_clock::now());
+    const Milliseconds longest = this->handler->ready() ? tickPeriod : retryPeriod;
+    return std::clamp(untilTick, Milliseconds(1), longest);
+}
+
+void SocketLoop::handleSocket(const Poco::Net::Socket& socket, int mode)
+{
+    if (socket == this->wakeReceiver)
+        return this->handleWake();
+    if (this->listener && socket == *this->listener)
+        return this->handleAccept();
+    const auto found = this->bySocket.find(socket);
+    if (found == this->bySocket.end())
+        return;
+    const ConnectionId id = found->second;
+    Connection* connection = this->find(id);
+    if (!connection->established)
+        return this->finishConnect(id);
+    if (mode & (Poco::Net::PollSet::POLL_READ | Poco::Net::PollSet::POLL_ERROR))
+        this->readFrom(id);
+    if (mode & Poco::Net::PollSet::POLL_WRITE)
+        this->dirty.insert(id);
+}
+
+void SocketLoop::handleWake()
+{
+    std::array<char, 16> bytes {};
+    try {
+        this->wakeReceiver.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
+    } catch (const Poco::Exception&) {
+        // Nothing to read: the wake-up was taken before.
+    }
+    this->wakePending = false;
+    this->handler->woken();
+}
+
+void SocketLoop::handleAccept()
+{
+    try {
+        Poco::Net::StreamSocket socket = this->listener->acceptConnection();
+        if (this->connections.size() >= maximumConnections)
+            return;
+        this->establish(this->adopt(socket, false));
+    } catch (const Poco::Exception&) {
+        // Out of descriptors, or the peer is gone already: the next tick accepts again.
+        this->pollSet.remove(*this->listener);
+        this->accepting = false;
+    }
+}
+
+void SocketLoop::handleTick(Instant now)
+{
+    if (this->listener && !this->accepting) {
+        this->pollSet.add(*this->listener, Poco::Net::PollSet::POLL_READ);
+        this->accepting = true;
+    }
+    std::vector<ConnectionId> late;
+    for (const auto& [id, connection] : this->connections) {
+        if (!connection.established && now >= connection.connectBy)
+            late.push_back(id);
+    }
+    for (const ConnectionId id : late)
+        this->fail(id, "not_connected");
+    this->handler->woken();
+    this->handler->tick(now);
+}
+
+SocketLoop::Connection* SocketLoop::find(ConnectionId id)
+{
+    const auto found = this->connections.find(id);
+    return found == this->connections.end() ? nullptr : &found->second;
+}
+
+ConnectionId SocketLoop::adopt(Poco::Net::StreamSocket socket, bool established)
+{
+    const ConnectionId id(++this->lastConnection);
+    Connection& connection = this->connections[id];
+    connection.socket = socket;
+    connection.established = established;
+    connection.connectBy = Instant::min();
+    this->bySocket[socket] = id;
+    return id;
+}
+
+ConnectionId SocketLoop::connect(const Address& address, Milliseconds timeout)
+{
+    const ConnectionId id = this->adopt(Poco::Net::StreamSocket(), false);
+    Connection& connection = *this->find(id);
+    try {
+        this->bySocket.erase(connection.socket);
+        connection.socket.connectNB(socketAddress(address));
+        this->bySocket[connection.socket] = id;
+        connection.connectBy = std::chrono::steady_clock::now() + timeout;
+        this->updateMode(connection);
+    } catch (const Poco::Exception&) {
+        // The next tick finds the connection late and reports it.
+        connection.connectBy = Instant::min();
+    }
+    return id;
+}
+
+void SocketLoop::finishConnect(ConnectionId id)
+{
+    const Connection* connection = this->find(id);
+    if (connection->socket.impl()->socketError() != 0)
+        return this->fail(id, "not_connected");
+    try {
+        this->establish(id);
+    } catch (const Poco::Exception&) {
+        this->fail(id, "not_connected");
+    }
+}
+
+void SocketLoop::establish(ConnectionId id)
+{
+    Connection& connection = *this->find(id);
+    connection.socket.setBlocking(false);
+    connection.socket.setNoDelay(true);
+    connection.established = true;
+    this->updateMode(connection);
+    this->handler->connected(id);
+}
+
+void SocketLoop::updateMode(Connection& connection)
+{
+    int wanted = 0;
+    if (connection.established && !connection.paused)
+        wanted |= Poco::Net::PollSet::POLL_READ;
+    if (!connection.established || connection.written < connection.outbound.size())
+        wanted |= Poco::Net::PollSet::POLL_WRITE;
+    if (wanted == connection.mode)
+        return;
+    // A socket with nothing to wait for leaves the set, since a hang-up would be reported again and again.
+    if (connection.mode == 0)
+        this->pollSet.add(connection.socket, wanted | Poco::Net::PollSet::POLL_ERROR);
+    else if (wanted == 0)
+        this->pollSet.remove(connection.socket);
+    else
+        this->pollSet.update(connection.socket, wanted | Poco::Net::PollSet::POLL_ERROR);
+    connection.mode = wanted;
+}
+
+void SocketLoop::readFrom(ConnectionId id)
+{
+    Connection& connection = *this->find(id);
+    std::array<char, readChunkBytes> chunk; // NOLINT: filled by the read
+    int count = 0;
+    try {
+        count = connection.socket.receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
+    } catch (const Poco::Exception&) {
+        return this->fail(id, "read_failed");
+    }
+    if (count == 0)
+        return this->fail(id, "closed_by_peer");
+    if (count < 0)
+        return;
+    connection.inbound.append({ chunk.data(), static_cast<std::size_t>(count) });
+    this->pumpFrames(id);
+}
+
+bool SocketLoop::pumpFrames(ConnectionId id)
+{
+    while (Connection* connection = this->find(id)) {
+        if (!this->handler->ready()) {
+            connection->paused = true;
+            this->paused.insert(id);
+            this->updateMode(*connection);
+            return false;
+        }
+        const auto next = connection->inbound.next();
+        if (std::holds_alternative<FrameIncomplete>(next))
+            return true;
+        if (std::holds_alternative<FrameError>(next)) {
+            this->fail(id, "frame_too_large");
+            return true;
+        }
+        if (!this->handler->received(id, *std::get_if<std::string>(&next)))
+            this->close(id);
+    }
+    return true;
+}
+
+void SocketLoop::resumePaused()
+{
+    while (!this->paused.empty() && this->handler->ready()) {
+        const ConnectionId id = *this->paused.begin();
+        this->paused.erase(this->paused.begin());
+        Connection* connection = this->find(id);
+        if (!connection)
+            continue;
+        connection->paused = false;
+        if (!this->pumpFrames(id))
+            return;
+        if ((connection = this->find(id)))
+            this->updateMode(*connection);
+    }
+}
+
+void SocketLoop::send(ConnectionId id, std::string_view bytes)
+{
+    Connection* connection = this->find(id);
+    if (!connection)
+        return;
+    this->dirty.insert(id);
+    if (connection->outbound.size() - connection->written + bytes.size() > maximumOutboundBytes)
+        connection->overflowed = true;
+    else
+        connection->outbound.append(bytes);
+}
+
+void SocketLoop::flushDirty()
+{
+    while (!this->dirty.empty()) {
+        const ConnectionId id = *this->dirty.begin();
+        this->dirty.erase(this->dirty.begin());
+        this->flush(id);
+    }
+}
+
+void SocketLoop::flush(ConnectionId id)
+{
+    Connection* connection = this->find(id);
+    if (!connection || !connection->established)
+        return;
+    if (connection->overflowed)
+        return this->fail(id, "peer_too_slow");
+    try {
+        while (connection->written < connection->outbound.size()) {
+            const std::size_t left = connection->outbound.size() - connection->written;
+            const int count = connection->socket.sendBytes(connection->outbound.data() + connection->written,
+                static_cast<int>(std::min(left, maximumOutboundBytes)), MSG_NOSIGNAL);
+            if (count <= 0)
+                break;
+            connection->written += static_cast<std::size_t>(count);
+        }
+    } catch (const Poco::Exception&) {
+        return this->fail(id, "write_failed");
+    }
+    if (connection->written >= readChunkBytes || connection->written == connection->outbound.size()) {
+        connection->outbound.erase(0, connection->written);
+        connection->written = 0;
+    }
+    this->updateMode(*connection);
+}
+
+void SocketLoop::close(ConnectionId id)
+{
+    Connection* connection = this->find(id);
+    if (!connection)
+        return;
+    if (connection->mode != 0)
+        this->pollSet.remove(connection->socket);
+    this->bySocket.erase(connection->socket);
+    this->paused.erase(id);
+    this->dirty.erase(id);
+    connection->socket.close();
+    this->connections.erase(id);
+}
+
+void SocketLoop::fail(ConnectionId id, std::string_view reason)
+{
+    this->close(id);
+    this->handler->closed(id, reason);
+}
+
+void SocketLoop::setMaximumFrame(ConnectionId id, std::size_t bytes)
+{
+    if (Connection* connection = this->find(id))
+        connection->inbound.setMaximum(bytes);
+}
+
+}
--- a/src/adapters/link/SocketLoop.h
+++ b/src/adapters/link/SocketLoop.h
@@ -80,6 +80,8 @@
         std::size_t written { 0 };
         bool established { false };
         bool paused { false };
+        /** Bytes were dropped over the bound: the connection is closed when it is flushed. */
+        bool overflowed { false };
         int mode { 0 };
         Instant connectBy;
     };
--- a/src/adapters/metrics/MetricStore.h
+++ b/src/adapters/metrics/MetricStore.h
@@ -40,6 +40,8 @@
     std::string boundedTeam(const TeamId& team);
     std::string boundedLabel(Metric metric, const std::string& label);
     Measured& seriesOf(const SeriesKey& key);
+    void renderCounters(std::string& text, Metric metric, const std::string& name) const;
+    void renderHistograms(std::string& text, Metric metric, const std::string& name) const;
 
     std::set<std::string> teams;
     std::map<Metric, std::set<std::string>> labels;
--- /dev/null
+++ b/src/adapters/metrics/TelemetryHub.cpp
@@ -0,0 +1,92 @@
+#include "adapters/metrics/TelemetryHub.h"
+
+#include "adapters/metrics/PrometheusText.h"
+#include "core/common/Check.h"
+
+#include <map>
+
+namespace teaselfold {
+
+namespace {
+
+    constexpr std::size_t eventCapacity = 16384;
+    constexpr Seconds tickPeriod(1);
+
+    /** Gauges of one name belong together in the text. */
+    void appendGauges(std::string& text, const std::vector<const GaugeSource*>& sources)
+    {
+        std::map<std::string, std::vector<Gauge>> byName;
+        for (const GaugeSource* source : sources) {
+            for (Gauge& gauge : source->gauges())
+                byName[gauge.name].push_back(std::move(gauge));
+        }
+        for (const auto& [name, gauges] : byName) {
+            const std::string fullName = std::string(Internal::metricPrefix) + name;
+            Internal::appendMetricHeader(text, fullName, "gauge", "Value at the time of the request.");
+            for (const Gauge& gauge : gauges)
+                Internal::appendSample(text, fullName, gauge.labels, gauge.value);
+        }
+    }
+
+}
+
+TelemetryHub::TelemetryHub(LogSink sink)
+    : sink(std::move(sink))
+    , duty("telemetry", eventCapacity, tickPeriod)
+{
+}
+
+void TelemetryHub::log(const LogEvent& event)
+{
+    if (!this->duty.ring().tryPush(event))
+        ++this->dropped;
+}
+
+void TelemetryHub::observe(const Observation& observation)
+{
+    if (!this->duty.ring().tryPush(observation))
+        ++this->dropped;
+}
+
+void TelemetryHub::handle(const Event& event, Instant)
+{
+    static const HandlerTable<TelemetryHub, void, Event> handlers(
+        &TelemetryHub::handleLog, &TelemetryHub::handleObservation);
+    handlers.dispatch(*this, event);
+}
+
+void TelemetryHub::handleLog(const LogEvent& event) { this->sink(event); }
+
+void TelemetryHub::handleObservation(const Observation& observation)
+{
+    std::lock_guard lock(this->storeMutex);
+    this->store.record(observation);
+}
+
+std::string TelemetryHub::renderPrometheus() const
+{
+    std::string text;
+    {
+        std::lock_guard lock(this->storeMutex);
+        text = this->store.render();
+    }
+    const std::string name = std::string(Internal::metricPrefix) + "telemetry_dropped_total";
+    Internal::appendMetricHeader(text, name, "counter", "Log events and observations that found the ring full.");
+    Internal::appendSample(text, name, {}, static_cast<double>(this->dropped.load()));
+    appendGauges(text, this->sources);
+    return text;
+}
+
+TelemetryHubBuilder& TelemetryHubBuilder::withLogSink(TelemetryHub::LogSink logSink)
+{
+    this->sink = std::move(logSink);
+    return *this;
+}
+
+std::unique_ptr<TelemetryHub> TelemetryHubBuilder::build() const
+{
+    internalCheck(this->sink != nullptr, "a telemetry hub has a log sink");
+    return std::make_unique<TelemetryHub>(this->sink);
+}
+
+}
--- a/src/adapters/metrics/TelemetryHub.h
+++ b/src/adapters/metrics/TelemetryHub.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/metrics/MetricStore.h"
+#include "core/common/HandlerTable.h"
 #include "ports/EntryInterfaces.h"
 #include "runtime/Duty.h"
 
@@ -55,6 +56,8 @@
 
     void handle(const Event& event, Instant now) override;
     void tick(Instant) override { }
+    void handleLog(const LogEvent& event);
+    void handleObservation(const Observation& observation);
 
     LogSink sink;
     mutable std::mutex storeMutex;
--- a/src/adapters/platform/PlatformClient.h
+++ b/src/adapters/platform/PlatformClient.h
@@ -3,6 +3,7 @@
 #include "ports/EntryInterfaces.h"
 #include "runtime/Ring.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <thread>
@@ -20,12 +21,14 @@
 
     /** Queues an operation. Each one queued gets exactly one reply in the sink, from a worker's thread. */
     bool submit(const PlatformOperation& operation) override;
-    /** Carries out what is queued, then joins the workers. Idempotent. */
+    /** Ends what is in progress, answers what waits as not sent and joins the workers. Idempotent. */
     void stop();
 
 private:
     void run();
 
+    std::atomic<bool> stopping { false };
+
     Address address;
     Milliseconds timeout;
     Sink sink;
--- /dev/null
+++ b/src/adapters/platform/PlatformSession.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "ports/Fleet.h"
+#include "ports/PlatformMessages.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+
+#include <memory>
+#include <variant>
+
+namespace teaselfold::Internal {
+
+/** One kept connection to the platform. Used by one thread. */
+class PlatformSession {
+public:
+    /** @param timeout for the connection, for each wait for bytes and for the whole body of an answer. */
+    PlatformSession(Address address, Milliseconds timeout)
+        : address(std::move(address))
+        , timeout(timeout)
+    {
+    }
+
+    /** Carries out one request. @return PlatformUnavailable for any answer that does not settle the request. */
+    PlatformResult carryOut(const PlatformRequest& request);
+
+private:
+    struct Question {
+        std::string method;
+        std::string path;
+        /** Value of the condition header; empty when there is no condition. */
+        std::string ifMatch;
+        std::string ifNoneMatch;
+        std::string body;
+    };
+    struct Answer {
+        int status { 0 };
+        std::string entityTag;
+        std::string body;
+    };
+    using Exchange = std::variant<Answer, PlatformUnavailable>;
+
+    PlatformResult insert(const TableInsert& request);
+    PlatformResult replace(const TableReplace& request);
+    PlatformResult erase(const TableErase& request);
+    PlatformResult read(const TableRead& request);
+    PlatformResult scan(const TableScan& request);
+    PlatformResult writeObject(const ObjectWrite& request);
+    PlatformResult readObject(const ObjectRead& request);
+    PlatformResult listInstances(const InstanceListRead& request);
+
+    PlatformResult conditionalWrite(const Question& question, const std::string& key, int doneStatus);
+    Exchange ask(const Question& question);
+    Exchange askOnce(const Question& question);
+    Answer receive();
+    bool connect();
+    bool reusable();
+
+    Address address;
+    Milliseconds timeout;
+    std::unique_ptr<Poco::Net::HTTPClientSession> session;
+    Instant usedAt;
+};
+
+}
--- /dev/null
+++ b/src/adapters/settings/SettingTable.h
@@ -0,0 +1,195 @@
+#pragma once
+
+#include "adapters/settings/SettingValue.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <variant>
+
+namespace teaselfold::Internal {
+
+enum class Need : std::uint8_t {
+    Required,
+    Optional,
+};
+
+/** One key of a settings file. The default is the member's value in a fresh settings object. */
+template <typename Settings> struct Setting {
+    using Member = std::variant<EntryId Settings::*, EndpointId Settings::*, ZoneId Settings::*,
+        std::string Settings::*, Address Settings::*, std::optional<Address> Settings::*, Milliseconds Settings::*,
+        std::uint32_t Settings::*, bool Settings::*, std::vector<AdminToken> Settings::*>;
+
+    std::string_view key;
+    Member member;
+    Need need;
+    std::string_view documentation;
+};
+
+/** What is read of a file so far. */
+template <typename Settings> struct SettingsDraft {
+    Settings settings;
+    std::set<std::string> given;
+    std::vector<SettingProblem> problems;
+};
+
+/** @return the line of a node, from 1; zero when it has none. */
+std::uint32_t lineOf(const YAML::Node& node);
+
+/** Reads a list of administration tokens; adds every fault to the problems. */
+std::vector<AdminToken> readTokens(
+    const std::string& path, const YAML::Node& node, std::vector<SettingProblem>& problems);
+
+/** Writes a list of administration tokens. */
+void writeTokens(YAML::Emitter& out, const std::vector<AdminToken>& tokens);
+
+/** Parses text. @return the document, or the one problem that it is not a YAML mapping. */
+std::variant<YAML::Node, SettingProblem> parseDocument(const std::string& text);
+
+template <typename Value>
+void readNode(const std::string& path, const YAML::Node& node, Value& value, std::vector<SettingProblem>& problems)
+{
+    if (!node.IsScalar() || !parseValue(node.Scalar(), value))
+        problems.push_back({ path, lineOf(node), expectedValue(value) });
+}
+
+inline void readNode(const std::string& path, const YAML::Node& node, std::vector<AdminToken>& value,
+    std::vector<SettingProblem>& problems)
+{
+    value = readTokens(path, node, problems);
+}
+
+template <typename Value>
+void readText(const SettingOverride& change, Value& value, std::vector<SettingProblem>& problems)
+{
+    if (!parseValue(change.value, value))
+        problems.push_back({ change.key, 0, expectedValue(value) });
+}
+
+inline void readText(const SettingOverride& change, std::vector<AdminToken>&, std::vector<SettingProblem>& problems)
+{
+    problems.push_back({ change.key, 0, "this key in the settings file only" });
+}
+
+template <typename Value> void writeValue(YAML::Emitter& out, const Value& value) { out << printValue(value); }
+
+inline void writeValue(YAML::Emitter& out, const std::vector<AdminToken>& value) { writeTokens(out, value); }
+
+template <typename Value> bool isPresent(const Value&) { return true; }
+template <typename Value> bool isPresent(const std::optional<Value>& value) { return value.has_value(); }
+inline bool isPresent(const std::string& value) { return !value.empty(); }
+inline bool isPresent(const std::vector<AdminToken>& value) { return !value.empty(); }
+
+/** Loads, prints and describes one kind of settings by a table of its keys. */
+template <typename Settings, std::size_t Count> class SettingTable {
+public:
+    explicit SettingTable(const std::array<Setting<Settings>, Count>& rows)
+        : rows(rows)
+    {
+    }
+
+    /** Reads the text, then the overrides. All problems are in the draft. */
+    SettingsDraft<Settings> load(const std::string& text, const std::vector<SettingOverride>& overrides) const
+    {
+        SettingsDraft<Settings> draft;
+        const auto document = parseDocument(text);
+        if (const auto* problem = std::get_if<SettingProblem>(&document)) {
+            draft.problems.push_back(*problem);
+            return draft;
+        }
+        for (const auto& entry : *std::get_if<YAML::Node>(&document))
+            this->loadEntry(draft, entry.first, entry.second);
+        for (const SettingOverride& change : overrides)
+            this->loadOverride(draft, change);
+        for (const auto& row : this->rows) {
+            if (row.need == Need::Required && !draft.given.contains(std::string(row.key)))
+                draft.problems.push_back({ std::string(row.key), 0, "this key, which is required" });
+        }
+        return draft;
+    }
+
+    /** @return the settings as YAML. */
+    std::string print(const Settings& settings) const
+    {
+        YAML::Emitter out;
+        out << YAML::BeginMap;
+        for (const auto& row : this->rows)
+            std::visit([&](auto member) { writeRow(out, row.key, settings.*member); }, row.member);
+        out << YAML::EndMap;
+        return std::string(out.c_str()) + "\n";
+    }
+
+    /** @return one line for each key. */
+    std::string describe() const
+    {
+        const Settings defaults;
+        std::string text;
+        for (const auto& row : this->rows)
+            text += std::visit([&](auto member) { return describeRow(row, defaults.*member); }, row.member);
+        return text;
+    }
+
+private:
+    const Setting<Settings>* find(const std::string& key) const
+    {
+        const auto found
+            = std::find_if(this->rows.begin(), this->rows.end(), [&](const auto& row) { return row.key == key; });
+        return found == this->rows.end() ? nullptr : &*found;
+    }
+
+    void loadEntry(SettingsDraft<Settings>& draft, const YAML::Node& keyNode, const YAML::Node& node) const
+    {
+        const std::string key = keyNode.IsScalar() ? keyNode.Scalar() : std::string();
+        const auto* row = this->find(key);
+        if (!row) {
+            draft.problems.push_back({ key, lineOf(keyNode), "a known key" });
+            return;
+        }
+        if (!draft.given.insert(key).second)
+            draft.problems.push_back({ key, lineOf(keyNode), "each key once" });
+        std::visit([&](auto member) { readNode(key, node, draft.settings.*member, draft.problems); }, row->member);
+    }
+
+    void loadOverride(SettingsDraft<Settings>& draft, const SettingOverride& change) const
+    {
+        const auto* row = this->find(change.key);
+        if (!row) {
+            draft.problems.push_back({ change.key, 0, "a known key" });
+            return;
+        }
+        draft.given.insert(change.key);
+        std::visit([&](auto member) { readText(change, draft.settings.*member, draft.problems); }, row->member);
+    }
+
+    template <typename Value> static void writeRow(YAML::Emitter& out, std::string_view key, const Value& value)
+    {
+        if (!isPresent(value))
+            return;
+        out << YAML::Key << std::string(key) << YAML::Value;
+        writeValue(out, value);
+    }
+
+    template <typename Value> static std::string describeRow(const Setting<Settings>& row, const Value& value)
+    {
+        std::string text
+            = "  " + std::string(row.key) + ": " + std::string(row.documentation) + " (" + expectedValue(value);
+        if (row.need == Need::Required)
+            text += "; required";
+        else
+            text += defaultOf(value);
+        return text + ")\n";
+    }
+
+    template <typename Value> static std::string defaultOf(const Value& value)
+    {
+        return isPresent(value) ? "; default " + printValue(value) : std::string();
+    }
+
+    static std::string defaultOf(const std::vector<AdminToken>&) { return {}; }
+
+    const std::array<Setting<Settings>, Count>& rows;
+};
+
+}
