--- /dev/null
+++ b/test/error/GarbageFramesAreValues.cpp
@@ -0,0 +1,110 @@
+#include "adapters/link/FrameWriter.h"
+#include "support/LinkFakes.h"
+#include "support/LinkSamples.h"
+
+#include <rapidcheck.h>
+
+using namespace teaselfold;
+
+namespace {
+
+const Test::FakeDocuments documents;
+const FrameCodec codec(documents);
+
+std::string bodyOf(const std::variant<std::string, FrameError>& frame)
+{
+    return std::get<std::string>(frame).substr(frameHeaderBytes);
+}
+
+/** Decodes in both directions; that it returns is what counts. */
+void decodeBoth(std::string_view frame)
+{
+    (void)codec.decodeEntry(frame);
+    (void)codec.decodeAgent(frame);
+}
+
+std::vector<std::string> allFrames()
+{
+    std::vector<std::string> frames;
+    for (const EntryMessage& message : Test::entrySamples())
+        frames.push_back(bodyOf(codec.encode(message)));
+    for (const AgentMessage& message : Test::agentSamples())
+        frames.push_back(bodyOf(codec.encode(message)));
+    return frames;
+}
+
+template <typename Table> FrameError decodeAgentTable(flatbuffers::FlatBufferBuilder& builder, Table table)
+{
+    builder.Finish(wire::CreateFrame(builder, wire::Message::GenerationRefused, table.Union()));
+    const std::string_view frame(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
+    return std::get<FrameError>(codec.decodeAgent(frame));
+}
+
+}
+
+TEST_CASE("random bytes are never a crash")
+{
+    CHECK(rc::check([](const std::string& bytes) { decodeBoth(bytes); }));
+    CHECK(std::get<FrameError>(codec.decodeEntry("")) == FrameError::Malformed);
+}
+
+TEST_CASE("a cut or damaged frame is never a crash")
+{
+    for (const std::string& frame : allFrames()) {
+        for (std::size_t size = 0; size < frame.size(); ++size)
+            decodeBoth(std::string_view(frame).substr(0, size));
+        for (std::size_t bit = 0; bit < frame.size() * 8; ++bit) {
+            std::string damaged = frame;
+            damaged[bit / 8] = static_cast<char>(damaged[bit / 8] ^ (1 << (bit % 8)));
+            decodeBoth(damaged);
+        }
+    }
+}
+
+TEST_CASE("a message of the other direction is refused")
+{
+    const std::string report = bodyOf(codec.encode(AgentMessage(LoadReport {})));
+    CHECK(std::get<FrameError>(codec.decodeEntry(report)) == FrameError::UnexpectedMessage);
+    const std::string cancel = bodyOf(codec.encode(EntryMessage(CancelGeneration {})));
+    CHECK(std::get<FrameError>(codec.decodeAgent(cancel)) == FrameError::UnexpectedMessage);
+}
+
+TEST_CASE("a value outside its enumeration or range is refused")
+{
+    flatbuffers::FlatBufferBuilder badCode;
+    CHECK(decodeAgentTable(badCode, wire::CreateGenerationRefused(badCode, 1, 200, 0)) == FrameError::ValueOutOfRange);
+    flatbuffers::FlatBufferBuilder badTime;
+    const auto refused = wire::CreateGenerationRefused(badTime, 1, 0, UINT64_MAX);
+    CHECK(decodeAgentTable(badTime, refused) == FrameError::ValueOutOfRange);
+}
+
+TEST_CASE("a frame without a message and a bad document are refused")
+{
+    flatbuffers::FlatBufferBuilder empty;
+    empty.Finish(wire::CreateFrame(empty));
+    const std::string_view frame(reinterpret_cast<const char*>(empty.GetBufferPointer()), empty.GetSize());
+    CHECK(std::get<FrameError>(codec.decodeEntry(frame)) == FrameError::Malformed);
+    flatbuffers::FlatBufferBuilder builder;
+    const auto copy = wire::CreateFleetCopyDirect(builder, "not a fleet");
+    builder.Finish(wire::CreateFrame(builder, wire::Message::FleetCopy, copy.Union()));
+    const std::string_view document(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
+    CHECK(std::get<FrameError>(codec.decodeEntry(document)) == FrameError::BadDocument);
+}
+
+TEST_CASE("one text that a frame refers to many times does not grow in memory")
+{
+    flatbuffers::FlatBufferBuilder builder;
+    const auto text = builder.CreateString(std::string(10000, 'x'));
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> many(10000, text);
+    const auto tokens = wire::CreateGenerationTokens(builder, 1, 0, builder.CreateVector(many));
+    builder.Finish(wire::CreateFrame(builder, wire::Message::GenerationTokens, tokens.Union()));
+    const std::string_view frame(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
+    CHECK(std::get<FrameError>(codec.decodeAgent(frame)) == FrameError::Malformed);
+}
+
+TEST_CASE("a message over the largest frame is not encoded")
+{
+    SubmitGeneration submit;
+    submit.work.prompt.assign(maximumFrameBytes, 'x');
+    CHECK(std::get<FrameError>(codec.encode(EntryMessage(submit))) == FrameError::TooLarge);
+}
