--- /dev/null
+++ b/src/core/common/ServiceOrders.cpp
@@ -0,0 +1,101 @@
+#include "core/common/ServiceOrders.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <string>
+#include <tuple>
+
+namespace teaselfold {
+
+namespace {
+
+    auto rankOf(const ServiceOrder& order) { return std::tie(order.sequence, order.out, order.id); }
+
+    void append(std::string& text, const std::string& part)
+    {
+        text += std::to_string(part.size());
+        text += ':';
+        text += part;
+    }
+
+    std::string subjectName(const OrderSubject& subject)
+    {
+        return std::visit([](const auto& id) { return id.get(); }, subject);
+    }
+
+    std::uint64_t hashOf(const ServiceOrder& order)
+    {
+        std::string text;
+        append(text, std::to_string(order.subject.index()));
+        append(text, subjectName(order.subject));
+        append(text, std::to_string(order.sequence));
+        append(text, order.out ? "out" : "in");
+        append(text, order.id.get());
+        append(text, order.recorded ? "recorded" : "open");
+        return XXH3_64bits(text.data(), text.size());
+    }
+
+}
+
+bool winsOver(const ServiceOrder& left, const ServiceOrder& right) { return rankOf(left) > rankOf(right); }
+
+bool ServiceOrders::merge(const ServiceOrder& order)
+{
+    const auto [place, isNew] = this->orders.try_emplace(order.subject, order);
+    if (isNew)
+        return true;
+    ServiceOrder& known = place->second;
+    if (winsOver(order, known)) {
+        known = order;
+        return true;
+    }
+    const bool same = !winsOver(known, order);
+    if (!same || known.recorded || !order.recorded)
+        return false;
+    known.recorded = true;
+    return true;
+}
+
+std::uint64_t ServiceOrders::digest() const
+{
+    std::uint64_t sum = 0;
+    for (const auto& [subject, order] : this->orders)
+        sum += hashOf(order);
+    return sum;
+}
+
+bool ServiceOrders::isOut(const ZoneId& zone) const { return this->isOutSubject(zone); }
+
+bool ServiceOrders::isOut(const EndpointId& endpoint) const { return this->isOutSubject(endpoint); }
+
+const ServiceOrder* ServiceOrders::find(const OrderSubject& subject) const
+{
+    const auto found = this->orders.find(subject);
+    return found == this->orders.end() ? nullptr : &found->second;
+}
+
+std::vector<ServiceOrder> ServiceOrders::all() const
+{
+    std::vector<ServiceOrder> result;
+    result.reserve(this->orders.size());
+    for (const auto& [subject, order] : this->orders)
+        result.push_back(order);
+    return result;
+}
+
+std::uint64_t ServiceOrders::highestSequence() const
+{
+    std::uint64_t highest = 0;
+    for (const auto& [subject, order] : this->orders)
+        highest = std::max(highest, order.sequence);
+    return highest;
+}
+
+bool ServiceOrders::isOutSubject(const OrderSubject& subject) const
+{
+    const ServiceOrder* order = this->find(subject);
+    return order != nullptr && order->out;
+}
+
+}
--- a/src/ports/ControlPorts.h
+++ b/src/ports/ControlPorts.h
@@ -96,11 +96,24 @@
     bool operator==(const OrderSuperseded&) const = default;
 };
 
+/** What an endpoint's agent last reported, as this entry knows it. */
+struct EndpointView {
+    EndpointId endpoint;
+    LoadReport report;
+    /** Time since the report came. */
+    Milliseconds age { 0 };
+    bool operator==(const EndpointView&) const = default;
+};
+
+/** The configuration in force at this entry, the orders, and the reports of the agents it is linked to. */
 struct ConfigurationView {
     Fleet fleet;
     std::vector<ServiceOrder> orders;
     /** True while the platform's table answers. */
     bool tableReachable { false };
+    std::vector<EndpointView> endpoints;
+    /** Names that the platform's instance list marks as leaving. */
+    std::vector<std::string> leavingInstances;
     bool operator==(const ConfigurationView&) const = default;
 };
 
--- a/src/ports/Fleet.h
+++ b/src/ports/Fleet.h
@@ -135,6 +135,8 @@
 /** Adds an object or replaces the one with the same id. */
 template <typename Object> struct Put {
     Object object;
+    /** True when the note lists the object as changed, so that it must exist before; false when as added. */
+    bool replaces { false };
     bool operator==(const Put&) const = default;
 };
 
--- /dev/null
+++ b/src/runtime/ControlDuty.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "core/control/ConfigurationKeeper.h"
+#include "ports/ControlInterfaces.h"
+#include "ports/EntryInterfaces.h"
+#include "runtime/Duty.h"
+
+#include <atomic>
+#include <deque>
+#include <optional>
+
+namespace teaselfold {
+
+/** What the control duty acts on. All must outlive the duty. */
+struct ControlPeers {
+    Platform& platform;
+    Ring<RouterEvent>& router;
+    Admins& admins;
+    Telemetry& telemetry;
+};
+
+/** The thread that keeps the configuration and the service orders of an entry. */
+class ControlDuty : private DutyHandler<ControlEvent> {
+public:
+    /** @param keeper the decisions; owned by the duty from here on. */
+    explicit ControlDuty(ConfigurationKeeper keeper);
+
+    /** The ring for operators' requests, peers' knowledge and the platform's replies. */
+    Ring<ControlEvent>& ring() { return this->duty.ring(); }
+
+    /** Starts the thread. */
+    void start(const ControlPeers& peers);
+
+    /** Ends the thread. Idempotent. */
+    void stop() { this->duty.stop(); }
+
+    /** @return whether a configuration is in force. Safe to call from any thread. */
+    bool isReady() const { return this->ready.load(); }
+
+    void onToAdmin(const ToAdmin& action);
+    void onToPlatform(const ControlToPlatform& action);
+    void onToRouter(const ToRouter& action);
+    void onLog(const LogEvent& action);
+
+private:
+    void handle(const ControlEvent& event, Instant now) override;
+    void tick(Instant now) override;
+    void apply(const std::vector<ControlAction>& actions);
+    void passToRouter();
+
+    ConfigurationKeeper keeper;
+    std::optional<ControlPeers> peers;
+    /** The newest of each kind that the router's ring had no room for. */
+    std::optional<FleetChanged> waitingFleet;
+    std::optional<OrdersChanged> waitingOrders;
+    std::optional<InstancesListed> waitingInstances;
+    std::deque<OperationId> refusedOperations;
+    std::atomic<bool> ready { false };
+    Duty<ControlEvent> duty;
+};
+
+}
