Keep the configuration and the service orders of an entry

Cause: notes and orders must be agreed by one conditional write each and survive outages and lost answers.

--- /dev/null
+++ b/src/adapters/fleet/DocumentReader.cpp
@@ -0,0 +1,242 @@
+#include "adapters/fleet/DocumentReader.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace teaselfold::Internal {
+
+namespace {
+
+    std::uint32_t lineOf(const YAML::Node& node)
+    {
+        const int line = node.Mark().line;
+        return line < 0 ? 0 : static_cast<std::uint32_t>(line) + 1;
+    }
+
+    std::optional<std::uint64_t> parseNumber(std::string_view text)
+    {
+        std::uint64_t value = 0;
+        const char* end = text.data() + text.size();
+        const auto [stop, error] = std::from_chars(text.data(), end, value);
+        if (text.empty() || error != std::errc {} || stop != end)
+            return std::nullopt;
+        return value;
+    }
+
+    struct Unit {
+        std::string_view suffix;
+        std::uint64_t milliseconds;
+    };
+
+    constexpr std::array units { Unit { "ms", 1 }, Unit { "s", 1000 }, Unit { "m", 60000 } };
+    constexpr std::uint64_t longestMilliseconds = 24ULL * 60 * 60 * 1000;
+
+    std::optional<Milliseconds> parseDuration(std::string_view text)
+    {
+        for (const Unit& unit : units) {
+            if (!text.ends_with(unit.suffix))
+                continue;
+            const auto count = parseNumber(text.substr(0, text.size() - unit.suffix.size()));
+            if (count && *count <= longestMilliseconds / unit.milliseconds)
+                return Milliseconds(*count * unit.milliseconds);
+        }
+        return std::nullopt;
+    }
+
+}
+
+DocumentReader::DocumentReader(YAML::Node node, std::string place, ReadLog& log)
+    : node(std::move(node))
+    , place(std::move(place))
+    , log(&log)
+{
+    if (!this->place.empty())
+        log.lines[this->place] = lineOf(this->node);
+    if (!this->node.IsMap())
+        this->fault(this->place, "a mapping", this->node);
+}
+
+std::string DocumentReader::placeOf(const std::string& name) const
+{
+    return this->place.empty() ? name : this->place + "." + name;
+}
+
+void DocumentReader::fault(const std::string& where, const std::string& expected, const YAML::Node& at)
+{
+    this->log->problems.push_back({ where, expected, lineOf(at) });
+}
+
+std::optional<YAML::Node> DocumentReader::find(const std::string& name)
+{
+    this->asked.insert(name);
+    if (!this->node.IsMap())
+        return std::nullopt;
+    const YAML::Node value = static_cast<const YAML::Node&>(this->node)[name];
+    if (!value.IsDefined() || value.IsNull())
+        return std::nullopt;
+    this->log->lines[this->placeOf(name)] = lineOf(value);
+    return value;
+}
+
+std::optional<std::string> DocumentReader::scalar(const std::string& name)
+{
+    const std::optional<YAML::Node> value = this->find(name);
+    if (!value)
+        return std::nullopt;
+    if (value->IsScalar())
+        return value->Scalar();
+    this->fault(this->placeOf(name), "a single value", *value);
+    return std::nullopt;
+}
+
+std::string DocumentReader::text(const std::string& name)
+{
+    const std::size_t before = this->log->problems.size();
+    std::optional<std::string> value = this->scalar(name);
+    if (!value && this->node.IsMap() && this->log->problems.size() == before)
+        this->fault(this->placeOf(name), "a text", this->node);
+    return value.value_or("");
+}
+
+std::string DocumentReader::text(const std::string& name, const std::string& fallback)
+{
+    return this->scalar(name).value_or(fallback);
+}
+
+std::uint64_t DocumentReader::number(const std::string& name, std::uint64_t fallback, std::uint64_t maximum)
+{
+    const std::optional<std::string> value = this->scalar(name);
+    if (!value)
+        return fallback;
+    const std::optional<std::uint64_t> parsed = parseNumber(*value);
+    if (parsed && *parsed <= maximum)
+        return *parsed;
+    this->fault(this->placeOf(name), "a whole number from 0 to " + std::to_string(maximum), *this->find(name));
+    return fallback;
+}
+
+std::uint32_t DocumentReader::number32(const std::string& name, std::uint32_t fallback)
+{
+    return static_cast<std::uint32_t>(this->number(name, fallback, std::numeric_limits<std::uint32_t>::max()));
+}
+
+bool DocumentReader::flag(const std::string& name, bool fallback)
+{
+    return this->choice(name, fallback ? 1 : 0, { "false", "true" }) == 1;
+}
+
+Milliseconds DocumentReader::duration(const std::string& name, Milliseconds fallback)
+{
+    const std::optional<std::string> value = this->scalar(name);
+    if (!value)
+        return fallback;
+    const std::optional<Milliseconds> parsed = parseDuration(*value);
+    if (!parsed)
+        this->fault(this->placeOf(name), "a duration with a unit, such as 250ms or 5s", *this->find(name));
+    return parsed.value_or(fallback);
+}
+
+Address DocumentReader::address(const std::string& name)
+{
+    const std::size_t before = this->log->problems.size();
+    const std::string value = this->text(name);
+    const std::optional<Address> parsed = parseAddress(value);
+    if (!parsed && this->log->problems.size() == before && this->node.IsMap())
+        this->fault(this->placeOf(name), "an IP number and a port, such as 10.0.0.1:7101", *this->find(name));
+    return parsed.value_or(Address {});
+}
+
+std::vector<std::string> DocumentReader::texts(const std::string& name)
+{
+    std::vector<std::string> result;
+    const std::optional<YAML::Node> list = this->find(name);
+    if (!list)
+        return result;
+    if (!list->IsSequence())
+        this->fault(this->placeOf(name), "a list", *list);
+    for (std::size_t i = 0; list->IsSequence() && i < list->size(); ++i) {
+        const YAML::Node item = (*list)[i];
+        const std::string where = this->placeOf(name) + "[" + std::to_string(i) + "]";
+        this->log->lines[where] = lineOf(item);
+        if (item.IsScalar())
+            result.push_back(item.Scalar());
+        else
+            this->fault(where, "a text", item);
+    }
+    return result;
+}
+
+std::size_t DocumentReader::choice(const std::string& name, std::size_t fallback, const std::vector<std::string>& words)
+{
+    const std::optional<std::string> value = this->scalar(name);
+    if (!value)
+        return fallback;
+    const auto found = std::find(words.begin(), words.end(), *value);
+    if (found != words.end())
+        return static_cast<std::size_t>(found - words.begin());
+    std::string expected = "one of";
+    for (const std::string& word : words)
+        expected += " " + word;
+    this->fault(this->placeOf(name), expected, *this->find(name));
+    return fallback;
+}
+
+std::vector<DocumentReader> DocumentReader::items(const std::string& name)
+{
+    std::vector<DocumentReader> result;
+    const std::optional<YAML::Node> list = this->find(name);
+    if (!list)
+        return result;
+    if (!list->IsSequence())
+        this->fault(this->placeOf(name), "a list", *list);
+    for (std::size_t i = 0; list->IsSequence() && i < list->size(); ++i)
+        result.emplace_back((*list)[i], this->placeOf(name) + "[" + std::to_string(i) + "]", *this->log);
+    return result;
+}
+
+std::optional<DocumentReader> DocumentReader::child(const std::string& name)
+{
+    const std::optional<YAML::Node> value = this->find(name);
+    if (!value)
+        return std::nullopt;
+    return DocumentReader(*value, this->placeOf(name), *this->log);
+}
+
+void DocumentReader::finish()
+{
+    if (!this->node.IsMap())
+        return;
+    std::set<std::string> seen;
+    for (const auto& pair : this->node) {
+        const std::string key = pair.first.IsScalar() ? pair.first.Scalar() : "?";
+        if (!this->asked.contains(key))
+            this->fault(this->placeOf(key), "no such key", pair.first);
+        else if (!seen.insert(key).second)
+            this->fault(this->placeOf(key), "each key once", pair.first);
+    }
+}
+
+std::optional<Address> parseAddress(const std::string& text)
+{
+    constexpr std::uint64_t maximumPort = 65535;
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos || colon == 0)
+        return std::nullopt;
+    const std::optional<std::uint64_t> port = parseNumber(std::string_view(text).substr(colon + 1));
+    if (!port || *port == 0 || *port > maximumPort)
+        return std::nullopt;
+    std::string host = text.substr(0, colon);
+    if (host.front() == '[' && host.back() == ']')
+        host = host.substr(1, host.size() - 2);
+    return Address { host, static_cast<std::uint16_t>(*port) };
+}
+
+std::string formatAddress(const Address& address)
+{
+    const bool isIpv6 = address.host.find(':') != std::string::npos;
+    const std::string host = isIpv6 ? "[" + address.host + "]" : address.host;
+    return host + ":" + std::to_string(address.port);
+}
+
+}
--- /dev/null
+++ b/src/adapters/fleet/FleetDocuments.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "adapters/fleet/DocumentReader.h"
+
+#include <Poco/JSON/Object.h>
+
+namespace teaselfold::Internal {
+
+// Readers and writers of the fleet's objects. Each reader takes what the writer of the same object makes.
+
+void readObject(DocumentReader& reader, Zone& zone);
+void readObject(DocumentReader& reader, Service& service);
+void readObject(DocumentReader& reader, Model& model);
+void readObject(DocumentReader& reader, Endpoint& endpoint);
+void readObject(DocumentReader& reader, Team& team);
+
+Poco::JSON::Object::Ptr writeObject(const Zone& zone);
+Poco::JSON::Object::Ptr writeObject(const Service& service);
+Poco::JSON::Object::Ptr writeObject(const Model& model);
+Poco::JSON::Object::Ptr writeObject(const Endpoint& endpoint);
+Poco::JSON::Object::Ptr writeObject(const Team& team);
+
+/** @return the JSON form of a whole fleet. */
+Poco::JSON::Object::Ptr writeFleet(const Fleet& fleet);
+/** @return the JSON form of a note, as the note reader takes it. */
+Poco::JSON::Object::Ptr writeNote(const ReleaseNote& note);
+/** @return the JSON form of an order. */
+Poco::JSON::Object::Ptr writeOrder(const ServiceOrder& order);
+
+Fleet readFleet(DocumentReader& reader);
+ReleaseNote readNote(DocumentReader& reader);
+ServiceOrder readOrder(DocumentReader& reader);
+
+}
--- a/src/core/common/NoteCheck.cpp
+++ b/src/core/common/NoteCheck.cpp
@@ -134,7 +134,7 @@
         void expect(bool holds, const std::string& field, const std::string& expected)
         {
             if (!holds)
-                this->problems.push_back({ this->place + field, expected });
+                this->problems.push_back(NoteProblem { this->place + field, expected });
         }
 
         std::vector<NoteProblem> problems;
--- a/src/core/control/ConfigurationKeeper.h
+++ b/src/core/control/ConfigurationKeeper.h
@@ -1,14 +1,8 @@
 #pragma once
 
-#include "core/common/FleetUpdate.h"
-#include "core/common/ServiceOrders.h"
-#include "core/control/ControlLimits.h"
-#include "core/control/FleetKeeper.h"
+#include "core/control/NotePublisher.h"
 #include "core/control/OrderKeeper.h"
-#include "core/control/PlatformOperations.h"
-#include "ports/ControlPorts.h"
-#include "ports/DocumentCodec.h"
-#include "ports/Randomness.h"
+#include "core/control/SnapshotWriter.h"
 
 #include <map>
 #include <vector>
@@ -31,32 +25,57 @@
     /** @return whether a configuration is in force. */
     bool isReady() const { return this->fleets.isReady(); }
 
-    void onPublish(const PublishNote& event, Instant now);
-    void onOrder(const GiveOrder& event, Instant now);
-    void onQueryConfiguration(const QueryConfiguration& event, Instant now);
-    void onQueryHistory(const QueryHistory& event, Instant now);
-    void onPeer(const PeerKnowledge& event, Instant now);
-    void onReply(const ControlPlatformReply& event, Instant now);
-    void onTick(const ControlTick& event, Instant now);
-
 private:
     friend class ConfigurationKeeperBuilder;
+    struct EventTable;
+    struct ReplyTable;
     struct KnownReport {
         LoadReport report;
         Instant arrived;
     };
 
-    ConfigurationKeeper(const EntryId& entry, const DocumentCodec& codec, Randomness& randomness,
-        const ControlLimits& limits, const StrategyNames& strategies);
-    void refresh(Instant now);
-    void takeInstances(const InstanceList& list);
+    ConfigurationKeeper(EntryId entry, const DocumentCodec& codec, Randomness& randomness, const ControlLimits& limits,
+        StrategyNames strategies);
+
+    void onPublish(const PublishNote& event, ControlContext& context);
+    void onOrder(const GiveOrder& event, ControlContext& context);
+    void onQueryConfiguration(const QueryConfiguration& event, ControlContext& context);
+    void onQueryHistory(const QueryHistory& event, ControlContext& context);
+    void onPeer(const PeerKnowledge& event, ControlContext& context);
+    void onReply(const ControlPlatformReply& event, ControlContext& context);
+    void onTick(const ControlTick& event, ControlContext& context);
+
+    void onSnapshotRowLookup(const SnapshotRowLookup&, const PlatformResult& result, ControlContext& context);
+    void onSnapshotLoad(const SnapshotLoad&, const PlatformResult& result, ControlContext& context);
+    void onNoteScan(const NoteScan&, const PlatformResult& result, ControlContext& context);
+    void onOrderScan(const OrderScan&, const PlatformResult& result, ControlContext& context);
+    void onInstanceScan(const InstanceScan&, const PlatformResult& result, ControlContext& context);
+    void onNoteInsert(const NoteInsert& purpose, const PlatformResult& result, ControlContext& context);
+    void onNoteReadBack(const NoteReadBack& purpose, const PlatformResult& result, ControlContext& context);
+    void onHistoryScan(const HistoryScan& purpose, const PlatformResult& result, ControlContext& context);
+    void onSnapshotCheck(const SnapshotCheck&, const PlatformResult& result, ControlContext& context);
+    void onSnapshotObject(const SnapshotObjectWrite& purpose, const PlatformResult& result, ControlContext& context);
+    void onSnapshotRow(const SnapshotRowWrite& purpose, const PlatformResult& result, ControlContext& context);
+    void onOrderWrite(const OrderWrite& purpose, const PlatformResult& result, ControlContext& context);
 
+    void takeResult(const OperationPurpose& purpose, const PlatformResult& result, ControlContext& context);
+    void poll(bool paused, ControlContext& context);
+    bool knowsSubject(const OrderSubject& subject) const;
+    bool wasPaused(Instant now) const;
+
+    EntryId entry;
+    const DocumentCodec* codec;
+    Randomness* randomness;
     ControlLimits limits;
-    PlatformOperations operations;
+    ControlOperations operations;
     FleetKeeper fleets;
+    NotePublisher publisher;
+    SnapshotWriter snapshots;
     OrderKeeper orders;
     std::map<EndpointId, KnownReport> reports;
     InstanceList instances;
+    bool listingInstances { false };
+    bool tableReachable { false };
     std::optional<Instant> lastTick;
     Instant nextPoll {};
 };
@@ -70,6 +89,7 @@
     /** @param source must outlive the keeper. */
     ConfigurationKeeperBuilder& withRandomness(Randomness& source);
     ConfigurationKeeperBuilder& withLimits(const ControlLimits& values);
+    /** @param names the strategy names that notes may use. */
     ConfigurationKeeperBuilder& withStrategies(StrategyNames names);
     /** @return the keeper. Codec and randomness must have been set. */
     ConfigurationKeeper build() const;
--- /dev/null
+++ b/src/core/control/FleetKeeper.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "core/control/ControlContext.h"
+
+namespace teaselfold {
+
+/** Holds the configuration in force, reads it at start and follows the accepted notes. Its version never falls. */
+class FleetKeeper {
+public:
+    const Fleet& fleet() const { return this->current; }
+
+    /** @return whether a configuration from the table, or in an outage the highest of the peers, is in force. */
+    bool isReady() const;
+
+    /** @return whether the table was read to its end since the start of the process. */
+    bool isConfirmed() const { return this->confirmed; }
+
+    /** Starts the next read unless one is under way. */
+    void poll(ControlContext& context);
+
+    /** Starts the next read even when one is under way, whose result may be from before a pause. */
+    void refresh(ControlContext& context);
+
+    void onSnapshotRow(const PlatformResult& result, ControlContext& context);
+    void onSnapshotObject(const PlatformResult& result, ControlContext& context);
+    /** @return whether the read reached the end of the table's notes. */
+    bool onNotes(const PlatformResult& result, ControlContext& context);
+
+    /** Takes a note in when it is the next one. */
+    void takeNote(ReleaseVersion version, const ReleaseNote& note, ControlContext& context);
+
+    /** Takes a peer's configuration in when it is newer. */
+    void takePeerCopy(const Fleet& copy, ControlContext& context);
+
+    /** Takes a peer's note in when it is the next one. */
+    void takePeerNote(const NoteDelivery& delivery, ControlContext& context);
+
+private:
+    enum class Stage : std::uint8_t {
+        LookingUpSnapshot,
+        LoadingSnapshot,
+        Following,
+    };
+
+    void startRead(ControlContext& context);
+    void adopt(Fleet fleet, ControlContext& context);
+    bool takeRow(const TableRecord& row, ControlContext& context);
+    void notePeer(Instant now);
+    void settlePeers(const ControlContext& context);
+
+    Fleet current;
+    Stage stage { Stage::LookingUpSnapshot };
+    std::string snapshotVersion;
+    bool reading { false };
+    bool confirmed { false };
+    bool tableFailed { false };
+    bool peersSettled { false };
+    std::optional<Instant> firstPeerAt;
+};
+
+}
--- a/src/ports/ControlPorts.h
+++ b/src/ports/ControlPorts.h
@@ -62,6 +62,8 @@
     /** Where in the note, such as `added.endpoints[2].zone`. */
     std::string place;
     std::string expected;
+    /** Line of the note's text, from 1 on; zero when it is not known. */
+    std::uint32_t line { 0 };
     bool operator==(const NoteProblem&) const = default;
 };
 
--- a/src/runtime/ControlDuty.h
+++ b/src/runtime/ControlDuty.h
@@ -6,8 +6,8 @@
 #include "runtime/Duty.h"
 
 #include <atomic>
-#include <deque>
 #include <optional>
+#include <vector>
 
 namespace teaselfold {
 
@@ -24,6 +24,7 @@
 public:
     /** @param keeper the decisions; owned by the duty from here on. */
     explicit ControlDuty(ConfigurationKeeper keeper);
+    ~ControlDuty() override { this->stop(); }
 
     /** The ring for operators' requests, peers' knowledge and the platform's replies. */
     Ring<ControlEvent>& ring() { return this->duty.ring(); }
@@ -37,15 +38,19 @@
     /** @return whether a configuration is in force. Safe to call from any thread. */
     bool isReady() const { return this->ready.load(); }
 
+private:
+    struct ActionTable;
+
     void onToAdmin(const ToAdmin& action);
     void onToPlatform(const ControlToPlatform& action);
     void onToRouter(const ToRouter& action);
     void onLog(const LogEvent& action);
 
-private:
     void handle(const ControlEvent& event, Instant now) override;
     void tick(Instant now) override;
     void apply(const std::vector<ControlAction>& actions);
+    /** Tells the keeper of the operations that the platform adapter had no room for. */
+    void refuseOperations(Instant now);
     void passToRouter();
 
     ConfigurationKeeper keeper;
@@ -54,7 +59,7 @@
     std::optional<FleetChanged> waitingFleet;
     std::optional<OrdersChanged> waitingOrders;
     std::optional<InstancesListed> waitingInstances;
-    std::deque<OperationId> refusedOperations;
+    std::vector<OperationId> refusedOperations;
     std::atomic<bool> ready { false };
     Duty<ControlEvent> duty;
 };
