Add the administration API and the operator's tool

Cause: operators need one interface for notes, orders and status. Conclusion: ready to be wired into the entry and the agent.

--- /dev/null
+++ b/apps/teaselfoldctl/AdminClient.cpp
@@ -0,0 +1,114 @@
+#include "AdminClient.h"
+
+#include "adapters/fleet/DocumentReader.h"
+
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+
+#include <array>
+#include <iostream>
+
+namespace teaselfold::Ctl {
+
+namespace {
+
+    constexpr Seconds connectTimeout(2);
+    /** Longer than the time after which an entry answers a publish in any case. */
+    constexpr Seconds answerTimeout(12);
+
+    Poco::JSON::Object::Ptr parseObject(const std::string& text)
+    {
+        try {
+            return Poco::JSON::Parser().parse(text).extract<Poco::JSON::Object::Ptr>();
+        } catch (const Poco::Exception&) {
+            return {};
+        }
+    }
+
+    /** @return whether the entry did nothing and another one may do better. */
+    bool shouldTryNext(const Reply& reply)
+    {
+        constexpr std::uint16_t unavailable = 503;
+        if (reply.status != unavailable || reply.json.isNull())
+            return false;
+        const auto error = reply.json->getObject("error");
+        return !error.isNull() && error->optValue<std::string>("run", "") == "no";
+    }
+
+    struct CodeRow {
+        std::uint16_t status;
+        ExitCode code;
+    };
+
+    constexpr std::array codeRows {
+        CodeRow { 400, ExitCode::Rejected },
+        CodeRow { 404, ExitCode::Rejected },
+        CodeRow { 413, ExitCode::Rejected },
+        CodeRow { 409, ExitCode::Conflict },
+        CodeRow { 401, ExitCode::Denied },
+        CodeRow { 403, ExitCode::Denied },
+    };
+
+}
+
+AdminClient::AdminClient(std::vector<Address> entries, std::string token)
+    : entries(std::move(entries))
+    , token(std::move(token))
+{
+}
+
+std::optional<Reply> AdminClient::send(const Request& request) const
+{
+    std::optional<Reply> last;
+    for (const Address& entry : this->entries) {
+        std::optional<Reply> reply = this->sendTo(entry, request);
+        if (reply && !shouldTryNext(*reply))
+            return reply;
+        const char* what = reply ? " cannot serve this now" : " does not answer";
+        std::cerr << "entry " << Internal::formatAddress(entry) << what << "\n";
+        if (reply)
+            last = std::move(reply);
+    }
+    return last;
+}
+
+std::optional<Reply> AdminClient::sendTo(const Address& entry, const Request& request) const
+{
+    try {
+        Poco::Net::HTTPClientSession session(entry.host, entry.port);
+        session.setTimeout(Poco::Timespan(connectTimeout.count(), 0), Poco::Timespan(answerTimeout.count(), 0),
+            Poco::Timespan(answerTimeout.count(), 0));
+        Poco::Net::HTTPRequest message(request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1);
+        if (!this->token.empty())
+            message.set("Authorization", "Bearer " + this->token);
+        message.setContentLength(static_cast<std::streamsize>(request.body.size()));
+        session.sendRequest(message) << request.body;
+        Poco::Net::HTTPResponse response;
+        Reply reply;
+        std::istream& body = session.receiveResponse(response);
+        Poco::StreamCopier::copyToString(body, reply.body);
+        reply.status = static_cast<std::uint16_t>(response.getStatus());
+        reply.json = parseObject(reply.body);
+        return reply;
+    } catch (const Poco::Exception&) {
+        return std::nullopt;
+    }
+}
+
+ExitCode exitCodeOf(const std::optional<Reply>& reply)
+{
+    if (!reply)
+        return ExitCode::Unavailable;
+    if (reply->isOk())
+        return ExitCode::Done;
+    for (const CodeRow& row : codeRows) {
+        if (row.status == reply->status)
+            return row.code;
+    }
+    return ExitCode::Unavailable;
+}
+
+}
--- /dev/null
+++ b/src/adapters/http/AdminDocuments.cpp
@@ -0,0 +1,238 @@
+#include "adapters/http/AdminDocuments.h"
+
+#include "adapters/fleet/FleetDocuments.h"
+#include "core/common/ServiceOrders.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+
+#include <algorithm>
+#include <sstream>
+
+namespace teaselfold::Internal {
+
+namespace {
+
+    using Poco::JSON::Array;
+    using Poco::JSON::Object;
+
+    constexpr std::uint16_t statusOk = 200;
+    constexpr std::uint16_t statusCreated = 201;
+
+    AdminResponse respond(std::uint16_t status, const Object::Ptr& json)
+    {
+        std::ostringstream text;
+        json->stringify(text);
+        AdminResponse response;
+        response.status = status;
+        response.body = text.str() + "\n";
+        return response;
+    }
+
+    Object::Ptr writeError(const Failure& failure)
+    {
+        Object::Ptr error(new Object);
+        error->set("code", std::string(codeName(failure.code)));
+        error->set("message", failure.message);
+        error->set("run", std::string(runName(failure.run)));
+        Object::Ptr json(new Object);
+        json->set("error", error);
+        return json;
+    }
+
+    Object::Ptr writeConflict(const std::string& text)
+    {
+        return writeError(Failure { ErrorCode::Conflict, text, Run::No, Milliseconds(0) });
+    }
+
+    Array::Ptr writeProblems(const std::vector<NoteProblem>& problems)
+    {
+        Array::Ptr list(new Array);
+        for (const NoteProblem& problem : problems) {
+            Object::Ptr json(new Object);
+            json->set("place", problem.place);
+            json->set("line", problem.line);
+            json->set("expected", problem.expected);
+            list->add(json);
+        }
+        return list;
+    }
+
+    /** Writes the configuration in force, with what each endpoint's agent last reported. */
+    class StatusWriter {
+    public:
+        explicit StatusWriter(const ConfigurationView& view)
+            : view(view)
+        {
+            for (const ServiceOrder& order : view.orders)
+                this->orders.merge(order);
+        }
+
+        Object::Ptr write() const
+        {
+            Object::Ptr json(new Object);
+            json->set("version", static_cast<Poco::UInt64>(this->view.fleet.version.get()));
+            json->set("table_reachable", this->view.tableReachable);
+            json->set("zones", this->writeZones());
+            json->set("endpoints", this->writeEndpoints());
+            json->set("lacking", this->writeLacking());
+            json->set("orders", this->writeOrders());
+            json->set("leaving_instances", this->writeLeaving());
+            json->set("fleet", writeFleet(this->view.fleet));
+            return json;
+        }
+
+    private:
+        Array::Ptr writeZones() const
+        {
+            Array::Ptr list(new Array);
+            for (const auto& [id, zone] : this->view.fleet.zones) {
+                Object::Ptr json = writeObject(zone);
+                json->set("out", this->orders.isOut(id));
+                list->add(json);
+            }
+            return list;
+        }
+
+        Array::Ptr writeEndpoints() const
+        {
+            Array::Ptr list(new Array);
+            for (const auto& [id, endpoint] : this->view.fleet.endpoints) {
+                Object::Ptr json = writeObject(endpoint);
+                json->set("out", this->orders.isOut(id) || this->orders.isOut(endpoint.zone));
+                const EndpointView* known = this->find(id);
+                json->set("reported", known != nullptr);
+                if (known != nullptr)
+                    StatusWriter::writeReport(*known, *json);
+                list->add(json);
+            }
+            return list;
+        }
+
+        static void writeReport(const EndpointView& known, Object& json)
+        {
+            const LoadReport& report = known.report;
+            json.set("version", static_cast<Poco::UInt64>(report.release.get()));
+            json.set("running", report.running);
+            json.set("queued", report.queued);
+            json.set("room", report.room);
+            json.set("memory_permille", report.memoryPermille);
+            json.set("pace_us", static_cast<Poco::Int64>(report.pace.count()));
+            json.set("expected_wait_ms", static_cast<Poco::Int64>(report.expectedWait.count()));
+            json.set("cold", report.cold);
+            json.set("leaving", report.leaving);
+            json.set("age_ms", static_cast<Poco::Int64>(known.age.count()));
+        }
+
+        Array::Ptr writeLacking() const
+        {
+            Array::Ptr list(new Array);
+            for (const auto& [id, endpoint] : this->view.fleet.endpoints) {
+                const EndpointView* known = this->find(id);
+                if (known == nullptr || known->report.release < this->view.fleet.version)
+                    list->add(id.get());
+            }
+            return list;
+        }
+
+        Array::Ptr writeOrders() const
+        {
+            Array::Ptr list(new Array);
+            for (const ServiceOrder& order : this->view.orders)
+                list->add(writeOrder(order));
+            return list;
+        }
+
+        Array::Ptr writeLeaving() const
+        {
+            Array::Ptr list(new Array);
+            for (const std::string& name : this->view.leavingInstances)
+                list->add(name);
+            return list;
+        }
+
+        const EndpointView* find(const EndpointId& id) const
+        {
+            const auto& known = this->view.endpoints;
+            const auto found = std::find_if(
+                known.begin(), known.end(), [&](const EndpointView& endpoint) { return endpoint.endpoint == id; });
+            return found == known.end() ? nullptr : &*found;
+        }
+
+        const ConfigurationView& view;
+        ServiceOrders orders;
+    };
+
+    /** One overload for each answer. */
+    struct MessageRenderer {
+        AdminResponse operator()(const NoteAccepted& message) const
+        {
+            Object::Ptr json(new Object);
+            json->set("version", static_cast<Poco::UInt64>(message.version.get()));
+            json->set("dry_run", message.dryRun);
+            return respond(message.dryRun ? statusOk : statusCreated, json);
+        }
+
+        AdminResponse operator()(const NoteStale& message) const
+        {
+            const std::string current = std::to_string(message.current.get());
+            Object::Ptr json = writeConflict("the note's base is not the newest version, which is " + current);
+            json->set("current", static_cast<Poco::UInt64>(message.current.get()));
+            return respond(httpStatus(ErrorCode::Conflict), json);
+        }
+
+        AdminResponse operator()(const NoteInvalid& message) const
+        {
+            Object::Ptr json
+                = writeError(Failure { ErrorCode::BadRequest, "the note is wrong", Run::No, Milliseconds(0) });
+            json->set("problems", writeProblems(message.problems));
+            return respond(httpStatus(ErrorCode::BadRequest), json);
+        }
+
+        AdminResponse operator()(const OrderTaken& message) const
+        {
+            Object::Ptr json(new Object);
+            json->set("state", message.order.recorded ? "recorded" : "in force, not yet recorded");
+            json->set("order", writeOrder(message.order));
+            return respond(statusOk, json);
+        }
+
+        AdminResponse operator()(const OrderSuperseded& message) const
+        {
+            Object::Ptr json = writeConflict("an order of " + message.winner.author + " won");
+            json->set("winner", writeOrder(message.winner));
+            return respond(httpStatus(ErrorCode::Conflict), json);
+        }
+
+        AdminResponse operator()(const ConfigurationView& message) const
+        {
+            return respond(statusOk, StatusWriter(message).write());
+        }
+
+        AdminResponse operator()(const HistoryView& message) const
+        {
+            Array::Ptr list(new Array);
+            for (const HistoryLine& line : message.lines) {
+                Object::Ptr item(new Object);
+                item->set("version", static_cast<Poco::UInt64>(line.version.get()));
+                item->set("note", writeNote(line.note));
+                list->add(item);
+            }
+            Object::Ptr json(new Object);
+            json->set("notes", list);
+            return respond(statusOk, json);
+        }
+
+        AdminResponse operator()(const Failure& message) const
+        {
+            AdminResponse response = respond(httpStatus(message.code), writeError(message));
+            response.retryAfter = message.retryAfter;
+            return response;
+        }
+    };
+
+}
+
+AdminResponse renderAdminMessage(const AdminMessage& message) { return std::visit(MessageRenderer {}, message); }
+
+}
