Test races, lost answers, outages and bad notes of the control part

Cause: the decisions of the control part were not run yet. Change: a keeper driven by scripts with a manual clock against a table in memory; scenarios for publishing, orders, starts and documents.

--- /dev/null
+++ b/test/correctness/FullRouterRingKeepsNewestFleet.cpp
@@ -0,0 +1,71 @@
+#include "runtime/ControlDuty.h"
+#include "support/ControlScript.h"
+
+#include <doctest/doctest.h>
+
+#include <condition_variable>
+#include <mutex>
+
+using namespace teaselfold;
+using namespace teaselfold::test;
+
+namespace {
+
+/** Answers each operation at once into the control ring. */
+class InstantPlatform : public Platform {
+public:
+    bool submit(const PlatformOperation& operation) override
+    {
+        return this->ring->tryPush(
+            ControlPlatformReply { { operation.operation, this->memory.serve(operation.request) } });
+    }
+    Ring<ControlEvent>* ring { nullptr };
+    MemoryPlatform memory;
+};
+
+/** Lets a test wait for answers. */
+class WaitingAdmins : public Admins {
+public:
+    void deliver(AdminId, const AdminMessage& message) override { this->answers.tryPush(message); }
+    Ring<AdminMessage> answers { 64 };
+};
+
+class SilentTelemetry : public Telemetry {
+public:
+    void log(const LogEvent&) override { }
+    void observe(const Observation&) override { }
+};
+
+}
+
+TEST_CASE("a full router ring delays the newest configuration and never loses it")
+{
+    CountingRandomness randomness(1);
+    const JsonDocumentCodec codec;
+    ControlDuty duty(ConfigurationKeeperBuilder().withCodec(codec).withRandomness(randomness).build());
+    InstantPlatform platform;
+    platform.ring = &duty.ring();
+    Ring<RouterEvent> router(1);
+    router.tryPush(Tick {});
+    WaitingAdmins admins;
+    SilentTelemetry telemetry;
+    duty.start({ platform, router, admins, telemetry });
+    const Instant never = Instant::max();
+    std::uint64_t version = 0;
+    while (version < 3) {
+        const std::string number = std::to_string(version);
+        duty.ring().push(PublishNote { AdminId(version), zoneNote("n" + number, version, "z" + number), false });
+        const auto answer = admins.answers.popUntil(never);
+        if (std::holds_alternative<NoteAccepted>(*answer))
+            ++version;
+    }
+    CHECK(duty.isReady());
+    std::uint64_t seen = 0;
+    while (seen < 3) {
+        const auto event = router.popUntil(never);
+        if (const auto* fleet = std::get_if<FleetChanged>(&*event))
+            seen = fleet->fleet.version.get();
+    }
+    CHECK(seen == 3);
+    duty.stop();
+}
--- /dev/null
+++ b/test/correctness/TwoPublishersRace.cpp
@@ -0,0 +1,43 @@
+#include "support/ControlScript.h"
+
+#include <doctest/doctest.h>
+
+using namespace teaselfold;
+using namespace teaselfold::test;
+
+TEST_CASE("of two notes on one base one is accepted and the other learns the newest version")
+{
+    MemoryPlatform platform;
+    ControlScript first("entry-1", platform);
+    ControlScript second("entry-2", platform);
+    first.pass(Seconds(1));
+    second.pass(Seconds(1));
+
+    CHECK(first.publish(zoneNote("note-a", 0, "kgl-a")) == AdminMessage(NoteAccepted { ReleaseVersion(1) }));
+    CHECK(second.publish(zoneNote("note-b", 0, "kgl-b")) == AdminMessage(NoteStale { ReleaseVersion(1) }));
+    CHECK(second.view().fleet.zones.contains(ZoneId("kgl-a")));
+    CHECK_FALSE(second.view().fleet.zones.contains(ZoneId("kgl-b")));
+}
+
+TEST_CASE("an entry that lags reads the table before it calls a base unknown")
+{
+    MemoryPlatform platform;
+    ControlScript first("entry-1", platform);
+    ControlScript second("entry-2", platform);
+    first.pass(Seconds(1));
+    second.pass(Seconds(1));
+    first.publish(zoneNote("note-a", 0, "kgl-a"));
+
+    CHECK(second.publish(zoneNote("note-b", 1, "kgl-b")) == AdminMessage(NoteAccepted { ReleaseVersion(2) }));
+    CHECK(second.publish(zoneNote("note-c", 9, "kgl-c")) == AdminMessage(NoteStale { ReleaseVersion(2) }));
+}
+
+TEST_CASE("a dry run writes nothing")
+{
+    MemoryPlatform platform;
+    ControlScript script("entry-1", platform);
+    script.pass(Seconds(1));
+    CHECK(
+        script.publish(zoneNote("note-a", 0, "kgl-a"), true) == AdminMessage(NoteAccepted { ReleaseVersion(1), true }));
+    CHECK(platform.rows.empty());
+}
