Name the admin port's tokens apart from the settings' ones

Cause: the settings declare AdminToken and AdminRole too, so that one file could not include both. Measured: not run yet; a pure renaming. Conclusion: both headers can be included together.

--- a/src/adapters/http/AdminApi.cpp
+++ b/src/adapters/http/AdminApi.cpp
@@ -117,10 +117,10 @@
         return refuse(ErrorCode::NotFound, "no such method and path on the admin port");
     if (route->access == Access::Open || !this->options.requireTokens)
         return (this->*route->handler)(request, "");
-    const AdminToken* token = findToken(request.authorization, this->options.tokens);
+    const OperatorToken* token = findToken(request.authorization, this->options.tokens);
     if (token == nullptr)
         return refuse(ErrorCode::Unauthorized, "a bearer token of the admin port is needed");
-    if (route->access == Access::Operator && token->role != AdminRole::Operator)
+    if (route->access == Access::Operator && token->role != OperatorRole::Operator)
         return refuse(ErrorCode::Forbidden, "the token's role may read only");
     return (this->*route->handler)(request, token->name);
 }
--- a/src/adapters/http/AdminServer.h
+++ b/src/adapters/http/AdminServer.h
@@ -10,7 +10,7 @@
 
 namespace teaselfold {
 
-enum class AdminRole : std::uint8_t {
+enum class OperatorRole : std::uint8_t {
     /** May read. */
     Viewer,
     /** May read and act. */
@@ -18,9 +18,9 @@
 };
 
 /** A bearer token that the admin port accepts. Only its hash is known here. */
-struct AdminToken {
+struct OperatorToken {
     std::string name;
-    AdminRole role { AdminRole::Viewer };
+    OperatorRole role { OperatorRole::Viewer };
     /** Lower-case hexadecimal SHA-256 of the token. */
     std::string sha256;
 };
@@ -35,7 +35,7 @@
 
 struct AdminServerOptions {
     Address listen;
-    std::vector<AdminToken> tokens;
+    std::vector<OperatorToken> tokens;
     /** False lets everybody act as an operator; meant for tests and demonstrations. */
     bool requireTokens { true };
     /** Longest wait for the control duty's answer to an operator. */
--- a/src/adapters/http/AdminTokens.cpp
+++ b/src/adapters/http/AdminTokens.cpp
@@ -26,14 +26,14 @@
     return Poco::DigestEngine::digestToHex(engine.digest());
 }
 
-const AdminToken* findToken(const std::string& authorization, const std::vector<AdminToken>& tokens)
+const OperatorToken* findToken(const std::string& authorization, const std::vector<OperatorToken>& tokens)
 {
     const std::string scheme = "Bearer ";
     if (!authorization.starts_with(scheme))
         return nullptr;
     const std::string hash = sha256Hex(authorization.substr(scheme.size()));
-    const AdminToken* match = nullptr;
-    for (const AdminToken& token : tokens) {
+    const OperatorToken* match = nullptr;
+    for (const OperatorToken& token : tokens) {
         if (equalInConstantTime(hash, token.sha256))
             match = &token;
     }
--- a/src/adapters/http/AdminTokens.h
+++ b/src/adapters/http/AdminTokens.h
@@ -16,6 +16,6 @@
  * @param tokens the tokens that are accepted.
  * @return the token; null when there is none.
  */
-const AdminToken* findToken(const std::string& authorization, const std::vector<AdminToken>& tokens);
+const OperatorToken* findToken(const std::string& authorization, const std::vector<OperatorToken>& tokens);
 
 }
--- a/test/correctness/AdminPortChecksRoles.cpp
+++ b/test/correctness/AdminPortChecksRoles.cpp
@@ -11,8 +11,8 @@
 AdminApi makeApi(std::vector<ControlEvent>& events)
 {
     AdminServerOptions options;
-    options.tokens
-        = { { "ann", AdminRole::Operator, sha256Hex("secret") }, { "vic", AdminRole::Viewer, sha256Hex("look") } };
+    options.tokens = { { "ann", OperatorRole::Operator, sha256Hex("secret") },
+        { "vic", OperatorRole::Viewer, sha256Hex("look") } };
     ProbeSources probes { [] { return false; }, [] { return std::string("metric 1\n"); } };
     return AdminApi(options, probes, [&events](const AdminApi::EventMaker& make) -> AdminMessage {
         events.push_back(make(AdminId(1)));
