--- a/apps/teaselfoldctl/Commands.cpp
+++ b/apps/teaselfoldctl/Commands.cpp
@@ -190,7 +190,7 @@
         if (!known)
             continue;
         for (const auto& item : *reply->json->getArray("endpoints")) {
-            const auto endpoint = item.extract<Poco::JSON::Object::Ptr>();
+            const auto& endpoint = item.extract<Poco::JSON::Object::Ptr>();
             const std::string name = "endpoint " + endpoint->getValue<std::string>("id");
             const bool has = endpoint->optValue<Poco::UInt64>("version", 0) >= version;
             (has ? current : lacking).insert(name);
