Add the entry's router

Cause: an entry needs its routing, retry and stream decisions apart from sockets and threads. Change: Router and its parts in core/entry: admission of requests, choice of endpoints, attempts, token flow, link health, retry budget and quarantine.

--- /dev/null
+++ b/src/core/entry/EndpointTable.cpp
@@ -0,0 +1,98 @@
+#include "core/entry/EndpointTable.h"
+
+#include "core/entry/Rendezvous.h"
+
+#include <algorithm>
+
+namespace teaselfold {
+
+EndpointState* EndpointTable::find(const EndpointId& endpoint)
+{
+    const auto found = this->views.find(endpoint);
+    return found == this->views.end() ? nullptr : &found->second;
+}
+
+const EndpointState* EndpointTable::find(const EndpointId& endpoint) const
+{
+    const auto found = this->views.find(endpoint);
+    return found == this->views.end() ? nullptr : &found->second;
+}
+
+void EndpointTable::update(const Fleet& fleet, const EntryId& self, std::size_t linksPerService)
+{
+    for (auto& [id, view] : this->views) {
+        view.inFleet = false;
+        view.chosen = false;
+    }
+    std::map<ServiceId, std::vector<EndpointId>> members;
+    for (const auto& [id, endpoint] : fleet.endpoints) {
+        EndpointState& view = this->views[id];
+        view.endpoint = endpoint;
+        view.inFleet = true;
+        members[endpoint.service].push_back(id);
+    }
+    this->chosen.clear();
+    for (auto& [service, endpoints] : members)
+        this->chosen[service] = rendezvousOrder(hashOf(self.get()), std::move(endpoints), linksPerService);
+    for (const auto& [service, endpoints] : this->chosen)
+        for (const EndpointId& id : endpoints)
+            this->views[id].chosen = true;
+}
+
+const std::vector<EndpointId>& EndpointTable::chosenFor(const ServiceId& service) const
+{
+    static const std::vector<EndpointId> none;
+    const auto found = this->chosen.find(service);
+    return found == this->chosen.end() ? none : found->second;
+}
+
+void EndpointTable::reported(const EndpointId& endpoint, const LoadReport& report)
+{
+    EndpointState* view = this->find(endpoint);
+    if (!view)
+        return;
+    view->report = report;
+    view->acceptedSinceReport = 0;
+}
+
+void EndpointTable::submitted(const EndpointId& endpoint)
+{
+    if (EndpointState* view = this->find(endpoint))
+        view->unconfirmed += 1;
+}
+
+void EndpointTable::confirmed(const EndpointId& endpoint, bool accepted)
+{
+    EndpointState* view = this->find(endpoint);
+    if (!view)
+        return;
+    if (view->unconfirmed > 0)
+        view->unconfirmed -= 1;
+    if (accepted)
+        view->acceptedSinceReport += 1;
+}
+
+void EndpointTable::forgetReport(const EndpointId& endpoint)
+{
+    EndpointState* view = this->find(endpoint);
+    if (!view)
+        return;
+    view->report.reset();
+    view->acceptedSinceReport = 0;
+}
+
+std::uint32_t sentSinceReport(const EndpointState& view) { return view.acceptedSinceReport + view.unconfirmed; }
+
+std::uint32_t roomLeft(const EndpointState& view)
+{
+    const std::uint32_t room = view.report ? view.report->room : 0;
+    return room - std::min(room, sentSinceReport(view));
+}
+
+std::uint32_t outstanding(const EndpointState& view)
+{
+    const std::uint32_t reported = view.report ? view.report->running + view.report->queued : 0;
+    return reported + sentSinceReport(view);
+}
+
+}
--- /dev/null
+++ b/src/core/entry/LinkKeeper.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "core/entry/Dispatcher.h"
+#include "core/entry/GenerationFlow.h"
+
+#include <map>
+#include <vector>
+
+namespace teaselfold {
+
+/** Keeps the links to the chosen endpoints, replaces silent ones and recovers the work that ran over them. */
+class LinkKeeper {
+public:
+    LinkKeeper(RouterState& state, Dispatcher& dispatcher, GenerationFlow& flow)
+        : state(state)
+        , dispatcher(dispatcher)
+        , flow(flow)
+    {
+    }
+
+    void linkUp(const EndpointId& endpoint, Instant now);
+    void linkDown(const EndpointId& endpoint, Instant now);
+    void heard(const EndpointId& endpoint, Instant now);
+    /** The agent named itself. Another incarnation means that the work at the former one is lost. */
+    void hello(const EndpointId& endpoint, const AgentHello& message, Instant now);
+    void reported(const EndpointId& endpoint, const LoadReport& report);
+    /** Opens, replaces and closes links as needed, and gives up work at endpoints without contact. */
+    void maintain(Instant now);
+    /** This process was paused: what it knows is old and its connections may hold old messages. */
+    void recoverFromPause(Instant now);
+
+private:
+    void maintainOne(const EndpointId& endpoint, EndpointState& view, Instant now);
+    void open(const EndpointId& endpoint, EndpointState& view, Instant now);
+    void close(const EndpointId& endpoint, EndpointState& view);
+    bool isWanted(const EndpointId& endpoint, const EndpointState& view) const;
+    bool isOverdue(const EndpointState& view, Instant now) const;
+    void loseCalls(const EndpointId& endpoint, Instant now);
+    void loseAll(const EndpointId& endpoint, bool died, Instant now);
+    void loseOne(LiveRequest& request, bool died, Instant now);
+    void heartbeat(Instant now);
+
+    RouterState& state;
+    Dispatcher& dispatcher;
+    GenerationFlow& flow;
+    /** Generations given up while there was no contact, to be cancelled on the next link. */
+    std::map<EndpointId, std::vector<GenerationId>> abandoned;
+    std::optional<Instant> heartbeatAt;
+};
+
+}
--- /dev/null
+++ b/src/core/entry/Quarantine.cpp
@@ -0,0 +1,81 @@
+#include "core/entry/Quarantine.h"
+
+#include <algorithm>
+
+namespace teaselfold {
+
+namespace {
+
+    Milliseconds timeLeft(Instant until, Instant now) { return std::chrono::ceil<Milliseconds>(until - now); }
+
+}
+
+Quarantine::Quarantine(const RouterLimits& limits)
+    : limits(limits)
+{
+}
+
+void Quarantine::recordDeath(Fingerprint fingerprint, const EndpointId& endpoint, Instant now)
+{
+    Suspect& suspect = this->suspects[fingerprint];
+    const bool sameDeath
+        = suspect.deaths > 0 && suspect.lastEndpoint == endpoint && now - suspect.lastDeath < this->limits.deathWindow;
+    if (sameDeath)
+        return;
+    suspect.deaths += 1;
+    suspect.until = now + this->limits.quarantineTime;
+    suspect.lastEndpoint = endpoint;
+    suspect.lastDeath = now;
+}
+
+bool Quarantine::clear(Fingerprint fingerprint) { return this->suspects.erase(fingerprint) > 0; }
+
+bool Quarantine::merge(const EndpointId& source, const QuarantineDelivery& delivery, Instant now)
+{
+    bool changed = false;
+    for (const auto& known : delivery.suspects) {
+        if (known.deaths == 0) {
+            changed = this->clear(known.fingerprint) || changed;
+            continue;
+        }
+        Suspect& suspect = this->suspects[known.fingerprint];
+        if (known.deaths <= suspect.deaths)
+            continue;
+        suspect.deaths = known.deaths;
+        suspect.until = now + std::min(known.remaining, this->limits.quarantineTime);
+        suspect.lastEndpoint = source;
+        suspect.lastDeath = now;
+        changed = true;
+    }
+    return changed;
+}
+
+bool Quarantine::isSuspect(Fingerprint fingerprint, Instant now) const
+{
+    const auto found = this->suspects.find(fingerprint);
+    return found != this->suspects.end() && found->second.until > now;
+}
+
+Milliseconds Quarantine::refusedFor(Fingerprint fingerprint, Instant now) const
+{
+    if (!this->isSuspect(fingerprint, now))
+        return Milliseconds(0);
+    const Suspect& suspect = this->suspects.at(fingerprint);
+    return suspect.deaths < this->limits.deathLimit ? Milliseconds(0) : timeLeft(suspect.until, now);
+}
+
+void Quarantine::expire(Instant now)
+{
+    std::erase_if(this->suspects, [&](const auto& item) { return item.second.until <= now; });
+}
+
+QuarantineDelivery Quarantine::delivery(Instant now) const
+{
+    QuarantineDelivery delivery;
+    for (const auto& [fingerprint, suspect] : this->suspects)
+        delivery.suspects.push_back({ fingerprint, suspect.deaths, timeLeft(suspect.until, now) });
+    std::ranges::sort(delivery.suspects, {}, &QuarantineDelivery::Suspect::fingerprint);
+    return delivery;
+}
+
+}
--- /dev/null
+++ b/src/core/entry/RequestAdmission.cpp
@@ -0,0 +1,150 @@
+#include "core/entry/RequestAdmission.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace teaselfold {
+
+namespace {
+
+    constexpr int hexBase = 16;
+
+    Failure notRun(ErrorCode code, std::string message, Milliseconds retryAfter = Milliseconds(0))
+    {
+        return { code, std::move(message), Run::No, retryAfter };
+    }
+
+    std::string hexText(std::uint64_t value)
+    {
+        std::array<char, hexBase> digits {};
+        const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), value, hexBase);
+        return { digits.data(), end.ptr };
+    }
+
+    bool forbidsRepeat(const Service& service, const ServiceWork& work)
+    {
+        return std::ranges::any_of(service.nonRepeatable, [&](const NonRepeatable& rule) {
+            return rule.method == work.method && work.path.starts_with(rule.pathPrefix);
+        });
+    }
+
+}
+
+void RequestAdmission::complete(const CompletionRequest& request, Instant now)
+{
+    LiveRequest live = this->blank(request.request, request.work.team, request.budget, now);
+    const auto model = this->state.fleet.models.find(request.work.model);
+    if (model != this->state.fleet.models.end())
+        live.service = model->second.service;
+    live.priority = request.work.priority;
+    live.fingerprint = request.work.fingerprint;
+    live.origin = request;
+    if (LiveRequest* stored = this->admit(std::move(live), now))
+        this->dispatcher.begin(*stored, now);
+}
+
+void RequestAdmission::call(const ServiceCallRequest& request, Instant now)
+{
+    LiveRequest live = this->blank(request.request, request.work.team, request.budget, now);
+    live.service = request.work.service;
+    live.fingerprint = request.work.fingerprint;
+    ServiceCallRequest bound = request;
+    this->makeAtMostOnce(bound.work);
+    live.origin = std::move(bound);
+    if (LiveRequest* stored = this->admit(std::move(live), now))
+        this->dispatcher.begin(*stored, now);
+}
+
+void RequestAdmission::resume(const StreamResumeRequest& request, Instant now)
+{
+    const EndpointState* view = std::as_const(this->state.endpoints).find(request.token.endpoint);
+    const bool taken = this->state.requests.findGeneration(request.token.generation) != nullptr;
+    LiveRequest live = this->blank(request.request, request.team, request.budget, now);
+    if (view)
+        live.service = view->endpoint.service;
+    live.origin = request;
+    live.run = Run::Yes;
+    LiveRequest* stored = this->admit(std::move(live), now);
+    if (!stored)
+        return;
+    if (taken) {
+        this->dispatcher.fail(*stored, { ErrorCode::Conflict, "the stream is being read", Run::Yes }, now);
+        return;
+    }
+    this->state.requests.assign(*stored, request.token.generation, request.token.endpoint);
+    stored->nextIndex = request.nextIndex;
+    stored->consumed = request.nextIndex;
+    stored->started = true;
+    stored->shown = true;
+    const ResumeGeneration message { request.token.generation, request.team, request.nextIndex };
+    if (view->link == LinkState::Up)
+        this->state.toAgent(request.token.endpoint, message);
+}
+
+LiveRequest* RequestAdmission::admit(LiveRequest request, Instant now)
+{
+    std::optional<Failure> refusal = this->refusalFor(request, now);
+    if (!refusal)
+        refusal = this->loadRefusalFor(request);
+    if (!refusal) {
+        this->state.retries.deposit();
+        return &this->state.requests.add(std::move(request));
+    }
+    refusal->run = worseRun(refusal->run, request.run);
+    this->state.toCaller(request.request, CallerFailure { *refusal });
+    this->state.observe(request, Metric::Refusal, 1, std::string(codeName(refusal->code)));
+    return nullptr;
+}
+
+std::optional<Failure> RequestAdmission::refusalFor(const LiveRequest& request, Instant now) const
+{
+    if (this->state.stopping)
+        return notRun(ErrorCode::Stopping, "this entry is stopping", this->state.limits.retryAfter);
+    if (this->state.fleet.version == ReleaseVersion())
+        return notRun(ErrorCode::NotReady, "no configuration is known yet", this->state.limits.retryAfter);
+    if (!this->state.fleet.teams.contains(request.team))
+        return notRun(ErrorCode::Forbidden, "the team is not known");
+    const auto service = this->state.fleet.services.find(request.service);
+    if (service == this->state.fleet.services.end())
+        return notRun(ErrorCode::NotFound, "no such model, service or stream");
+    const bool plain = std::holds_alternative<ServiceCallRequest>(request.origin);
+    if (plain != (service->second.kind == ServiceKind::Plain))
+        return notRun(ErrorCode::NotFound, "the service is of another kind");
+    const Milliseconds refused = this->state.quarantine.refusedFor(request.fingerprint, now);
+    if (refused.count() > 0)
+        return notRun(ErrorCode::Quarantined, "endpoints died while it ran", refused);
+    return std::nullopt;
+}
+
+std::optional<Failure> RequestAdmission::loadRefusalFor(const LiveRequest& request) const
+{
+    const Milliseconds wait = this->dispatcher.retryAfter(request.priority);
+    if (this->state.requests.inProgress(request.team) >= this->state.fleet.teams.at(request.team).maxInProgress)
+        return notRun(ErrorCode::TeamLimit, "the team has too many requests in progress", wait);
+    if (this->state.requests.inProgress(request.service) >= this->state.fleet.services.at(request.service).bulkhead)
+        return notRun(ErrorCode::QueueFull, "the service has too many requests in progress", wait);
+    return std::nullopt;
+}
+
+LiveRequest RequestAdmission::blank(RequestId request, const TeamId& team, Milliseconds budget, Instant now) const
+{
+    LiveRequest live;
+    live.request = request;
+    live.team = team;
+    live.begun = now;
+    live.deadline = now + (budget.count() > 0 ? budget : this->state.limits.defaultBudget);
+    return live;
+}
+
+void RequestAdmission::makeAtMostOnce(ServiceWork& work) const
+{
+    const auto service = this->state.fleet.services.find(work.service);
+    const bool forbidden = service != this->state.fleet.services.end() && forbidsRepeat(service->second, work);
+    work.atMostOnce = work.atMostOnce || forbidden || !work.key.get().empty();
+    if (!work.atMostOnce || !work.key.get().empty())
+        return;
+    Randomness& randomness = *this->state.randomness;
+    work.key = IdempotencyKey("entry-" + hexText(randomness.next()) + hexText(randomness.next()));
+}
+
+}
--- /dev/null
+++ b/src/core/entry/RetryBudget.cpp
@@ -0,0 +1,38 @@
+#include "core/entry/RetryBudget.h"
+
+#include <algorithm>
+
+namespace teaselfold {
+
+RetryBudget::RetryBudget(const RouterLimits& limits)
+    : limits(limits)
+    , available(limits.retryFloor)
+{
+}
+
+void RetryBudget::deposit()
+{
+    this->available = std::min(this->available + this->limits.retryShare, this->limits.retryCeiling);
+}
+
+bool RetryBudget::withdraw(Instant now)
+{
+    this->refill(now);
+    if (this->available < 1)
+        return false;
+    this->available -= 1;
+    return true;
+}
+
+void RetryBudget::refill(Instant now)
+{
+    using Minutes = std::chrono::duration<double, std::ratio<60>>;
+    const Instant since = this->refilledAt.value_or(now);
+    this->refilledAt = now;
+    if (this->available >= this->limits.retryFloor)
+        return;
+    const double gained = Minutes(now - since).count() * this->limits.retryFloor;
+    this->available = std::min(this->available + gained, this->limits.retryFloor);
+}
+
+}
--- /dev/null
+++ b/src/core/entry/Router.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "core/entry/GenerationFlow.h"
+#include "core/entry/LinkKeeper.h"
+#include "core/entry/RequestAdmission.h"
+#include "core/entry/RouterState.h"
+
+#include <memory>
+#include <vector>
+
+namespace teaselfold {
+
+/** All decisions of an entry's data path: an event and the time go in, actions come out. */
+class Router {
+public:
+    explicit Router(std::unique_ptr<RouterState> state);
+
+    /**
+     * Handles one event.
+     * @param now never earlier than in the call before.
+     * @return what to do, in this order.
+     */
+    std::vector<RouterAction> handle(const RouterEvent& event, Instant now);
+
+    /** @return whether new work is taken: a configuration is known and no stop was requested. */
+    bool ready() const;
+    /** @return how many requests are in progress. */
+    std::size_t inProgress() const;
+
+private:
+    friend struct RouterHandlers;
+
+    void onCompletion(const CompletionRequest& event, Instant now);
+    void onStreamResume(const StreamResumeRequest& event, Instant now);
+    void onServiceCall(const ServiceCallRequest& event, Instant now);
+    void onCallerGone(const CallerGone& event, Instant now);
+    void onCallerConsumed(const CallerConsumed& event, Instant now);
+    void onLinkUp(const LinkUp& event, Instant now);
+    void onLinkDown(const LinkDown& event, Instant now);
+    void onAgent(const FromAgent& event, Instant now);
+    void onFleet(const FleetChanged& event, Instant now);
+    void onOrders(const OrdersChanged& event, Instant now);
+    void onInstances(const InstancesListed& event, Instant now);
+    void onStop(const StopRequested& event, Instant now);
+    void onTick(const Tick& event, Instant now);
+
+    void agentHello(const AgentHello& message, const EndpointId& endpoint, Instant now);
+    void agentReport(const LoadReport& message, const EndpointId& endpoint, Instant now);
+    void agentAccepted(const GenerationAccepted& message, const EndpointId& endpoint, Instant now);
+    void agentRefused(const GenerationRefused& message, const EndpointId& endpoint, Instant now);
+    void agentStarted(const GenerationStarted& message, const EndpointId& endpoint, Instant now);
+    void agentTokens(const GenerationTokens& message, const EndpointId& endpoint, Instant now);
+    void agentFinished(const GenerationFinished& message, const EndpointId& endpoint, Instant now);
+    void agentFailed(const GenerationFailed& message, const EndpointId& endpoint, Instant now);
+    void agentUnknown(const GenerationUnknown& message, const EndpointId& endpoint, Instant now);
+    void agentAnswered(const CallAnswered& message, const EndpointId& endpoint, Instant now);
+    void agentCallFailed(const CallFailed& message, const EndpointId& endpoint, Instant now);
+    void agentFleet(const FleetCopy& message, const EndpointId& endpoint, Instant now);
+    void agentNote(const NoteDelivery& message, const EndpointId& endpoint, Instant now);
+    void agentOrders(const OrdersDelivery& message, const EndpointId& endpoint, Instant now);
+    void agentSuspects(const QuarantineDelivery& message, const EndpointId& endpoint, Instant now);
+
+    void detectPause(Instant now);
+    void endOverdue(Instant now);
+    void reportDrained();
+
+    std::unique_ptr<RouterState> state;
+    Dispatcher dispatcher;
+    GenerationFlow flow;
+    LinkKeeper links;
+    RequestAdmission admission;
+    std::optional<Instant> lastEventAt;
+    bool drainedReported { false };
+};
+
+/** Builds a router. The randomness must outlive it. */
+class RouterBuilder {
+public:
+    RouterBuilder& withSelf(EntryId self);
+    RouterBuilder& withZone(ZoneId zone);
+    RouterBuilder& withRandomness(Randomness& randomness);
+    RouterBuilder& withLimits(RouterLimits limits);
+    /** @return the router; a source of randomness must have been given. */
+    std::unique_ptr<Router> build();
+
+private:
+    EntryId self;
+    ZoneId zone;
+    Randomness* randomness { nullptr };
+    RouterLimits limits;
+};
+
+}
--- /dev/null
+++ b/src/core/entry/RouterState.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "core/common/ServiceOrders.h"
+#include "core/entry/EndpointTable.h"
+#include "core/entry/OverflowMeter.h"
+#include "core/entry/Quarantine.h"
+#include "core/entry/RequestTable.h"
+#include "core/entry/RetryBudget.h"
+#include "core/entry/RouterLimits.h"
+#include "ports/EntryPorts.h"
+#include "ports/Randomness.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace teaselfold {
+
+/** What the parts of a router share: its tables, and the actions gathered while one event is handled. */
+struct RouterState {
+    RouterState(EntryId self, ZoneId zone, Randomness& randomness, const RouterLimits& limits)
+        : self(std::move(self))
+        , zone(std::move(zone))
+        , randomness(&randomness)
+        , limits(limits)
+        , retries(limits)
+        , quarantine(limits)
+    {
+    }
+
+    EntryId self;
+    ZoneId zone;
+    Randomness* randomness;
+    RouterLimits limits;
+    Fleet fleet;
+    ServiceOrders orders;
+    EndpointTable endpoints;
+    RequestTable requests;
+    RetryBudget retries;
+    Quarantine quarantine;
+    OverflowMeter overflow;
+    std::map<ServiceId, std::uint64_t> turns;
+    bool stopping { false };
+    std::vector<RouterAction> actions;
+
+    void toAgent(const EndpointId& endpoint, EntryMessage message)
+    {
+        this->actions.emplace_back(ToAgent { endpoint, std::move(message) });
+    }
+
+    void toCaller(RequestId request, CallerMessage message)
+    {
+        this->actions.emplace_back(ToCaller { request, std::move(message) });
+    }
+
+    /** Sends a message on every link that is up. */
+    void toAllAgents(const EntryMessage& message)
+    {
+        for (const auto& [id, view] : this->endpoints.all())
+            if (view.link == LinkState::Up)
+                this->toAgent(id, message);
+    }
+
+    void log(std::string name, std::vector<LogField> fields)
+    {
+        this->actions.emplace_back(LogEvent { std::move(name), std::move(fields) });
+    }
+
+    void observe(const LiveRequest& request, Metric metric, double value = 1, std::string label = {})
+    {
+        this->actions.emplace_back(Observation { metric, request.team, request.priority, value, std::move(label) });
+    }
+};
+
+}
--- /dev/null
+++ b/src/core/entry/RoutingPolicy.cpp
@@ -0,0 +1,111 @@
+#include "core/entry/RoutingPolicy.h"
+
+#include "core/entry/Rendezvous.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace teaselfold {
+
+namespace {
+
+    constexpr Microseconds unknownPace { 26000 };
+    constexpr double boundedLoadFactor = 1.25;
+    constexpr double permille = 1000;
+
+    /** Expected slowness of one more generation: the queue before it, at the endpoint's own speed. */
+    double cost(const EndpointState& view)
+    {
+        const Microseconds pace = view.report && view.report->pace.count() > 0 ? view.report->pace : unknownPace;
+        const double memory = view.report ? view.report->memoryPermille / permille : 0;
+        return static_cast<double>(outstanding(view) + 1) * static_cast<double>(pace.count()) * (1 + memory);
+    }
+
+    bool cheaper(const EndpointState* left, const EndpointState* right) { return cost(*left) < cost(*right); }
+
+    class RoundRobin : public RoutingPolicy {
+    public:
+        const EndpointState& choose(
+            const std::vector<const EndpointState*>& candidates, const RoutingQuery& query) const override
+        {
+            return *candidates[query.turn % candidates.size()];
+        }
+    };
+
+    class LeastOutstanding : public RoutingPolicy {
+    public:
+        const EndpointState& choose(
+            const std::vector<const EndpointState*>& candidates, const RoutingQuery&) const override
+        {
+            return **std::ranges::min_element(candidates, {}, [](const auto* view) { return outstanding(*view); });
+        }
+    };
+
+    /** The better of the first two in the prefix's order that are not loaded much above the mean. */
+    class PrefixTwoChoice : public RoutingPolicy {
+    public:
+        const EndpointState& choose(
+            const std::vector<const EndpointState*>& candidates, const RoutingQuery& query) const override
+        {
+            const double bound = this->loadBound(candidates);
+            const EndpointState* first = nullptr;
+            for (const EndpointState* view : this->inPrefixOrder(candidates, query.prefixHash)) {
+                if (outstanding(*view) > bound)
+                    continue;
+                if (first)
+                    return cheaper(view, first) ? *view : *first;
+                first = view;
+            }
+            return first ? *first : **std::ranges::min_element(candidates, cheaper);
+        }
+
+    private:
+        static double loadBound(const std::vector<const EndpointState*>& candidates)
+        {
+            double total = 0;
+            for (const EndpointState* view : candidates)
+                total += outstanding(*view);
+            return std::ceil(boundedLoadFactor * (total + 1) / static_cast<double>(candidates.size()));
+        }
+
+        static std::vector<const EndpointState*> inPrefixOrder(
+            const std::vector<const EndpointState*>& candidates, std::uint64_t prefixHash)
+        {
+            std::map<EndpointId, const EndpointState*> byId;
+            std::vector<EndpointId> ids;
+            for (const EndpointState* view : candidates) {
+                byId.emplace(view->endpoint.id, view);
+                ids.push_back(view->endpoint.id);
+            }
+            std::vector<const EndpointState*> ordered;
+            for (const EndpointId& id : rendezvousOrder(prefixHash, std::move(ids), candidates.size()))
+                ordered.push_back(byId.at(id));
+            return ordered;
+        }
+    };
+
+    const PrefixTwoChoice prefixTwoChoice;
+    const RoundRobin roundRobin;
+    const LeastOutstanding leastOutstanding;
+
+    struct PolicyRow {
+        std::string_view name;
+        const RoutingPolicy* policy;
+    };
+
+    const std::array policyRows {
+        PolicyRow { "prefix-two-choice", &prefixTwoChoice },
+        PolicyRow { "round-robin", &roundRobin },
+        PolicyRow { "least-outstanding", &leastOutstanding },
+    };
+
+}
+
+const RoutingPolicy& routingPolicy(std::string_view name)
+{
+    const auto found = std::ranges::find(policyRows, name, &PolicyRow::name);
+    return found == policyRows.end() ? prefixTwoChoice : *found->policy;
+}
+
+}
