--- /dev/null
+++ b/src/runtime/RouterDuty.cpp
@@ -0,0 +1,73 @@
+#include "runtime/RouterDuty.h"
+
+#include "core/common/HandlerTable.h"
+
+namespace teaselfold {
+
+namespace {
+
+    constexpr std::size_t ringCapacity = 16384;
+    constexpr Milliseconds tickPeriod { 100 };
+
+    constexpr HandlerTable<RouterDuty, void, RouterAction> actions {
+        &RouterDuty::onToAgent,
+        &RouterDuty::onToCaller,
+        &RouterDuty::onOpenLink,
+        &RouterDuty::onCloseLink,
+        &RouterDuty::onToControl,
+        &RouterDuty::onLog,
+        &RouterDuty::onObservation,
+        &RouterDuty::onDrained,
+    };
+
+}
+
+RouterDuty::RouterDuty(std::unique_ptr<Router> router)
+    : router(std::move(router))
+    , duty("router", ringCapacity, tickPeriod)
+{
+}
+
+void RouterDuty::start(RouterPeers given)
+{
+    this->peers.emplace(std::move(given));
+    this->duty.start(*this);
+}
+
+void RouterDuty::onToAgent(const ToAgent& action) { this->peers->links.send(action.endpoint, action.message); }
+
+void RouterDuty::onToCaller(const ToCaller& action) { this->peers->callers.deliver(action.request, action.message); }
+
+void RouterDuty::onOpenLink(const OpenLink& action) { this->peers->links.open(action.endpoint, action.address); }
+
+void RouterDuty::onCloseLink(const CloseLink& action) { this->peers->links.close(action.endpoint); }
+
+void RouterDuty::onToControl(const ToControl& action)
+{
+    // Agents repeat their knowledge with each report, so a full ring only delays it.
+    this->peers->control.tryPush(PeerKnowledge { action.endpoint, action.message });
+}
+
+void RouterDuty::onLog(const LogEvent& action) { this->peers->telemetry.log(action); }
+
+void RouterDuty::onObservation(const Observation& action) { this->peers->telemetry.observe(action); }
+
+void RouterDuty::onDrained(const Drained&)
+{
+    if (this->peers->drained)
+        this->peers->drained();
+}
+
+void RouterDuty::handle(const RouterEvent& event, Instant now)
+{
+    const auto* changed = std::get_if<FleetChanged>(&event);
+    if (changed && this->peers->fleetChanged)
+        this->peers->fleetChanged(changed->fleet);
+    for (const RouterAction& action : this->router->handle(event, now))
+        actions.dispatch(*this, action);
+    this->ready.store(this->router->ready());
+}
+
+void RouterDuty::tick(Instant now) { this->handle(Tick {}, now); }
+
+}
