--- a/src/core/entry/LinkKeeper.cpp
+++ b/src/core/entry/LinkKeeper.cpp
@@ -153,7 +153,7 @@
     for (const RequestId id : this->state.requests.at(endpoint)) {
         LiveRequest& request = *this->state.requests.find(id);
         if (std::holds_alternative<ServiceCallRequest>(request.origin))
-            this->loseOne(request, false, now);
+            this->loseOne(request, now);
     }
 }
 
@@ -170,13 +170,15 @@
             this->state.toAllAgents(this->state.quarantine.delivery(now));
     }
     for (const RequestId id : lost)
-        this->loseOne(*this->state.requests.find(id), died, now);
+        this->loseOne(*this->state.requests.find(id), now);
 }
 
-void LinkKeeper::loseOne(LiveRequest& request, bool died, Instant now)
+void LinkKeeper::loseOne(LiveRequest& request, Instant now)
 {
     const bool call = std::holds_alternative<ServiceCallRequest>(request.origin);
-    if (!died && !call)
+    const EndpointState* view = std::as_const(this->state.endpoints).find(request.endpoint);
+    const bool reachable = view && view->link == LinkState::Up;
+    if (!reachable && !call)
         this->abandoned[request.endpoint].push_back(request.generation);
     const Run run = request.started ? Run::Yes : Run::Unknown;
     this->dispatcher.attemptLost(request, { ErrorCode::EndpointLost, "contact with the endpoint was lost", run }, now);
--- a/src/core/entry/LinkKeeper.h
+++ b/src/core/entry/LinkKeeper.h
@@ -37,7 +37,7 @@
     bool isOverdue(const EndpointState& view, Instant now) const;
     void loseCalls(const EndpointId& endpoint, Instant now);
     void loseAll(const EndpointId& endpoint, bool died, Instant now);
-    void loseOne(LiveRequest& request, bool died, Instant now);
+    void loseOne(LiveRequest& request, Instant now);
     void heartbeat(Instant now);
 
     RouterState& state;
