Add the engine's rules and the three stand-ins

Cause: entries and agents need something to talk to, and admission needs an engine to be measured against.

--- /dev/null
+++ b/apps/standin-engine/Main.cpp
@@ -0,0 +1,48 @@
+#include "emulator/host/CommandLine.h"
+#include "emulator/host/EngineHost.h"
+#include "emulator/host/ServeUntilTermination.h"
+
+using namespace teaselfold;
+namespace options = boost::program_options;
+
+int main(int argc, char** argv)
+{
+    blockTermination();
+    std::string listen;
+    std::int64_t coldFor = 0;
+    std::int64_t reviveAfter = 0;
+    EngineSettings engine;
+    EngineHostSettings host;
+    options::options_description description("standin-engine: an emulated model engine");
+    auto add = description.add_options();
+    add("listen", options::value(&listen)->default_value("127.0.0.1:7200"), "IP number and port");
+    add("seed", options::value(&engine.seed)->default_value(1), "seed of output lengths and incarnations");
+    add("speed", options::value(&engine.speed)->default_value(1), "divides the duration of a step");
+    add("blocks", options::value(&engine.blocks)->default_value(engine.blocks), "memory in blocks");
+    add("cache-blocks", options::value(&engine.cacheBlocks)->default_value(engine.cacheBlocks),
+        "prefix cache in blocks");
+    add("max-batch", options::value(&engine.maxBatch)->default_value(engine.maxBatch), "generations in one step");
+    add("max-waiting", options::value(&engine.maxWaiting)->default_value(engine.maxWaiting),
+        "generations that may wait");
+    add("cold-for", options::value(&coldFor)->default_value(0), "cold start, in milliseconds of the model's time");
+    add("cold-bearable", options::value(&engine.coldBearable)->default_value(engine.coldBearable),
+        "generations in progress that a cold engine survives");
+    add("checks-fencing", options::value(&engine.checksFencing)->default_value(true), "refuse old fencing numbers");
+    add("model", options::value(&engine.models)->multitoken()->composing(), "models loaded at start");
+    add("time-scale", options::value(&host.timeScale)->default_value(1), "how much faster the model's time runs");
+    add("revive-after", options::value(&reviveAfter)->default_value(0),
+        "milliseconds until a dead engine starts again; 0 ends the process");
+    int exitCode = 0;
+    if (!readCommandLine(argc, argv, description, exitCode))
+        return exitCode;
+    if (engine.speed <= 0 || host.timeScale <= 0) {
+        logLine(LogEvent { "bad_command_line", { { "expected", "positive speed and time-scale" } } });
+        return 2;
+    }
+    host.reviveAfter = Milliseconds(reviveAfter);
+    engine.coldFor = Milliseconds(coldFor);
+    return serveUntilTermination(listen, [&](const Address& address) {
+        host.listen = address;
+        return std::make_unique<EngineHost>(host, engine);
+    });
+}
--- /dev/null
+++ b/src/emulator/EngineModelReports.cpp
@@ -0,0 +1,107 @@
+#include "emulator/EngineModel.h"
+
+#include <algorithm>
+
+namespace teaselfold {
+
+namespace {
+
+    constexpr std::size_t keptEventBatches = 64;
+
+}
+
+EngineReport EngineModel::report(Instant now)
+{
+    this->publish(now);
+    return this->publishedReport;
+}
+
+EngineReport EngineModel::currentReport() const
+{
+    EngineReport report;
+    report.incarnation = this->currentIncarnation;
+    report.running = static_cast<std::uint32_t>(this->running.size());
+    report.waiting = static_cast<std::uint32_t>(this->waiting.size());
+    report.blocksUsed = this->blocksUsed();
+    report.blocksTotal = this->usableBlocks();
+    report.tokensPerBlock = this->settings.tokensPerBlock;
+    report.preemptions = this->preemptionCount;
+    for (const auto& [name, loaded] : this->loadedModels)
+        report.loadedModels.push_back(name);
+    report.role = this->role;
+    report.highestFence = this->highestFence;
+    return report;
+}
+
+void EngineModel::publish(Instant now)
+{
+    if (now < this->nextPublish)
+        return;
+    this->nextPublish = now + this->settings.reportInterval;
+    this->publishedReport = std::move(this->pendingReport);
+    this->pendingReport = this->currentReport();
+    std::erase_if(
+        this->pendingReport.loadedModels, [&](const std::string& name) { return !this->isLoaded(name, now); });
+    if (this->pendingEvents)
+        this->publishedEvents.push_back(*std::exchange(this->pendingEvents, std::nullopt));
+    if (this->publishedEvents.size() > keptEventBatches)
+        this->publishedEvents.pop_front();
+    EngineCacheEvents batch { 0, this->cache.takeStored(), this->cache.takeDropped() };
+    if (batch.stored.empty() && batch.dropped.empty())
+        return;
+    batch.sequence = ++this->eventSequence;
+    if (this->random.uniform() >= this->settings.cacheEventLoss)
+        this->pendingEvents = std::move(batch);
+}
+
+EngineCacheEvents EngineModel::cacheEvents(std::uint64_t after, Instant now)
+{
+    this->publish(now);
+    // A reader that is ahead knew an earlier incarnation.
+    const std::uint64_t from = after > this->eventSequence ? 0 : after;
+    const auto found = std::find_if(this->publishedEvents.begin(), this->publishedEvents.end(),
+        [&](const EngineCacheEvents& batch) { return batch.sequence > from; });
+    if (found == this->publishedEvents.end())
+        return EngineCacheEvents { from, {}, {} };
+    return *found;
+}
+
+bool EngineModel::isLoaded(const std::string& name, Instant now) const
+{
+    const auto found = this->loadedModels.find(name);
+    return found != this->loadedModels.end() && now >= found->second.ready;
+}
+
+void EngineModel::load(const EngineOrder& order, Instant now)
+{
+    const Instant ready = now + this->settings.modelLoadTime;
+    const auto [place, added] = this->loadedModels.try_emplace(order.name, Loaded { order.version, ready });
+    if (added || place->second.version == order.version)
+        return;
+    // The version loaded at start is not known to the engine: the first order only names it.
+    if (!place->second.version.empty())
+        place->second.ready = ready;
+    place->second.version = order.version;
+}
+
+EngineOrderResult EngineModel::order(const EngineOrder& order, Instant now)
+{
+    if (this->settings.checksFencing && order.fence < this->highestFence)
+        return EngineOrderResult { order, false, "old fencing number" };
+    this->highestFence = std::max(this->highestFence, order.fence);
+    switch (order.kind) {
+    case EngineOrderKind::LoadModel:
+    case EngineOrderKind::LoadAdapter:
+        this->load(order, now);
+        break;
+    case EngineOrderKind::UnloadModel:
+        this->loadedModels.erase(order.name);
+        break;
+    case EngineOrderKind::ChangeRole:
+        this->role = order.name;
+        break;
+    }
+    return EngineOrderResult { order, true, {} };
+}
+
+}
--- /dev/null
+++ b/src/emulator/SeededRandomness.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "ports/Randomness.h"
+
+#include <cstdint>
+#include <random>
+
+namespace teaselfold {
+
+/** Repeats the same numbers for the same seed. */
+class SeededRandomness : public Randomness {
+public:
+    explicit SeededRandomness(std::uint64_t seed)
+        : engine(seed)
+    {
+    }
+
+    std::uint64_t next() override { return this->engine(); }
+
+    /** @return a uniformly distributed number in [0, 1). */
+    double uniform();
+
+    /** @return a normally distributed number with mean 0 and deviation 1 (Box and Muller, 1958). */
+    double normal();
+
+    /** @return an exponentially distributed number with mean 1. */
+    double exponential();
+
+private:
+    std::mt19937_64 engine;
+};
+
+}
--- /dev/null
+++ b/src/emulator/host/LogLine.cpp
@@ -0,0 +1,19 @@
+#include "emulator/host/LogLine.h"
+
+#include <cstdio>
+
+namespace teaselfold {
+
+void logLine(const LogEvent& event)
+{
+    std::string line = "event=" + event.name;
+    for (const LogField& field : event.fields) {
+        const bool quoted = field.value.empty() || field.value.find_first_of(" =\"") != std::string::npos;
+        const std::string mark = quoted ? "\"" : "";
+        line += " " + field.key + "=" + mark + field.value + mark;
+    }
+    line += "\n";
+    std::fputs(line.c_str(), stderr);
+}
+
+}
--- /dev/null
+++ b/src/emulator/host/PlatformHost.cpp
@@ -0,0 +1,203 @@
+#include "emulator/host/PlatformHost.h"
+
+#include "emulator/host/LogLine.h"
+
+#include <Poco/JSON/Array.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace teaselfold {
+
+namespace {
+
+    constexpr std::size_t ringCapacity = 1024;
+    constexpr Seconds dutyPeriod { 1 };
+    constexpr std::uint32_t defaultScanLimit = 100;
+    constexpr std::string_view tablePrefix = "/table";
+    constexpr std::string_view objectPrefix = "/objects/";
+    constexpr std::string_view instancePrefix = "/instances";
+    constexpr std::array knownModes { "none", "slow", "freeze", "die", "down", "lose_answers", "silent" };
+
+    Poco::JSON::Object rowObject(const TableRecord& record)
+    {
+        Poco::JSON::Object row;
+        row.set("key", record.key);
+        row.set("value", record.value);
+        row.set("version", record.version);
+        return row;
+    }
+
+    /** @return the version in `"<version>"`; zero, which no row has, when it is none. */
+    std::uint64_t versionOf(const std::string& header)
+    {
+        std::uint64_t version = 0;
+        if (header.size() > 2)
+            std::from_chars(header.data() + 1, header.data() + header.size() - 1, version);
+        return version;
+    }
+
+    /** Turns results into HTTP answers. */
+    struct Answerer {
+        Exchange& exchange;
+
+        void operator()(const WriteDone& done) const
+        {
+            if (done.version == 0)
+                return sendStatus(this->exchange, 204);
+            this->exchange.response.set("ETag", "\"" + std::to_string(done.version) + "\"");
+            const bool inserted = this->exchange.request.has("If-None-Match");
+            sendJson(this->exchange, inserted ? 201 : 200, Poco::JSON::Object());
+        }
+        void operator()(const WriteConflict& conflict) const
+        {
+            sendJson(this->exchange, 412, conflict.current ? rowObject(*conflict.current) : Poco::JSON::Object());
+        }
+        void operator()(const Rows& found) const
+        {
+            if (this->exchange.path != tablePrefix && found.rows.empty())
+                return sendStatus(this->exchange, 404);
+            if (this->exchange.path != tablePrefix)
+                return sendJson(this->exchange, 200, rowObject(found.rows.front()));
+            Poco::JSON::Array rows;
+            for (const TableRecord& record : found.rows)
+                rows.add(rowObject(record));
+            Poco::JSON::Object body;
+            body.set("rows", rows);
+            sendJson(this->exchange, 200, body);
+        }
+        void operator()(const ObjectFound& object) const
+        {
+            if (this->exchange.loseAnswer)
+                return cutConnection(this->exchange.request);
+            this->exchange.response.setContentType("application/octet-stream");
+            this->exchange.response.sendBuffer(object.value.data(), object.value.size());
+        }
+        void operator()(const ObjectMissing&) const { sendStatus(this->exchange, 404); }
+        void operator()(const InstanceList& list) const
+        {
+            Poco::JSON::Array instances;
+            for (const InstanceState& state : list.instances) {
+                Poco::JSON::Object line;
+                line.set("name", state.name);
+                line.set("leaving", state.leaving);
+                instances.add(line);
+            }
+            Poco::JSON::Object body;
+            body.set("instances", instances);
+            sendJson(this->exchange, 200, body);
+        }
+        void operator()(const PlatformUnavailable&) const { sendStatus(this->exchange, 503); }
+    };
+
+}
+
+PlatformHost::PlatformHost(const Address& listen, PlatformSettings settings)
+    : handler(settings)
+    , duty("platform", ringCapacity, dutyPeriod)
+    , server(
+          listen, ServerLimits {}, this->faults, [this](Exchange& exchange) { this->serve(exchange); },
+          [](const Fault& fault) {
+              return std::find(knownModes.begin(), knownModes.end(), fault.mode) != knownModes.end();
+          })
+{
+}
+
+PlatformHost::~PlatformHost() { this->stop(); }
+
+void PlatformHost::start()
+{
+    this->duty.start(this->handler);
+    this->server.start();
+}
+
+void PlatformHost::stop()
+{
+    this->server.stop();
+    this->duty.stop();
+}
+
+void PlatformHost::ModelHandler::handle(const Call& call, Instant now)
+{
+    if (const auto* instance = std::get_if<InstanceState>(&call.request)) {
+        this->model.setInstance(*instance, now);
+        call.reply->tryPush(PlatformResult(WriteDone { 1 }));
+        return;
+    }
+    call.reply->tryPush(this->model.perform(*std::get_if<PlatformRequest>(&call.request), now));
+}
+
+void PlatformHost::serve(Exchange& exchange)
+{
+    static constexpr std::array routes { Route { objectPrefix, &PlatformHost::serveObject },
+        Route { instancePrefix, &PlatformHost::serveInstances }, Route { tablePrefix, &PlatformHost::serveTable } };
+    const auto* route = std::find_if(
+        routes.begin(), routes.end(), [&](const Route& one) { return exchange.path.starts_with(one.prefix); });
+    if (route == routes.end())
+        return sendStatus(exchange, 404);
+    (this->*route->serve)(exchange);
+}
+
+void PlatformHost::serveTable(Exchange& exchange)
+{
+    const std::string& method = exchange.request.getMethod();
+    if (exchange.path == tablePrefix) {
+        TableScan scan { queryValue(exchange.query, "prefix"), queryValue(exchange.query, "after"), defaultScanLimit };
+        const std::string limit = queryValue(exchange.query, "limit");
+        std::from_chars(limit.data(), limit.data() + limit.size(), scan.limit);
+        return this->answer(exchange, PlatformRequest(scan));
+    }
+    const std::string key = exchange.path.substr(tablePrefix.size() + 1);
+    const std::uint64_t expected = versionOf(exchange.request.get("If-Match", ""));
+    if (method == "GET")
+        return this->answer(exchange, PlatformRequest(TableRead { key }));
+    if (method == "DELETE")
+        return this->answer(exchange, PlatformRequest(TableErase { key, expected }));
+    if (method != "PUT")
+        return sendStatus(exchange, 405);
+    if (exchange.request.has("If-None-Match"))
+        return this->answer(exchange, PlatformRequest(TableInsert { key, exchange.body }));
+    if (!exchange.request.has("If-Match"))
+        return sendStatus(exchange, 428);
+    this->answer(exchange, PlatformRequest(TableReplace { key, exchange.body, expected }));
+}
+
+void PlatformHost::serveObject(Exchange& exchange)
+{
+    const std::string key = exchange.path.substr(objectPrefix.size());
+    if (exchange.request.getMethod() == "PUT")
+        return this->answer(exchange, PlatformRequest(ObjectWrite { key, exchange.body }));
+    this->answer(exchange, PlatformRequest(ObjectRead { key }));
+}
+
+void PlatformHost::serveInstances(Exchange& exchange)
+{
+    if (exchange.request.getMethod() != "PUT")
+        return this->answer(exchange, PlatformRequest(InstanceListRead {}));
+    const auto body = parseObject(exchange.body);
+    if (!body || exchange.path.size() <= instancePrefix.size() + 1)
+        return sendStatus(exchange, 400);
+    const std::string name = exchange.path.substr(instancePrefix.size() + 1);
+    this->answer(exchange, InstanceState { name, body->optValue("leaving", false) });
+}
+
+void PlatformHost::answer(Exchange& exchange, const std::variant<PlatformRequest, InstanceState>& request)
+{
+    auto reply = std::make_shared<Ring<PlatformOutcome>>(1);
+    if (!this->duty.ring().tryPush(Call { request, reply }))
+        return sendStatus(exchange, 503);
+    const auto outcome = reply->popUntil(Instant::max());
+    if (!outcome)
+        return sendStatus(exchange, 503);
+    if (std::holds_alternative<RateLimited>(*outcome)) {
+        exchange.response.set("Retry-After", "1");
+        return sendStatus(exchange, 429);
+    }
+    std::visit(Answerer { exchange }, *std::get_if<PlatformResult>(&*outcome));
+    logLine(LogEvent { "operation",
+        { { "method", exchange.request.getMethod() }, { "uri", exchange.request.getURI() },
+            { "lost_answer", exchange.loseAnswer ? "true" : "false" } } });
+}
+
+}
