--- /dev/null
+++ b/test/error/EngineRefusesOldFence.cpp
@@ -0,0 +1,48 @@
+#include "support/EngineScenario.h"
+
+#include <doctest/doctest.h>
+
+using namespace teaselfold;
+
+namespace {
+
+EngineOrder roleOrder(const std::string& role, std::uint64_t fence)
+{
+    return EngineOrder { EngineOrderKind::ChangeRole, role, {}, fence };
+}
+
+}
+
+TEST_CASE("an engine that checks refuses an order with an old fencing number")
+{
+    EngineScenario scenario(EngineSettings {});
+    CHECK(scenario.engine.order(roleOrder("generate", 5), scenario.now).accepted);
+    CHECK_FALSE(scenario.engine.order(roleOrder("prefill", 4), scenario.now).accepted);
+    CHECK(scenario.engine.order(roleOrder("generate", 5), scenario.now).accepted);
+    CHECK(scenario.engine.report(scenario.now + Seconds(1)).role == "generate");
+}
+
+TEST_CASE("an engine that does not check carries out an old order")
+{
+    EngineSettings settings;
+    settings.checksFencing = false;
+    EngineScenario scenario(settings);
+    CHECK(scenario.engine.order(roleOrder("generate", 5), scenario.now).accepted);
+    CHECK(scenario.engine.order(roleOrder("prefill", 4), scenario.now).accepted);
+}
+
+TEST_CASE("a model serves only after its load time, and not after it is unloaded")
+{
+    EngineScenario scenario(EngineSettings {});
+    EngineStart start = EngineScenario::start(1, "len=5");
+    start.work.model = ModelId("other");
+    CHECK(scenario.engine.submit(start, scenario.now).has_value());
+    const EngineOrder load { EngineOrderKind::LoadModel, "other", "1", 1 };
+    CHECK(scenario.engine.order(load, scenario.now).accepted);
+    CHECK(scenario.engine.submit(start, scenario.now).has_value());
+    scenario.runUntil(Instant {} + Seconds(3));
+    CHECK_FALSE(scenario.engine.submit(start, scenario.now).has_value());
+    CHECK(scenario.engine.order({ EngineOrderKind::UnloadModel, "other", "1", 2 }, scenario.now).accepted);
+    start.generation = GenerationId(2);
+    CHECK(scenario.engine.submit(start, scenario.now).has_value());
+}
--- /dev/null
+++ b/test/support/EngineScenario.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "emulator/EngineModelBuilder.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+namespace teaselfold {
+
+/** An engine under a manual clock, with what its streams delivered. */
+class EngineScenario {
+public:
+    explicit EngineScenario(const EngineSettings& settings)
+        : engine(EngineModelBuilder().settings(settings).build(Instant {}))
+    {
+    }
+
+    static EngineStart start(
+        std::uint64_t id, const std::string& prompt, PriorityClass priority = PriorityClass::Standard)
+    {
+        EngineStart start;
+        start.generation = GenerationId(id);
+        start.work.model = ModelId("drafter");
+        start.work.prompt = prompt;
+        start.work.priority = priority;
+        return start;
+    }
+
+    bool submit(std::uint64_t id, const std::string& prompt, PriorityClass priority = PriorityClass::Standard)
+    {
+        return !this->engine.submit(start(id, prompt, priority), this->now).has_value();
+    }
+
+    /** Runs step by step until nothing is in progress or the time comes. */
+    void runUntil(Instant until)
+    {
+        while (std::max(this->engine.nextEvent(), this->now) <= until) {
+            this->now = std::max(this->engine.nextEvent(), this->now);
+            for (const EngineEvent& event : this->engine.advance(this->now))
+                this->record(event);
+        }
+        this->now = until;
+    }
+
+    EngineModel engine;
+    Instant now {};
+    std::map<std::uint64_t, std::vector<Instant>> tokenTimes;
+    std::map<std::uint64_t, std::string> texts;
+    std::map<std::uint64_t, FinishReason> finished;
+    std::vector<std::uint64_t> lost;
+
+private:
+    void record(const EngineEvent& event)
+    {
+        if (const auto* tokens = std::get_if<EngineTokens>(&event)) {
+            this->tokenTimes[tokens->generation.get()].push_back(this->now);
+            this->texts[tokens->generation.get()] += tokens->texts.front();
+        }
+        if (const auto* end = std::get_if<EngineFinished>(&event))
+            this->finished[end->generation.get()] = end->reason;
+        if (const auto* end = std::get_if<EngineStreamLost>(&event))
+            this->lost.push_back(end->generation.get());
+    }
+};
+
+}
