--- /dev/null
+++ b/src/core/agent/AgentKnowledge.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "core/agent/AgentLimits.h"
+#include "core/common/ServiceOrders.h"
+#include "ports/AgentPorts.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace teaselfold {
+
+/**
+ * What an agent knows of configuration, orders, suspects and linked entries, and the part of the link protocol that
+ * keeps it equal everywhere. Shared by the agents of model engines and of plain services.
+ */
+class AgentKnowledge {
+public:
+    AgentKnowledge(EndpointId endpoint, ZoneId zone, AdmissionLimits limits);
+
+    /** Marks the passing of time. Called with each event before it is handled. @return true after a pause. */
+    bool observeTime(Instant now);
+
+    /** @return why new work is refused; nothing when it is taken. */
+    std::optional<ErrorCode> refusalReason() const;
+
+    /** @return whether work with this content must not run now. */
+    bool isQuarantined(Fingerprint fingerprint, Instant now) const;
+
+    /** The platform is about to take the instance. */
+    void markLeaving() { this->leaving = true; }
+    /** A planned stop began. */
+    void markStopping() { this->stopping = true; }
+    /** A newer agent gives the orders to this endpoint. */
+    void markSuperseded() { this->superseded = true; }
+    bool isStopping() const { return this->stopping; }
+    bool isSuperseded() const { return this->superseded; }
+    /** @return whether queued work must not start either: after a pause, or when a newer agent is there. */
+    bool holdsStarts() const { return this->pausedUntil || this->superseded; }
+    /** @return whether load reports show the endpoint as leaving. */
+    bool takesNoWork() const;
+
+    const Fleet& fleet() const { return this->configuration; }
+    /** @return this endpoint's row; null when the fleet does not know it. */
+    const Endpoint* ownEndpoint() const;
+    /** @return the service of this endpoint; null when the fleet does not know it. */
+    const Service* ownService() const;
+    /** @return the team's share; 1 for a team the fleet does not know. */
+    std::uint32_t teamWeight(const TeamId& team) const;
+
+    void linked(const EntryId& entry);
+    void unlinked(const EntryId& entry);
+    bool isLinked(const EntryId& entry) const { return this->entries.contains(entry); }
+
+    /** Each takes a message in and appends what must be sent because of it. */
+    void take(const EntryId& entry, const EntryHeartbeat& heartbeat, Instant now, std::vector<AgentAction>& actions);
+    void take(const FleetCopy& copy, std::vector<AgentAction>& actions);
+    void take(const NoteDelivery& delivery, std::vector<AgentAction>& actions);
+    void take(const EntryId& entry, const OrdersDelivery& delivery, std::vector<AgentAction>& actions);
+    void take(const EntryId& entry, const QuarantineDelivery& delivery, Instant now, std::vector<AgentAction>& actions);
+    void take(const EntryId& entry, const FleetRequest& request, std::vector<AgentAction>& actions);
+
+    /** @return whether a report must be sent now. @param cold whether the endpoint is cold. */
+    bool reportDue(bool cold, Instant now) const;
+
+    /**
+     * Sends a load report to each entry.
+     * @param report the load; the release, digest and leaving fields are filled in here.
+     */
+    void report(LoadReport report, Instant now, std::vector<AgentAction>& actions);
+
+private:
+    struct Suspect {
+        std::uint32_t deaths { 0 };
+        Instant until;
+    };
+
+    void adopt(Fleet fleet, std::vector<AgentAction>& actions);
+    void passOn(const EntryId& except, const AgentMessage& message, std::vector<AgentAction>& actions) const;
+    void catchUp(const EntryId& entry, ReleaseVersion release, std::vector<AgentAction>& actions) const;
+    bool raise(const QuarantineDelivery::Suspect& suspect, Instant now);
+
+    EndpointId endpoint;
+    ZoneId zone;
+    AdmissionLimits limits;
+    Fleet configuration;
+    std::deque<NoteDelivery> recentNotes;
+    ServiceOrders orders;
+    std::map<Fingerprint, Suspect> suspects;
+    /** Linked entries with the release each is known to hold. */
+    std::map<EntryId, ReleaseVersion> entries;
+    std::optional<Instant> lastSeen;
+    /** Set after a pause: heartbeats before this time are not trusted. */
+    std::optional<Instant> pausedUntil;
+    std::optional<LoadReport> lastReport;
+    std::optional<Instant> nextReport;
+    bool leaving { false };
+    bool stopping { false };
+    bool superseded { false };
+};
+
+}
--- /dev/null
+++ b/src/core/agent/EngineProfile.cpp
@@ -0,0 +1,139 @@
+#include "core/agent/EngineProfile.h"
+
+#include <algorithm>
+
+namespace teaselfold {
+
+namespace {
+
+    constexpr double quantileStepUp = 0.04;
+    constexpr double quantileStepDown = 0.0005;
+    constexpr double lowestQuantile = 0.6;
+    constexpr double highestQuantile = 0.97;
+    constexpr double scaleRetention = 0.9;
+    constexpr double lowestScale = 0.7;
+    constexpr double highestScale = 3;
+    constexpr Seconds classMemory { 60 };
+    constexpr double shortRunQuantile = 0.1;
+    constexpr double costQuantile = 0.5;
+    constexpr int runRetention = 7;
+    constexpr int runWeights = 8;
+    constexpr std::uint32_t fullPermille = 1000;
+
+    std::uint64_t tokensHeld(GenerationTable& table)
+    {
+        std::uint64_t held = 0;
+        for (const GenerationId id : table.running()) {
+            const Generation& generation = *table.find(id);
+            held += generation.promptTokens() + generation.tokens.size();
+        }
+        return held;
+    }
+
+}
+
+std::uint64_t EngineProfile::observeReport(const EngineReport& report, GenerationTable& table)
+{
+    std::uint64_t preemptions = 0;
+    const bool sameLife = this->report && this->report->incarnation == report.incarnation;
+    if (sameLife && report.preemptions > this->report->preemptions)
+        preemptions = report.preemptions - this->report->preemptions;
+    if (preemptions > 0)
+        this->quantile = std::min(highestQuantile, this->quantile + quantileStepUp);
+    const std::uint64_t own = tokensHeld(table);
+    if (own > 0 && report.running == table.running().size()) {
+        const double measured
+            = static_cast<double>(report.blocksUsed * report.tokensPerBlock) / static_cast<double>(own);
+        this->usageScale = std::clamp(
+            scaleRetention * this->usageScale + (1 - scaleRetention) * measured, lowestScale, highestScale);
+    }
+    this->report = report;
+    return preemptions;
+}
+
+bool EngineProfile::observeGap(std::uint32_t batch, std::uint32_t tokens, Duration gap)
+{
+    this->warmth.generated(tokens);
+    if (!this->paceModel.observe(batch, gap / std::max(1U, tokens)))
+        return false;
+    this->turnCold();
+    return true;
+}
+
+void EngineProfile::observeFinished(const Generation& generation, Instant now)
+{
+    this->lengths.observe(generation.work.priority, static_cast<std::uint32_t>(generation.tokens.size()));
+    this->warmth.finishedOne();
+    this->quantile = std::max(lowestQuantile, this->quantile - quantileStepDown);
+    const Duration run = now - generation.started;
+    this->meanRun = this->meanRun == Duration(0) ? run : (this->meanRun * runRetention + run) / runWeights;
+}
+
+void EngineProfile::observeArrival(PriorityClass priority, Instant now)
+{
+    this->lastArrival[static_cast<std::size_t>(priority)] = now;
+}
+
+void EngineProfile::turnCold()
+{
+    this->warmth.turnCold();
+    this->paceModel.reset();
+}
+
+EngineView EngineProfile::view(
+    GenerationTable& table, const Service* service, PriorityClass candidate, Instant now) const
+{
+    EngineView view { {}, 0, this->quantile, PolicyChoice().fixedSlots, Milliseconds(0), this->lengths, this->paceModel,
+        this->warmth };
+    for (const GenerationId id : table.running())
+        view.running.push_back(sizeOf(*table.find(id)));
+    if (this->report) {
+        const auto capacity = static_cast<double>(this->report->blocksTotal * this->report->tokensPerBlock);
+        view.capacityTokens = static_cast<std::uint64_t>(capacity / this->usageScale);
+    }
+    const Service defaults;
+    const Service& source = service == nullptr ? defaults : *service;
+    view.fixedSlots = source.policy.fixedSlots;
+    view.target = Milliseconds::max();
+    for (std::size_t index = 0; index < source.targets.size() && index < priorityClassCount; ++index) {
+        const bool active = this->lastArrival[index] && now - *this->lastArrival[index] < classMemory;
+        if (active || index == static_cast<std::size_t>(candidate))
+            view.target = std::min(view.target, source.targets[index].betweenTokens);
+    }
+    return view;
+}
+
+GenerationSize EngineProfile::sizeOf(const Generation& generation)
+{
+    return { generation.promptTokens(), static_cast<std::uint32_t>(generation.tokens.size()), generation.work.maxTokens,
+        generation.work.priority };
+}
+
+std::uint32_t EngineProfile::expectedCost(const Generation& generation) const
+{
+    return generation.promptTokens()
+        + this->lengths.conditionalQuantile(generation.work.priority, 0, costQuantile, generation.work.maxTokens);
+}
+
+Duration EngineProfile::expectedWait(std::size_t ahead, std::size_t running) const
+{
+    return this->meanRun * static_cast<std::int64_t>(ahead)
+        / static_cast<std::int64_t>(std::max<std::size_t>(1, running));
+}
+
+Duration EngineProfile::shortestRun(const Generation& generation) const
+{
+    const std::uint32_t tokens
+        = this->lengths.conditionalQuantile(generation.work.priority, 0, shortRunQuantile, generation.work.maxTokens);
+    return this->paceModel.expected(1) * static_cast<std::int64_t>(tokens);
+}
+
+std::uint32_t EngineProfile::memoryPermille() const
+{
+    if (!this->report || this->report->blocksTotal == 0)
+        return 0;
+    const std::uint64_t share = this->report->blocksUsed * fullPermille / this->report->blocksTotal;
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(share, fullPermille));
+}
+
+}
--- /dev/null
+++ b/src/core/agent/EngineProfile.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "core/agent/AdmissionStrategy.h"
+#include "core/agent/GenerationTable.h"
+
+#include <array>
+#include <optional>
+
+namespace teaselfold {
+
+/** What was learnt about the engine: its memory, its speed, the lengths of its outputs, and how warm it is. */
+class EngineProfile {
+public:
+    /** Learns from the engine's report. @param running what the agent knows to run. @return new preemptions. */
+    std::uint64_t observeReport(const EngineReport& report, GenerationTable& table);
+
+    /** Learns a gap between tokens. @return true when the endpoint turned cold by it. */
+    bool observeGap(std::uint32_t batch, std::uint32_t tokens, Duration gap);
+
+    /** Learns from a finished generation. */
+    void observeFinished(const Generation& generation, Instant now);
+
+    /** Remembers that a class has traffic, so that its target is kept. */
+    void observeArrival(PriorityClass priority, Instant now);
+
+    /** The engine restarted, lost its model or became slow. */
+    void turnCold();
+
+    /** @return what a strategy sees. @param service the fleet's row of the service; may be null. */
+    EngineView view(GenerationTable& table, const Service* service, PriorityClass candidate, Instant now) const;
+
+    /** @return the candidate as a strategy sees it. */
+    static GenerationSize sizeOf(const Generation& generation);
+
+    /** @return expected total tokens of a generation, the cost that fair queueing counts. */
+    std::uint32_t expectedCost(const Generation& generation) const;
+
+    /** @return the time a new generation of a class would wait behind `ahead` others. */
+    Duration expectedWait(std::size_t ahead, std::size_t running) const;
+
+    /** @return the shortest time in which a generation of this kind may be expected to end. */
+    Duration shortestRun(const Generation& generation) const;
+
+    bool cold() const { return this->warmth.cold(); }
+    std::uint32_t allowance() const { return this->warmth.allowance(); }
+    Microseconds pace() const { return this->paceModel.recent(); }
+    /** @return share of the engine's memory in use, in thousandths. */
+    std::uint32_t memoryPermille() const;
+    const std::optional<EngineReport>& lastReport() const { return this->report; }
+
+private:
+    LengthModel lengths;
+    PaceModel paceModel;
+    Warmth warmth;
+    std::optional<EngineReport> report;
+    std::array<std::optional<Instant>, priorityClassCount> lastArrival;
+    double quantile { 0.8 };
+    /** The engine's count of tokens held over the agent's own. */
+    double usageScale { 1 };
+    /** Smoothed time from start to end; zero while nothing ended. */
+    Duration meanRun { 0 };
+};
+
+}
--- /dev/null
+++ b/src/core/agent/EngineSupervisor.cpp
@@ -0,0 +1,282 @@
+#include "core/agent/EngineSupervisor.h"
+
+#include "core/common/HandlerTable.h"
+
+#include <algorithm>
+#include <array>
+
+namespace teaselfold {
+
+namespace {
+
+    /** Waits before the first, second and later resumes of one stream. */
+    constexpr std::array resumeDelays { Milliseconds(0), Milliseconds(200), Milliseconds(1000) };
+    /** A stream without a token for this long is asked for again on a new connection. */
+    constexpr Seconds streamSilence { 10 };
+    /** A report may be this old when it comes. */
+    constexpr Seconds reportLag { 2 };
+    /** A gap between tokens that counts as a stall. */
+    constexpr Milliseconds stallGap { 1000 };
+    constexpr std::size_t abandonedLimit = 4096;
+
+    double millisecondsOf(Duration time) { return std::chrono::duration<double, std::milli>(time).count(); }
+
+    Observation observationOf(const Generation& generation, Metric metric, double value)
+    {
+        return Observation { metric, generation.work.team, generation.work.priority, value, {} };
+    }
+
+    Failure engineFailure(const Generation& generation, const char* message)
+    {
+        return Failure { ErrorCode::EngineFailed, message, generation.tokens.empty() ? Run::Unknown : Run::Yes,
+            Milliseconds(0) };
+    }
+
+    Generation* findRunning(EngineContext& context, GenerationId id)
+    {
+        Generation* generation = context.table.find(id);
+        return generation != nullptr && generation->state == GenerationState::Running ? generation : nullptr;
+    }
+
+}
+
+bool EngineSupervisor::accepts(Instant now) const
+{
+    return !this->unreachableSince && !(this->backoffUntil && now < *this->backoffUntil);
+}
+
+void EngineSupervisor::start(Generation& generation, EngineContext& context)
+{
+    context.table.setState(generation, GenerationState::Running, context.now);
+    generation.started = context.now;
+    generation.lastSign = context.now;
+    context.actions.push_back(ToEngine { EngineStart { generation.id, generation.work } });
+    context.actions.push_back(
+        observationOf(generation, Metric::QueueWait, millisecondsOf(context.now - generation.arrived)));
+}
+
+void EngineSupervisor::fail(Generation& generation, const Failure& failure, EngineContext& context)
+{
+    generation.failure = failure;
+    generation.resumeAt.reset();
+    context.table.setState(generation, GenerationState::Failed, context.now);
+    const Metric metric = failure.code == ErrorCode::Cancelled ? Metric::Cancelled : Metric::Failed;
+    context.actions.push_back(observationOf(generation, metric, 1));
+    context.actions.push_back(LogEvent { "generation_failed",
+        { { "generation", std::to_string(generation.id.get()) }, { "code", std::string(codeName(failure.code)) },
+            { "run", std::string(runName(failure.run)) }, { "tokens", std::to_string(generation.tokens.size()) } } });
+    context.table.stream(generation, context.actions);
+}
+
+void EngineSupervisor::abort(Generation& generation, const Failure& failure, EngineContext& context)
+{
+    context.actions.push_back(ToEngine { EngineCancel { generation.id } });
+    this->fail(generation, failure, context);
+}
+
+void EngineSupervisor::handle(const EngineEvent& event, EngineContext& context)
+{
+    static const HandlerTable<EngineSupervisor, void, EngineEvent, EngineContext&> table { &EngineSupervisor::onTokens,
+        &EngineSupervisor::onFinished, &EngineSupervisor::onRefused, &EngineSupervisor::onStreamLost,
+        &EngineSupervisor::onGenerationGone, &EngineSupervisor::onReport, &EngineSupervisor::onUnreachable,
+        &EngineSupervisor::onCacheEvents, &EngineSupervisor::onOrderResult };
+    table.dispatch(*this, event, context);
+}
+
+void EngineSupervisor::onTokens(const EngineTokens& event, EngineContext& context)
+{
+    Generation* generation = findRunning(context, event.generation);
+    if (generation == nullptr)
+        return;
+    const auto held = static_cast<std::uint32_t>(generation->tokens.size());
+    const auto end = event.firstIndex + static_cast<std::uint32_t>(event.texts.size());
+    const bool gapKnown = generation->produced > held;
+    generation->produced = std::max(generation->produced, end);
+    this->unreachableSince.reset();
+    if (event.firstIndex > held) {
+        if (!gapKnown)
+            this->resume(*generation, context);
+        return;
+    }
+    if (end > held)
+        this->append(*generation, event, context);
+}
+
+void EngineSupervisor::append(Generation& generation, const EngineTokens& event, EngineContext& context)
+{
+    const auto held = static_cast<std::uint32_t>(generation.tokens.size());
+    const auto first = event.texts.begin() + (held - event.firstIndex);
+    const auto count = static_cast<std::uint32_t>(event.texts.end() - first);
+    this->observeGap(generation, count, context);
+    if (held == 0 && !generation.orphanedSince)
+        context.actions.push_back(ToEntry { generation.entry, GenerationStarted { generation.id } });
+    generation.tokens.insert(generation.tokens.end(), first, event.texts.end());
+    generation.lastToken = context.now;
+    generation.lastSign = context.now;
+    generation.streamResumes = 0;
+    generation.resumeAt.reset();
+    context.table.stream(generation, context.actions);
+}
+
+void EngineSupervisor::observeGap(Generation& generation, std::uint32_t count, EngineContext& context)
+{
+    if (generation.tokens.empty()) {
+        context.actions.push_back(
+            observationOf(generation, Metric::FirstToken, millisecondsOf(context.now - generation.arrived)));
+        return;
+    }
+    const Duration gap = context.now - generation.lastToken;
+    context.actions.push_back(observationOf(generation, Metric::BetweenTokens, millisecondsOf(gap) / count));
+    if (gap >= stallGap)
+        context.actions.push_back(observationOf(generation, Metric::Stall, millisecondsOf(gap)));
+    const auto batch = static_cast<std::uint32_t>(context.table.running().size());
+    if (context.profile.observeGap(batch, count, gap))
+        context.actions.push_back(LogEvent { "endpoint_cold", { { "reason", "pace_collapsed" } } });
+}
+
+void EngineSupervisor::resume(Generation& generation, EngineContext& context)
+{
+    generation.resumeAt.reset();
+    generation.lastSign = context.now;
+    const auto next = static_cast<std::uint32_t>(generation.tokens.size());
+    context.actions.push_back(ToEngine { EngineResume { generation.id, next } });
+}
+
+void EngineSupervisor::onFinished(const EngineFinished& event, EngineContext& context)
+{
+    Generation* generation = findRunning(context, event.generation);
+    if (generation == nullptr)
+        return;
+    if (generation->produced > generation->tokens.size()) {
+        this->resume(*generation, context);
+        return;
+    }
+    generation->reason = event.reason;
+    context.profile.observeFinished(*generation, context.now);
+    context.table.setState(*generation, GenerationState::Finished, context.now);
+    context.actions.push_back(observationOf(*generation, Metric::Completed, 1));
+    context.actions.push_back(
+        observationOf(*generation, Metric::OutputLength, static_cast<double>(generation->tokens.size())));
+    context.table.stream(*generation, context.actions);
+}
+
+void EngineSupervisor::onRefused(const EngineRefused& event, EngineContext& context)
+{
+    Generation* generation = findRunning(context, event.generation);
+    if (generation == nullptr || !generation->tokens.empty())
+        return;
+    this->backoffUntil = context.now + this->limits.engineBackoff;
+    generation->engineRefusals += 1;
+    context.table.setState(*generation, GenerationState::Queued, context.now);
+    context.refused.push_back(event.generation);
+}
+
+void EngineSupervisor::onStreamLost(const EngineStreamLost& event, EngineContext& context)
+{
+    Generation* generation = findRunning(context, event.generation);
+    if (generation == nullptr)
+        return;
+    const std::uint32_t tries = generation->streamResumes;
+    if (tries >= this->limits.streamResumes) {
+        this->abort(*generation, engineFailure(*generation, "the engine's stream is lost"), context);
+        return;
+    }
+    generation->streamResumes += 1;
+    const Milliseconds delay = resumeDelays[std::min<std::size_t>(tries, resumeDelays.size() - 1)];
+    generation->resumeAt = context.now + delay;
+    if (delay == Milliseconds(0))
+        this->resume(*generation, context);
+}
+
+void EngineSupervisor::onGenerationGone(const EngineGenerationGone& event, EngineContext& context)
+{
+    Generation* generation = findRunning(context, event.generation);
+    if (generation != nullptr)
+        this->fail(*generation, engineFailure(*generation, "the engine lost the generation"), context);
+}
+
+void EngineSupervisor::onReport(const EngineReport& event, EngineContext& context)
+{
+    this->unreachableSince.reset();
+    const bool restarted = this->lastReportAt && event.incarnation != this->incarnation;
+    if (restarted)
+        this->engineRestarted(context);
+    for (const GenerationId id : this->abandoned)
+        context.actions.push_back(ToEngine { EngineCancel { id } });
+    this->abandoned.clear();
+    this->incarnation = event.incarnation;
+    this->lastReportAt = context.now;
+    const std::uint64_t preemptions = context.profile.observeReport(event, context.table);
+    if (preemptions == 0)
+        return;
+    Observation observation { Metric::Preemption, TeamId(), PriorityClass::Standard, 1, {} };
+    observation.value = static_cast<double>(preemptions);
+    context.actions.push_back(observation);
+}
+
+void EngineSupervisor::engineRestarted(EngineContext& context)
+{
+    context.profile.turnCold();
+    context.actions.push_back(LogEvent { "endpoint_cold", { { "reason", "engine_restarted" } } });
+    const std::set<GenerationId> running = context.table.running();
+    for (const GenerationId id : running) {
+        Generation& generation = *context.table.find(id);
+        // Started since the old life's last report: it may run in the new life, which a resume shows.
+        if (generation.started + reportLag >= *this->lastReportAt)
+            this->resume(generation, context);
+        else
+            this->fail(generation, engineFailure(generation, "the engine restarted"), context);
+    }
+}
+
+void EngineSupervisor::onUnreachable(const EngineUnreachable&, EngineContext& context)
+{
+    if (!this->unreachableSince)
+        this->unreachableSince = context.now;
+}
+
+void EngineSupervisor::onCacheEvents(const EngineCacheEvents& event, EngineContext& context)
+{
+    const bool restarted = event.sequence < this->cacheSequence;
+    this->cacheSequence = event.sequence;
+    if (!restarted)
+        return;
+    context.profile.turnCold();
+    context.actions.push_back(LogEvent { "endpoint_cold", { { "reason", "cache_lost" } } });
+}
+
+void EngineSupervisor::onOrderResult(const EngineOrderResult& event, EngineContext& context)
+{
+    context.orderResults.push_back(event);
+}
+
+void EngineSupervisor::tick(EngineContext& context)
+{
+    const std::set<GenerationId> running = context.table.running();
+    for (const GenerationId id : running) {
+        Generation& generation = *context.table.find(id);
+        const bool due = generation.resumeAt && context.now >= *generation.resumeAt;
+        const bool silent = !generation.resumeAt && context.now - generation.lastSign >= streamSilence;
+        if (due || silent)
+            this->resume(generation, context);
+    }
+    if (this->unreachableSince && context.now - *this->unreachableSince >= this->limits.engineSilence)
+        this->giveUpSilentEngine(context);
+}
+
+void EngineSupervisor::giveUpSilentEngine(EngineContext& context)
+{
+    const std::set<GenerationId> running = context.table.running();
+    if (running.empty())
+        return;
+    context.profile.turnCold();
+    context.actions.push_back(LogEvent { "engine_silent", { { "running", std::to_string(running.size()) } } });
+    for (const GenerationId id : running) {
+        Generation& generation = *context.table.find(id);
+        this->fail(generation, engineFailure(generation, "the engine does not answer"), context);
+        if (this->abandoned.size() < abandonedLimit)
+            this->abandoned.push_back(id);
+    }
+}
+
+}
--- /dev/null
+++ b/src/core/agent/GenerationTable.cpp
@@ -0,0 +1,156 @@
+#include "core/agent/GenerationTable.h"
+
+#include "core/common/Check.h"
+
+#include <algorithm>
+
+namespace teaselfold {
+
+namespace {
+
+    constexpr std::uint32_t bytesPerToken = 4;
+    constexpr std::uint32_t tokensPerMessage = 256;
+
+}
+
+std::uint32_t Generation::promptTokens() const
+{
+    return static_cast<std::uint32_t>(this->work.prompt.size()) / bytesPerToken + 1;
+}
+
+Generation* GenerationTable::find(GenerationId id)
+{
+    const auto found = this->generations.find(id);
+    return found == this->generations.end() ? nullptr : &found->second;
+}
+
+Generation& GenerationTable::add(Generation generation)
+{
+    const auto [place, added] = this->generations.try_emplace(generation.id, std::move(generation));
+    internalCheck(added, "a generation id is taken in once");
+    this->queued += 1;
+    return place->second;
+}
+
+void GenerationTable::setState(Generation& generation, GenerationState state, Instant now)
+{
+    this->queued -= generation.state == GenerationState::Queued ? 1 : 0;
+    this->queued += state == GenerationState::Queued ? 1 : 0;
+    if (state == GenerationState::Running)
+        this->runningIds.insert(generation.id);
+    else
+        this->runningIds.erase(generation.id);
+    generation.state = state;
+    if (generation.hasEnded())
+        generation.ended = now;
+}
+
+void GenerationTable::bury(GenerationId id, Instant now)
+{
+    if (Generation* generation = this->find(id)) {
+        internalCheck(generation->state == GenerationState::Queued, "only a generation that never ran is buried");
+        this->queued -= 1;
+        this->generations.erase(id);
+    }
+    if (this->buried.insert(id).second)
+        this->burials.emplace_back(now, id);
+}
+
+std::vector<GenerationId> GenerationTable::ids() const
+{
+    std::vector<GenerationId> result;
+    result.reserve(this->generations.size());
+    for (const auto& [id, generation] : this->generations)
+        result.push_back(id);
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+void GenerationTable::stream(Generation& generation, std::vector<AgentAction>& actions) const
+{
+    if (generation.orphanedSince)
+        return;
+    const auto held = static_cast<std::uint32_t>(generation.tokens.size());
+    const std::uint32_t until = std::min(held, generation.acknowledged + this->limits.flowWindow);
+    while (generation.sent < until) {
+        const std::uint32_t count = std::min(until - generation.sent, tokensPerMessage);
+        GenerationTokens message { generation.id, generation.sent, {} };
+        const auto first = generation.tokens.begin() + generation.sent;
+        message.texts.assign(first, first + count);
+        actions.push_back(ToEntry { generation.entry, std::move(message) });
+        generation.sent += count;
+    }
+    if (generation.hasEnded() && !generation.endSent && generation.sent >= held)
+        this->sendEnd(generation, actions);
+}
+
+void GenerationTable::sendEnd(Generation& generation, std::vector<AgentAction>& actions) const
+{
+    generation.endSent = true;
+    if (generation.state == GenerationState::Failed) {
+        actions.push_back(ToEntry { generation.entry, GenerationFailed { generation.id, generation.failure } });
+        return;
+    }
+    const auto count = static_cast<std::uint32_t>(generation.tokens.size());
+    actions.push_back(ToEntry { generation.entry, GenerationFinished { generation.id, count, generation.reason } });
+}
+
+void GenerationTable::attach(
+    Generation& generation, const EntryId& entry, std::uint32_t nextIndex, std::vector<AgentAction>& actions) const
+{
+    generation.entry = entry;
+    generation.orphanedSince.reset();
+    generation.sent = nextIndex;
+    generation.acknowledged = nextIndex;
+    generation.endSent = false;
+    if (generation.state == GenerationState::Queued)
+        actions.push_back(ToEntry { entry, GenerationAccepted { generation.id } });
+    if (generation.state != GenerationState::Queued && !generation.tokens.empty())
+        actions.push_back(ToEntry { entry, GenerationStarted { generation.id } });
+    this->stream(generation, actions);
+}
+
+void GenerationTable::acknowledge(
+    Generation& generation, std::uint32_t nextIndex, std::vector<AgentAction>& actions) const
+{
+    generation.acknowledged = std::max(generation.acknowledged, std::min(nextIndex, generation.sent));
+    this->stream(generation, actions);
+}
+
+void GenerationTable::orphan(const EntryId& entry, Instant now)
+{
+    for (auto& [id, generation] : this->generations) {
+        if (generation.entry == entry && !generation.orphanedSince)
+            generation.orphanedSince = now;
+    }
+}
+
+bool GenerationTable::isOver(const Generation& generation, Instant now) const
+{
+    if (!generation.hasEnded())
+        return false;
+    const bool delivered = generation.endSent && generation.acknowledged >= generation.tokens.size();
+    const Duration grace = delivered ? this->limits.acknowledgedGrace : this->limits.unacknowledgedGrace;
+    return now - generation.ended >= grace;
+}
+
+void GenerationTable::expire(Instant now)
+{
+    std::erase_if(this->generations, [&](const auto& row) { return this->isOver(row.second, now); });
+    while (!this->burials.empty() && now - this->burials.front().first >= this->limits.tombstoneTime) {
+        this->buried.erase(this->burials.front().second);
+        this->burials.pop_front();
+    }
+}
+
+bool GenerationTable::drained(Instant now) const
+{
+    return std::all_of(this->generations.begin(), this->generations.end(), [&](const auto& row) {
+        const Generation& generation = row.second;
+        const bool delivered = generation.endSent && generation.acknowledged >= generation.tokens.size();
+        const bool failed = generation.state == GenerationState::Failed && generation.endSent;
+        return generation.hasEnded() && (delivered || failed || this->isOver(generation, now));
+    });
+}
+
+}
--- /dev/null
+++ b/src/core/agent/LengthModel.cpp
@@ -0,0 +1,64 @@
+#include "core/agent/LengthModel.h"
+
+#include <algorithm>
+
+namespace teaselfold {
+
+namespace {
+
+    constexpr unsigned lengthBins = 64;
+    constexpr double shortestLength = 1;
+    constexpr double longestLength = 131072;
+    /** Total weight at which all observations are halved. */
+    constexpr double fadeWeight = 2000;
+    /** Lengths assumed before anything was observed, one observation each. */
+    constexpr std::array<std::uint32_t, 6> assumedLengths { 16, 64, 128, 256, 512, 1024 };
+
+}
+
+LengthModel::LengthModel()
+{
+    for (std::size_t priority = 0; priority < priorityClassCount; ++priority) {
+        this->lengths.push_back(boost::histogram::make_histogram_with(
+            boost::histogram::dense_storage<double>(), Axis(lengthBins, shortestLength, longestLength)));
+        for (const std::uint32_t tokens : assumedLengths)
+            this->observe(static_cast<PriorityClass>(priority), tokens);
+    }
+}
+
+void LengthModel::observe(PriorityClass priority, std::uint32_t tokens)
+{
+    const auto index = static_cast<std::size_t>(priority);
+    this->lengths[index](std::max(1.0, static_cast<double>(tokens)));
+    this->weights[index] += 1;
+    if (this->weights[index] < fadeWeight)
+        return;
+    this->lengths[index] *= 0.5;
+    this->weights[index] *= 0.5;
+}
+
+std::uint32_t LengthModel::conditionalQuantile(
+    PriorityClass priority, std::uint32_t generated, double quantile, std::uint32_t maxTokens) const
+{
+    const Lengths& histogram = this->lengths[static_cast<std::size_t>(priority)];
+    const Axis& axis = histogram.axis();
+    const int first = generated == 0 ? 0 : std::clamp(axis.index(generated + 1.0), 0, axis.size());
+    double remaining = 0;
+    for (int bin = first; bin < axis.size(); ++bin)
+        remaining += histogram.at(bin);
+    // Beyond everything observed, the residual life is taken to equal the age, as in a Pareto tail.
+    double length = 2.0 * generated + 1;
+    double passed = 0;
+    for (int bin = first; remaining > 0 && bin < axis.size(); ++bin) {
+        passed += histogram.at(bin);
+        if (passed < quantile * remaining)
+            continue;
+        length = axis.bin(bin).upper();
+        break;
+    }
+    auto tokens = static_cast<std::uint32_t>(std::min(length, longestLength));
+    tokens = std::max(tokens, generated + 1);
+    return maxTokens == 0 ? tokens : std::min(tokens, std::max(maxTokens, generated));
+}
+
+}
--- /dev/null
+++ b/src/core/agent/LengthModel.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "ports/Fleet.h"
+
+#include <boost/histogram.hpp>
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+namespace teaselfold {
+
+/** Learns how long outputs get, for each priority class. Older observations fade. */
+class LengthModel {
+public:
+    LengthModel();
+
+    /** Learns the length of a finished generation. @param tokens its length. */
+    void observe(PriorityClass priority, std::uint32_t tokens);
+
+    /**
+     * Quantile of the output length, given that `generated` tokens exist already.
+     * @param quantile between 0 and 1.
+     * @param maxTokens the caller's bound; zero when there is none.
+     * @return the length in tokens, at least `generated + 1` unless the bound is lower.
+     */
+    std::uint32_t conditionalQuantile(
+        PriorityClass priority, std::uint32_t generated, double quantile, std::uint32_t maxTokens) const;
+
+private:
+    using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+    using Lengths = boost::histogram::histogram<std::tuple<Axis>, boost::histogram::dense_storage<double>>;
+
+    std::vector<Lengths> lengths;
+    std::array<double, priorityClassCount> weights {};
+};
+
+}
--- /dev/null
+++ b/src/core/agent/PaceModel.cpp
@@ -0,0 +1,77 @@
+#include "core/agent/PaceModel.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace teaselfold {
+
+namespace {
+
+    /** Weight that an observation keeps after each further one. */
+    constexpr double retention = 0.999;
+    constexpr double recentRetention = 0.95;
+    constexpr double leastWeight = 16;
+    /** A gap so many times the expected one counts as slow. */
+    constexpr double collapseFactor = 5;
+    constexpr std::uint32_t collapseRun = 48;
+    /** An engine that misses the target alone is held at this multiple of its best. */
+    constexpr double slowEngineFactor = 1.5;
+    /** Batch sizes up to this one are tried without knowledge. */
+    constexpr double untriedBatch = 8;
+    /** How far above the largest batch of late the next may be. */
+    constexpr double growthFactor = 1.25;
+    constexpr double largestRetention = 0.9999;
+
+}
+
+bool PaceModel::observe(std::uint32_t batch, Duration gap)
+{
+    const double micros = std::chrono::duration<double, std::micro>(gap).count();
+    const double size = batch;
+    const auto known = static_cast<double>(this->expected(batch).count());
+    const bool slow = this->weight >= leastWeight && known > 0 && micros > collapseFactor * known;
+    this->slowInRow = slow ? this->slowInRow + 1 : 0;
+    this->recentGap
+        = this->recentGap == 0 ? micros : recentRetention * this->recentGap + (1 - recentRetention) * micros;
+    if (slow)
+        return this->slowInRow >= collapseRun;
+    this->weight = retention * this->weight + 1;
+    this->sumBatch = retention * this->sumBatch + size;
+    this->sumGap = retention * this->sumGap + micros;
+    this->sumBatchSquared = retention * this->sumBatchSquared + size * size;
+    this->sumProduct = retention * this->sumProduct + size * micros;
+    this->largestBatch = std::max(size, largestRetention * this->largestBatch);
+    return false;
+}
+
+double PaceModel::slope() const
+{
+    const double spread = this->weight * this->sumBatchSquared - this->sumBatch * this->sumBatch;
+    if (spread <= 1e-6 * this->weight * this->weight)
+        return 0;
+    return std::max(0.0, (this->weight * this->sumProduct - this->sumBatch * this->sumGap) / spread);
+}
+
+double PaceModel::base() const { return std::max(0.0, (this->sumGap - this->slope() * this->sumBatch) / this->weight); }
+
+Microseconds PaceModel::expected(std::uint32_t batch) const
+{
+    if (this->weight < leastWeight)
+        return Microseconds(0);
+    return Microseconds(std::llround(this->base() + this->slope() * batch));
+}
+
+Microseconds PaceModel::recent() const { return Microseconds(std::llround(this->recentGap)); }
+
+bool PaceModel::allows(std::uint32_t batch, Milliseconds target) const
+{
+    if (this->weight < leastWeight)
+        return batch <= untriedBatch;
+    if (batch > std::max(untriedBatch, growthFactor * this->largestBatch + 1))
+        return false;
+    const double wanted = std::chrono::duration<double, std::micro>(target).count();
+    const double goal = std::max(wanted, slowEngineFactor * static_cast<double>(this->expected(1).count()));
+    return static_cast<double>(this->expected(batch).count()) <= goal;
+}
+
+}
--- a/src/ports/EngineMessages.h
+++ b/src/ports/EngineMessages.h
@@ -116,6 +116,8 @@
     EngineOrder order;
     bool accepted { false };
     std::string message;
+    /** True when the engine refused because it has seen a higher fencing number. */
+    bool outdatedFence { false };
     bool operator==(const EngineOrderResult&) const = default;
 };
 
