Measure admission policies before one emulated engine

Cause: policies are to be compared by figures that repeat exactly. Change: a seeded workload (Poisson and bursts, classes, teams, shared prefixes), a recorder that checks each answer, a capacity measurement by true lengths, the admission experiment and bench-AdmissionPolicies.

--- a/src/emulator/EngineModel.cpp
+++ b/src/emulator/EngineModel.cpp
@@ -14,6 +14,7 @@
 
     constexpr std::size_t keptFinished = 4096;
     constexpr std::string_view crashMark = "crash!";
+    constexpr char versionMark = '@';
 
     Duration scaled(Duration duration, double factor)
     {
@@ -49,10 +50,13 @@
     this->pendingEvents.reset();
     this->eventSequence = 0;
     this->loadedModels.clear();
-    for (const std::string& model : this->settings.models)
-        this->loadedModels.emplace(model, Loaded { {}, now });
+    for (const std::string& model : this->settings.models) {
+        const std::size_t mark = std::min(model.find(versionMark), model.size());
+        const std::string version = mark < model.size() ? model.substr(mark + 1) : std::string();
+        this->loadedModels.emplace(model.substr(0, mark), Loaded { version, now, {} });
+    }
     this->turnCold(now);
-    this->pendingReport = this->currentReport();
+    this->pendingReport = this->currentReport(now);
     this->publishedReport = this->pendingReport;
     this->nextPublish = now + this->settings.reportInterval;
 }
--- a/src/emulator/EngineModel.h
+++ b/src/emulator/EngineModel.h
@@ -91,6 +91,8 @@
     struct Loaded {
         std::string version;
         Instant ready;
+        /** The version that serves until the new one is ready. */
+        std::optional<std::string> previous;
     };
 
     struct Finished {
@@ -121,8 +123,9 @@
     void failAll(std::vector<EngineEvent>& events);
     void publish(Instant now);
     bool isLoaded(const std::string& name, Instant now) const;
+    std::vector<std::string> servedModels(Instant now) const;
     void load(const EngineOrder& order, Instant now);
-    EngineReport currentReport() const;
+    EngineReport currentReport(Instant now) const;
     std::uint64_t usableBlocks() const;
     std::uint64_t blocksFor(std::uint64_t tokens) const;
     std::string tokenText(GenerationId generation, std::uint32_t index) const;
--- a/src/emulator/EngineModelReports.cpp
+++ b/src/emulator/EngineModelReports.cpp
@@ -1,6 +1,7 @@
 #include "emulator/EngineModel.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace teaselfold {
 
@@ -16,7 +17,7 @@
     return this->publishedReport;
 }
 
-EngineReport EngineModel::currentReport() const
+EngineReport EngineModel::currentReport(Instant now) const
 {
     EngineReport report;
     report.incarnation = this->currentIncarnation;
@@ -26,8 +27,7 @@
     report.blocksTotal = this->usableBlocks();
     report.tokensPerBlock = this->settings.tokensPerBlock;
     report.preemptions = this->preemptionCount;
-    for (const auto& [name, loaded] : this->loadedModels)
-        report.loadedModels.push_back(name);
+    report.loadedModels = this->servedModels(now);
     report.role = this->role;
     report.highestFence = this->highestFence;
     return report;
@@ -39,9 +39,7 @@
         return;
     this->nextPublish = now + this->settings.reportInterval;
     this->publishedReport = std::move(this->pendingReport);
-    this->pendingReport = this->currentReport();
-    std::erase_if(
-        this->pendingReport.loadedModels, [&](const std::string& name) { return !this->isLoaded(name, now); });
+    this->pendingReport = this->currentReport(now);
     if (this->pendingEvents)
         this->publishedEvents.push_back(*std::exchange(this->pendingEvents, std::nullopt));
     if (this->publishedEvents.size() > keptEventBatches)
@@ -69,19 +67,32 @@
 bool EngineModel::isLoaded(const std::string& name, Instant now) const
 {
     const auto found = this->loadedModels.find(name);
-    return found != this->loadedModels.end() && now >= found->second.ready;
+    return found != this->loadedModels.end() && (now >= found->second.ready || found->second.previous);
+}
+
+std::vector<std::string> EngineModel::servedModels(Instant now) const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, loaded] : this->loadedModels) {
+        if (!this->isLoaded(name, now))
+            continue;
+        const std::string& version = now >= loaded.ready ? loaded.version : *loaded.previous;
+        names.push_back(version.empty() ? name : name + "@" + version);
+    }
+    return names;
 }
 
 void EngineModel::load(const EngineOrder& order, Instant now)
 {
     const Instant ready = now + this->settings.modelLoadTime;
-    const auto [place, added] = this->loadedModels.try_emplace(order.name, Loaded { order.version, ready });
-    if (added || place->second.version == order.version)
+    const auto [place, added] = this->loadedModels.try_emplace(order.name, Loaded { order.version, ready, {} });
+    Loaded& loaded = place->second;
+    if (added || loaded.version == order.version)
         return;
-    // The version loaded at start is not known to the engine: the first order only names it.
-    if (!place->second.version.empty())
-        place->second.ready = ready;
-    place->second.version = order.version;
+    if (now >= loaded.ready)
+        loaded.previous = loaded.version;
+    loaded.version = order.version;
+    loaded.ready = ready;
 }
 
 EngineOrderResult EngineModel::order(const EngineOrder& order, Instant now)
--- /dev/null
+++ b/src/emulator/experiment/AdmissionExperiment.cpp
@@ -0,0 +1,264 @@
+#include "emulator/experiment/AdmissionExperiment.h"
+
+#include "core/agent/Admission.h"
+#include "core/common/Check.h"
+#include "emulator/EngineModel.h"
+#include "emulator/PlatformModel.h"
+
+#include <algorithm>
+#include <deque>
+#include <set>
+
+namespace teaselfold {
+
+namespace {
+
+    constexpr Milliseconds tickPeriod { 100 };
+    constexpr Milliseconds reportPeriod { 200 };
+    /** Time a dead engine stays away. */
+    constexpr Seconds engineRestart { 5 };
+    const EntryId entryId { "entry-1" };
+    const EndpointId endpointId { "drafter-1" };
+    const ServiceId serviceId { "fold-drafters" };
+
+    Fleet fleetFor(const ExperimentSettings& settings)
+    {
+        Fleet fleet;
+        fleet.version = ReleaseVersion(1);
+        const ZoneId zone("zone-1");
+        fleet.zones[zone] = Zone { zone, "region" };
+        Service service;
+        service.id = serviceId;
+        service.policy = settings.policy;
+        for (const RequestKind& kind : settings.workload.kinds)
+            service.targets[static_cast<std::size_t>(kind.priority)].betweenTokens = kind.betweenTokens;
+        fleet.services[serviceId] = service;
+        fleet.models[settings.workload.model] = Model { settings.workload.model, serviceId, "1", {} };
+        fleet.endpoints[endpointId] = Endpoint { endpointId, zone, serviceId, Address { "127.0.0.1", 1 }, true };
+        for (const TeamShare& share : settings.workload.teams)
+            fleet.teams[share.team] = Team { share.team, 1, 1000, {} };
+        return fleet;
+    }
+
+    /** One run: the clock, the entry's part, and the way of messages between admission, engine and platform. */
+    class Session {
+    public:
+        explicit Session(const ExperimentSettings& settings)
+            : settings(settings)
+            , arrivals(makeArrivals(settings.workload))
+            , engine(settings.engine, Instant {})
+            , platform(PlatformSettings {})
+            , admission(AdmissionBuilder()
+                            .withEndpoint(endpointId)
+                            .withZone(ZoneId("zone-1"))
+                            .withIncarnation(Incarnation(1))
+                            .build())
+            , result { LoadRecorder(settings.workload.kinds), 0, 0, 0 }
+        {
+        }
+
+        ExperimentResult run()
+        {
+            this->toAdmission(EntryLinked { entryId });
+            this->toAdmission(FromEntry { entryId, EntryHello { entryId } });
+            this->toAdmission(FromEntry { entryId, FleetCopy { fleetFor(this->settings) } });
+            while (this->nextArrival < this->arrivals.size() || this->result.record.open() > 0) {
+                this->now = this->nextTime();
+                this->step();
+                if (this->now > this->lastTime())
+                    break;
+            }
+            this->result.record.close(this->now);
+            this->result.preemptions += this->engine.preemptions();
+            return std::move(this->result);
+        }
+
+    private:
+        Instant lastTime() const
+        {
+            Milliseconds longest { 0 };
+            for (const RequestKind& kind : this->settings.workload.kinds)
+                longest = std::max(longest, kind.budget);
+            return Instant {} + this->settings.workload.length + longest + Seconds(10);
+        }
+
+        Instant nextTime() const
+        {
+            Instant next = std::min(this->nextTick, this->nextReport);
+            if (this->revival)
+                next = std::min(next, *this->revival);
+            else
+                next = std::min(next, this->engine.nextEvent());
+            if (this->nextArrival < this->arrivals.size())
+                next = std::min(next, Instant {} + this->arrivals[this->nextArrival].at);
+            return std::max(next, this->now);
+        }
+
+        void step()
+        {
+            this->runEngine();
+            if (this->nextArrival < this->arrivals.size()
+                && Instant {} + this->arrivals[this->nextArrival].at <= this->now)
+                this->arrive(this->arrivals[this->nextArrival]);
+            if (this->nextReport <= this->now)
+                this->readReport();
+            if (this->nextTick <= this->now)
+                this->tick();
+        }
+
+        void runEngine()
+        {
+            if (this->revival && *this->revival <= this->now) {
+                this->revival.reset();
+                this->engine.restart(this->now);
+            }
+            for (EngineEvent& event : this->engine.advance(this->now))
+                this->toAdmission(FromEngine { std::move(event) });
+            if (!this->engine.dead() || this->revival)
+                return;
+            ++this->result.deaths;
+            this->result.preemptions += this->engine.preemptions();
+            this->revival = this->now + engineRestart;
+        }
+
+        void readReport()
+        {
+            this->nextReport = this->now + reportPeriod;
+            if (this->engine.dead())
+                this->toAdmission(FromEngine { EngineUnreachable {} });
+            else
+                this->toAdmission(FromEngine { this->engine.report(this->now) });
+        }
+
+        void tick()
+        {
+            this->nextTick = this->now + tickPeriod;
+            this->toAdmission(AgentTick {});
+        }
+
+        void arrive(const Arrival& arrival)
+        {
+            const RequestKind& kind = this->settings.workload.kinds[arrival.kind];
+            const std::uint64_t number = ++this->nextArrival;
+            SubmitGeneration submit;
+            submit.generation = GenerationId(number);
+            submit.budget = kind.budget;
+            submit.work.team = arrival.team;
+            submit.work.model = this->settings.workload.model;
+            submit.work.prompt = arrival.prompt;
+            submit.work.maxTokens = kind.maxTokens;
+            submit.work.priority = kind.priority;
+            submit.work.fingerprint = Fingerprint(number);
+            this->result.record.sent(number, arrival.team, arrival.kind, this->now);
+            this->toAdmission(FromEntry { entryId, std::move(submit) });
+        }
+
+        void toAdmission(AgentEvent event)
+        {
+            this->events.push_back(std::move(event));
+            if (this->delivering)
+                return;
+            this->delivering = true;
+            while (!this->events.empty()) {
+                const AgentEvent next = std::move(this->events.front());
+                this->events.pop_front();
+                for (const AgentAction& action : this->admission.handle(next, this->now))
+                    std::visit([this](const auto& one) { this->perform(one); }, action);
+            }
+            this->delivering = false;
+        }
+
+        void perform(const ToEntry& action)
+        {
+            std::visit([this](const auto& message) { this->receive(message); }, action.message);
+        }
+
+        void perform(const ToEngine& action)
+        {
+            std::visit([this](const auto& command) { this->command(command); }, action.command);
+        }
+
+        void perform(const ToPlatform& action)
+        {
+            const PlatformOutcome outcome = this->platform.perform(action.operation.request, this->now);
+            const auto* done = std::get_if<PlatformResult>(&outcome);
+            PlatformReply reply { action.operation.operation, PlatformUnavailable { false } };
+            if (done != nullptr)
+                reply.result = *done;
+            this->toAdmission(FromPlatform { std::move(reply) });
+        }
+
+        template <typename Other> void perform(const Other&) { }
+
+        void command(const EngineStart& start)
+        {
+            ++this->result.started;
+            if (auto refused = this->engine.submit(start, this->now))
+                this->toAdmission(FromEngine { std::move(*refused) });
+        }
+
+        void command(const EngineResume& resume)
+        {
+            for (EngineEvent& event : this->engine.resume(resume))
+                this->toAdmission(FromEngine { std::move(event) });
+        }
+
+        void command(const EngineCancel& cancel) { this->engine.cancel(cancel.generation, this->now); }
+
+        void command(const EngineOrder& order)
+        {
+            this->toAdmission(FromEngine { this->engine.order(order, this->now) });
+        }
+
+        void receive(const GenerationTokens& tokens)
+        {
+            std::uint32_t index = tokens.firstIndex;
+            for (const std::string& text : tokens.texts)
+                this->result.record.token(tokens.generation.get(), index++, text, this->now);
+            this->toAdmission(FromEntry { entryId, AcknowledgeTokens { tokens.generation, index } });
+        }
+
+        void receive(const GenerationFinished& end)
+        {
+            this->result.record.ended(end.generation.get(), AnswerEnd::Whole, this->now);
+        }
+
+        void receive(const GenerationRefused& end)
+        {
+            this->result.record.ended(end.generation.get(), AnswerEnd::Refused, this->now);
+        }
+
+        void receive(const GenerationFailed& end)
+        {
+            this->result.record.ended(end.generation.get(), AnswerEnd::Failed, this->now);
+        }
+
+        template <typename Other> void receive(const Other&) { }
+
+        const ExperimentSettings& settings;
+        std::vector<Arrival> arrivals;
+        EngineModel engine;
+        PlatformModel platform;
+        Admission admission;
+        ExperimentResult result;
+        std::deque<AgentEvent> events;
+        bool delivering { false };
+        Instant now {};
+        Instant nextTick {};
+        Instant nextReport {};
+        std::optional<Instant> revival;
+        std::size_t nextArrival { 0 };
+    };
+
+}
+
+double ExperimentResult::preemptionsPerThousand() const
+{
+    constexpr double thousand = 1000;
+    return this->started == 0 ? 0
+                              : thousand * static_cast<double>(this->preemptions) / static_cast<double>(this->started);
+}
+
+ExperimentResult runAdmissionExperiment(const ExperimentSettings& settings) { return Session(settings).run(); }
+
+}
--- /dev/null
+++ b/src/emulator/experiment/AdmissionExperiment.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "emulator/EngineSettings.h"
+#include "emulator/load/LoadRecorder.h"
+#include "emulator/load/Workload.h"
+
+#include <cstdint>
+#include <string>
+
+namespace teaselfold {
+
+/** One agent's admission before one engine. */
+struct ExperimentSettings {
+    EngineSettings engine;
+    WorkloadSettings workload;
+    /** Strategy and its settings, as in a release note. */
+    PolicyChoice policy;
+};
+
+/** What the callers of one run got. */
+struct ExperimentResult {
+    LoadRecorder record;
+    std::uint64_t preemptions { 0 };
+    /** Generations handed to the engine. */
+    std::uint64_t started { 0 };
+    /** Times the engine died. */
+    std::uint64_t deaths { 0 };
+
+    /** @return preemptions per 1,000 generations started. */
+    double preemptionsPerThousand() const;
+};
+
+/** Runs a workload through the admission and the engine under a manual clock. Equal settings give equal results. */
+ExperimentResult runAdmissionExperiment(const ExperimentSettings& settings);
+
+/**
+ * Measures what the engine completes when work always waits and a request starts as soon as the batch's greatest
+ * memory, worked out from true output lengths, fits. No policy that learns lengths can know as much.
+ * @param workload kinds, teams and seed; its rate is not used.
+ * @return requests per second.
+ */
+double measureCapacity(const EngineSettings& engine, const WorkloadSettings& workload);
+
+}
--- /dev/null
+++ b/src/emulator/load/LoadRecorder.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "emulator/load/Distribution.h"
+#include "emulator/load/Workload.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+namespace teaselfold {
+
+/** Outcomes of a group of requests. */
+struct Tally {
+    std::uint64_t sent { 0 };
+    /** Whole answers. */
+    std::uint64_t completed { 0 };
+    /** Whole answers within their deadline. */
+    std::uint64_t onTime { 0 };
+    /** Told that they did not run. */
+    std::uint64_t refused { 0 };
+    /** Ended by an explicit error after they may have run. */
+    std::uint64_t failed { 0 };
+    /** Ended without a whole answer and without an explicit error. */
+    std::uint64_t lost { 0 };
+    /** Answers with a repeated, missing or foreign token. */
+    std::uint64_t doubled { 0 };
+    std::uint64_t tokens { 0 };
+    /** Sum of what gaps between tokens exceed the class's target by. */
+    Duration stall { 0 };
+    Distribution betweenTokens;
+    Distribution firstToken;
+
+    void merge(const Tally& other);
+};
+
+/** How one request's answer went wrong or right, for the recorder. */
+enum class AnswerEnd : std::uint8_t {
+    Whole,
+    Refused,
+    Failed,
+    Lost,
+};
+
+/**
+ * Follows the answers of many requests and checks each: indices in order, one generation. Not thread safe. The
+ * requests are addressed by the caller's numbers.
+ */
+class LoadRecorder {
+public:
+    explicit LoadRecorder(std::vector<RequestKind> kinds)
+        : kinds(std::move(kinds))
+    {
+    }
+
+    void sent(std::uint64_t request, const TeamId& team, std::uint32_t kind, Instant now);
+    void token(std::uint64_t request, std::uint32_t index, const std::string& text, Instant now);
+    /** The answer starts over, as the caller asked for; what came before is void. */
+    void restarted(std::uint64_t request);
+    void ended(std::uint64_t request, AnswerEnd end, Instant now);
+    /** Counts what is still open as lost. */
+    void close(Instant now);
+
+    std::size_t open() const { return this->answers.size(); }
+    const std::map<PriorityClass, Tally>& byClass() const { return this->classes; }
+    const std::map<TeamId, Tally>& byTeam() const { return this->teams; }
+    Tally whole() const;
+
+private:
+    struct Answer {
+        TeamId team;
+        std::uint32_t kind { 0 };
+        Instant begun;
+        Instant lastToken;
+        std::uint32_t tokens { 0 };
+        std::string mark;
+        bool broken { false };
+    };
+
+    template <typename Change> void tally(const Answer& answer, Change change);
+
+    std::vector<RequestKind> kinds;
+    std::unordered_map<std::uint64_t, Answer> answers;
+    std::map<PriorityClass, Tally> classes;
+    std::map<TeamId, Tally> teams;
+};
+
+}
--- /dev/null
+++ b/test/error/RecorderFindsBrokenAnswers.cpp
@@ -0,0 +1,51 @@
+#include "emulator/load/LoadRecorder.h"
+
+#include <doctest/doctest.h>
+
+using namespace teaselfold;
+
+namespace {
+
+const TeamId team { "t" };
+
+/** @return the tally after one answer of these tokens. */
+Tally recordAnswer(const std::vector<std::pair<std::uint32_t, std::string>>& tokens)
+{
+    LoadRecorder recorder(defaultKinds());
+    recorder.sent(1, team, 0, Instant {});
+    for (const auto& [index, text] : tokens)
+        recorder.token(1, index, text, Instant {} + Seconds(1));
+    recorder.ended(1, AnswerEnd::Whole, Instant {} + Seconds(2));
+    return recorder.byTeam().at(team);
+}
+
+}
+
+TEST_CASE("a whole answer of one generation is neither doubled nor lost")
+{
+    const Tally tally = recordAnswer({ { 0, " ab12.0" }, { 1, " ab12.1" } });
+    CHECK(tally.onTime == 1);
+    CHECK(tally.doubled == 0);
+}
+
+TEST_CASE("repeated, missing and foreign tokens are found")
+{
+    CHECK(recordAnswer({ { 0, " ab12.0" }, { 0, " ab12.0" } }).doubled == 1);
+    CHECK(recordAnswer({ { 0, " ab12.0" }, { 2, " ab12.2" } }).doubled == 1);
+    CHECK(recordAnswer({ { 0, " ab12.0" }, { 1, " ff00.1" } }).doubled == 1);
+    CHECK(recordAnswer({ { 0, " ab12.0" }, { 1, " ab12.2" } }).doubled == 1);
+}
+
+TEST_CASE("stall is what gaps exceed the target by, and an answer without an end is lost")
+{
+    LoadRecorder recorder(defaultKinds());
+    recorder.sent(1, team, 0, Instant {});
+    recorder.token(1, 0, " ab12.0", Instant {} + Seconds(1));
+    recorder.token(1, 1, " ab12.1", Instant {} + Milliseconds(1020));
+    recorder.token(1, 2, " ab12.2", Instant {} + Milliseconds(1146));
+    recorder.close(Instant {} + Seconds(9));
+    const Tally tally = recorder.whole();
+    CHECK(tally.stall == Milliseconds(100));
+    CHECK(tally.lost == 1);
+    CHECK(tally.completed == 0);
+}
