--- a/src/core/agent/Admission.h
+++ b/src/core/agent/Admission.h
@@ -1,17 +1,15 @@
 #pragma once
 
+#include "core/agent/AdmissionBuilder.h"
 #include "core/agent/AgentDecisions.h"
 #include "core/agent/AgentKnowledge.h"
 #include "core/agent/EngineOrders.h"
 #include "core/agent/EngineOutlook.h"
 #include "core/agent/EngineSupervisor.h"
 #include "core/agent/FairQueue.h"
-#include "ports/Randomness.h"
 
 namespace teaselfold {
 
-class AdmissionBuilder;
-
 /** Decides for one model engine what is queued, started, streamed and refused. Has no thread and no clock. */
 class Admission : public AgentDecisions {
 public:
@@ -83,24 +81,4 @@
     bool drainedSent { false };
 };
 
-/** Builds an Admission. */
-class AdmissionBuilder {
-public:
-    AdmissionBuilder& withEndpoint(EndpointId id);
-    AdmissionBuilder& withZone(ZoneId id);
-    AdmissionBuilder& withIncarnation(Incarnation id);
-    /** @param source spreads the waits told to refused callers; must outlive what is built. */
-    AdmissionBuilder& withRandomness(Randomness& source);
-    AdmissionBuilder& withLimits(AdmissionLimits chosen);
-    Admission build() const;
-
-private:
-    friend class Admission;
-    EndpointId endpoint;
-    ZoneId zone;
-    Incarnation incarnation;
-    Randomness* randomness { nullptr };
-    AdmissionLimits limits;
-};
-
 }
