--- a/src/core/agent/Admission.cpp
+++ b/src/core/agent/Admission.cpp
@@ -30,6 +30,7 @@
     , incarnation(builder.incarnation)
     , randomness(builder.randomness)
     , knowledge(builder.endpoint, builder.zone, builder.limits)
+    , leavingWatch(builder.endpoint)
     , table(builder.limits)
     , supervisor(builder.limits)
     , orders(builder.endpoint, builder.limits)
@@ -115,8 +116,10 @@
 
 void Admission::onService(const FromService&, Instant) { }
 
-void Admission::onPlatform(const FromPlatform& event, Instant)
+void Admission::onPlatform(const FromPlatform& event, Instant now)
 {
+    if (this->leavingWatch.announces(event.reply))
+        this->onLeaving(LeavingNotice {}, now);
     this->orders.handle(event.reply, this->actions);
     if (this->orders.isSuperseded())
         this->knowledge.markSuperseded();
@@ -143,6 +146,7 @@
 
 void Admission::onTick(const AgentTick&, Instant now)
 {
+    this->leavingWatch.tick(now, this->actions);
     this->checkDeadlines(now);
     this->table.expire(now);
     EngineContext context = this->engineContext(now);
--- a/src/core/agent/Admission.h
+++ b/src/core/agent/Admission.h
@@ -7,6 +7,7 @@
 #include "core/agent/EngineOutlook.h"
 #include "core/agent/EngineSupervisor.h"
 #include "core/agent/FairQueue.h"
+#include "core/agent/LeavingWatch.h"
 
 namespace teaselfold {
 
@@ -72,6 +73,7 @@
     /** Spreads retries; null when they need no spreading. */
     Randomness* randomness { nullptr };
     AgentKnowledge knowledge;
+    LeavingWatch leavingWatch;
     GenerationTable table;
     EngineProfile profile;
     EngineSupervisor supervisor;
--- a/src/core/agent/CallKeeper.cpp
+++ b/src/core/agent/CallKeeper.cpp
@@ -29,6 +29,7 @@
     : limits(builder.limits)
     , incarnation(builder.incarnation)
     , knowledge(builder.endpoint, builder.zone, builder.limits)
+    , leavingWatch(builder.endpoint)
     , claims(builder.limits, *builder.randomness)
     , table(builder.limits)
     , queue(callsPerRound)
@@ -228,6 +229,8 @@
 
 void CallKeeper::onPlatform(const FromPlatform& event, Instant now)
 {
+    if (this->leavingWatch.announces(event.reply))
+        this->onLeaving(LeavingNotice {}, now);
     this->takeVerdicts(this->claims.handle(event.reply, now, this->actions), now);
     this->finishRecorded(now);
 }
@@ -345,6 +348,7 @@
 
 void CallKeeper::onTick(const AgentTick&, Instant now)
 {
+    this->leavingWatch.tick(now, this->actions);
     this->checkDeadlines(now);
     this->takeVerdicts(this->claims.tick(now, this->actions), now);
     this->finishRecorded(now);
--- a/src/core/agent/CallKeeper.h
+++ b/src/core/agent/CallKeeper.h
@@ -6,6 +6,7 @@
 #include "core/agent/CallTable.h"
 #include "core/agent/Claims.h"
 #include "core/agent/FairQueue.h"
+#include "core/agent/LeavingWatch.h"
 
 namespace teaselfold {
 
@@ -66,6 +67,7 @@
     AdmissionLimits limits;
     Incarnation incarnation;
     AgentKnowledge knowledge;
+    LeavingWatch leavingWatch;
     Claims claims;
     CallTable table;
     FairQueue queue;
--- a/src/core/agent/EngineOrders.cpp
+++ b/src/core/agent/EngineOrders.cpp
@@ -19,13 +19,6 @@
     /** Engines name a loaded model by its name alone or as `name@version`. */
     std::string nameOf(const std::string& loaded) { return loaded.substr(0, loaded.find('@')); }
 
-    bool holds(const EngineReport& report, const Model& model)
-    {
-        const std::string versioned = model.id.get() + "@" + model.version;
-        return std::any_of(report.loadedModels.begin(), report.loadedModels.end(),
-            [&](const std::string& loaded) { return loaded == versioned || loaded == model.id.get(); });
-    }
-
     bool belongsHere(const AgentKnowledge& knowledge, const Model& model)
     {
         const Endpoint* own = knowledge.ownEndpoint();
@@ -61,6 +54,15 @@
         [&](const std::string& loaded) { return nameOf(loaded) == model.get(); });
 }
 
+bool EngineOrders::holds(const EngineReport& report, const Model& model) const
+{
+    const auto ordered = this->orderedVersions.find(model.id.get());
+    const bool current = ordered != this->orderedVersions.end() && ordered->second == model.version;
+    const std::string versioned = model.id.get() + "@" + model.version;
+    return std::any_of(report.loadedModels.begin(), report.loadedModels.end(),
+        [&](const std::string& loaded) { return loaded == versioned || (current && loaded == model.id.get()); });
+}
+
 void EngineOrders::addAdapters(const Model& model, std::vector<EngineOrder>& orders) const
 {
     for (const std::string& adapter : model.adapters) {
@@ -111,6 +113,7 @@
     if (report->incarnation != this->engineIncarnation) {
         this->engineIncarnation = report->incarnation;
         this->loadedAdapters.clear();
+        this->orderedVersions.clear();
     }
     const std::vector<EngineOrder> orders = this->missing(knowledge, *report);
     if (orders.empty() || (this->nextTry && now < *this->nextTry))
@@ -187,6 +190,8 @@
     const std::string& name = result.order.name;
     if (result.accepted && result.order.kind == EngineOrderKind::LoadAdapter)
         this->loadedAdapters.insert(name);
+    if (result.accepted && result.order.kind == EngineOrderKind::LoadModel)
+        this->orderedVersions[name] = result.order.version;
     actions.push_back(LogEvent { "engine_order",
         { { "name", name }, { "accepted", result.accepted ? "true" : "false" },
             { "fence", std::to_string(result.order.fence) }, { "message", result.message } } });
--- a/src/core/agent/EngineOrders.h
+++ b/src/core/agent/EngineOrders.h
@@ -47,6 +47,7 @@
     };
 
     std::vector<EngineOrder> missing(const AgentKnowledge& knowledge, const EngineReport& report) const;
+    bool holds(const EngineReport& report, const Model& model) const;
     void addAdapters(const Model& model, std::vector<EngineOrder>& orders) const;
     void send(PlatformRequest request, std::vector<AgentAction>& actions);
     void readFence(Stage next, std::vector<AgentAction>& actions);
@@ -63,6 +64,8 @@
     std::optional<Instant> nextTry;
     std::uint64_t engineIncarnation { 0 };
     std::set<std::string> loadedAdapters;
+    /** Versions that the engine took in its present life; its report may name models without a version. */
+    std::map<std::string, std::string> orderedVersions;
     bool superseded { false };
 };
 
--- a/src/core/agent/EngineOutlook.cpp
+++ b/src/core/agent/EngineOutlook.cpp
@@ -61,7 +61,7 @@
     report.running = static_cast<std::uint32_t>(this->table.running().size());
     report.queued = static_cast<std::uint32_t>(this->table.queuedCount());
     report.room = this->room(queue);
-    report.memoryPermille = this->profile.memoryPermille();
+    report.memoryPermille = this->profile.memoryPermille(this->table);
     report.pace = this->profile.pace();
     report.cold = this->profile.cold();
     if (report.room > 0)
--- a/src/core/agent/EngineProfile.cpp
+++ b/src/core/agent/EngineProfile.cpp
@@ -10,9 +10,9 @@
     constexpr double quantileStepDown = 0.0005;
     constexpr double lowestQuantile = 0.6;
     constexpr double highestQuantile = 0.97;
-    constexpr double scaleRetention = 0.9;
-    constexpr double lowestScale = 0.7;
-    constexpr double highestScale = 3;
+    constexpr double scaleStepUp = 1.03;
+    constexpr double scaleRetention = 0.999;
+    constexpr double highestScale = 2;
     constexpr Seconds classMemory { 60 };
     constexpr double shortRunQuantile = 0.1;
     constexpr double costQuantile = 0.5;
@@ -32,21 +32,20 @@
 
 }
 
-std::uint64_t EngineProfile::observeReport(const EngineReport& report, GenerationTable& table)
+void EngineProfile::learnFromPreemption()
+{
+    this->quantile = std::min(highestQuantile, this->quantile + quantileStepUp);
+    this->usageScale = std::min(highestScale, this->usageScale * scaleStepUp);
+}
+
+std::uint64_t EngineProfile::observeReport(const EngineReport& report)
 {
     std::uint64_t preemptions = 0;
     const bool sameLife = this->report && this->report->incarnation == report.incarnation;
     if (sameLife && report.preemptions > this->report->preemptions)
         preemptions = report.preemptions - this->report->preemptions;
     if (preemptions > 0)
-        this->quantile = std::min(highestQuantile, this->quantile + quantileStepUp);
-    const std::uint64_t own = tokensHeld(table);
-    if (own > 0 && report.running == table.running().size()) {
-        const double measured
-            = static_cast<double>(report.blocksUsed * report.tokensPerBlock) / static_cast<double>(own);
-        this->usageScale = std::clamp(
-            scaleRetention * this->usageScale + (1 - scaleRetention) * measured, lowestScale, highestScale);
-    }
+        this->learnFromPreemption();
     this->report = report;
     return preemptions;
 }
@@ -65,6 +64,7 @@
     this->lengths.observe(generation.work.priority, static_cast<std::uint32_t>(generation.tokens.size()));
     this->warmth.finishedOne();
     this->quantile = std::max(lowestQuantile, this->quantile - quantileStepDown);
+    this->usageScale = std::max(1.0, scaleRetention * this->usageScale);
     const Duration run = now - generation.started;
     this->meanRun = this->meanRun == Duration(0) ? run : (this->meanRun * runRetention + run) / runWeights;
 }
@@ -128,11 +128,12 @@
     return this->paceModel.expected(1) * static_cast<std::int64_t>(tokens);
 }
 
-std::uint32_t EngineProfile::memoryPermille() const
+std::uint32_t EngineProfile::memoryPermille(GenerationTable& table) const
 {
     if (!this->report || this->report->blocksTotal == 0)
         return 0;
-    const std::uint64_t share = this->report->blocksUsed * fullPermille / this->report->blocksTotal;
+    const std::uint64_t capacity = this->report->blocksTotal * std::max(1U, this->report->tokensPerBlock);
+    const std::uint64_t share = tokensHeld(table) * fullPermille / capacity;
     return static_cast<std::uint32_t>(std::min<std::uint64_t>(share, fullPermille));
 }
 
--- a/src/core/agent/EngineProfile.h
+++ b/src/core/agent/EngineProfile.h
@@ -11,8 +11,8 @@
 /** What was learnt about the engine: its memory, its speed, the lengths of its outputs, and how warm it is. */
 class EngineProfile {
 public:
-    /** Learns from the engine's report. @param running what the agent knows to run. @return new preemptions. */
-    std::uint64_t observeReport(const EngineReport& report, GenerationTable& table);
+    /** Learns from the engine's report. @return preemptions since the last one. */
+    std::uint64_t observeReport(const EngineReport& report);
 
     /** Learns a gap between tokens. @return true when the endpoint turned cold by it. */
     bool observeGap(std::uint32_t batch, std::uint32_t tokens, Duration gap);
@@ -44,18 +44,20 @@
     bool cold() const { return this->warmth.cold(); }
     std::uint32_t allowance() const { return this->warmth.allowance(); }
     Microseconds pace() const { return this->paceModel.recent(); }
-    /** @return share of the engine's memory in use, in thousandths. */
-    std::uint32_t memoryPermille() const;
+    /** @return share of the engine's memory that running generations hold, without its cache, in thousandths. */
+    std::uint32_t memoryPermille(GenerationTable& table) const;
     const std::optional<EngineReport>& lastReport() const { return this->report; }
 
 private:
+    void learnFromPreemption();
+
     LengthModel lengths;
     PaceModel paceModel;
     Warmth warmth;
     std::optional<EngineReport> report;
     std::array<std::optional<Instant>, priorityClassCount> lastArrival;
     double quantile { 0.8 };
-    /** The engine's count of tokens held over the agent's own. */
+    /** Safety factor on the estimate of tokens held; rises with preemptions. */
     double usageScale { 1 };
     /** Smoothed time from start to end; zero while nothing ended. */
     Duration meanRun { 0 };
--- a/src/core/agent/EngineSupervisor.cpp
+++ b/src/core/agent/EngineSupervisor.cpp
@@ -13,6 +13,8 @@
     constexpr std::array resumeDelays { Milliseconds(0), Milliseconds(200), Milliseconds(1000) };
     /** A stream without a token for this long is asked for again on a new connection. */
     constexpr Seconds streamSilence { 10 };
+    /** A stream lost after so long a silence ran into a time limit and did not break. */
+    constexpr Seconds silentLoss { 2 };
     /** A report may be this old when it comes. */
     constexpr Seconds reportLag { 2 };
     /** A gap between tokens that counts as a stall. */
@@ -176,6 +178,11 @@
     Generation* generation = findRunning(context, event.generation);
     if (generation == nullptr)
         return;
+    // A stream that was silent for long timed out while the engine answers elsewhere; this may take its time.
+    if (!this->unreachableSince && context.now - generation->lastSign >= silentLoss) {
+        this->resume(*generation, context);
+        return;
+    }
     const std::uint32_t tries = generation->streamResumes;
     if (tries >= this->limits.streamResumes) {
         this->abort(*generation, engineFailure(*generation, "the engine's stream is lost"), context);
@@ -206,7 +213,7 @@
     this->abandoned.clear();
     this->incarnation = event.incarnation;
     this->lastReportAt = context.now;
-    const std::uint64_t preemptions = context.profile.observeReport(event, context.table);
+    const std::uint64_t preemptions = context.profile.observeReport(event);
     if (preemptions == 0)
         return;
     Observation observation { Metric::Preemption, TeamId(), PriorityClass::Standard, 1, {} };
