Take the generated frame header as a library's header

Cause: the linter held generated code to the project's style. Change: a wrapper header marks it as a system header.

--- a/src/adapters/link/FrameReader.h
+++ b/src/adapters/link/FrameReader.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "adapters/link/FrameCodec.h"
-#include "adapters/link/Link_generated.h"
+#include "adapters/link/WireMessages.h"
 
 #include <optional>
 
--- a/src/adapters/link/FrameWriter.h
+++ b/src/adapters/link/FrameWriter.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "adapters/link/Link_generated.h"
+#include "adapters/link/WireMessages.h"
 #include "ports/DocumentCodec.h"
 #include "ports/LinkMessages.h"
 
