--- a/src/core/control/ControlLimits.h
+++ b/src/core/control/ControlLimits.h
@@ -25,7 +25,7 @@
     /** In an outage, time from the first configuration of a peer until the highest seen is taken as in force. */
     Duration peerWait { Seconds(2) };
     /** Release versions between two snapshots. */
-    std::uint64_t snapshotInterval { 64 };
+    std::uint64_t versionsPerSnapshot { 64 };
     /** Rows asked for in one scan. */
     std::uint32_t scanLimit { 100 };
 };
--- a/src/core/control/SnapshotWriter.cpp
+++ b/src/core/control/SnapshotWriter.cpp
@@ -8,7 +8,7 @@
 
 void SnapshotWriter::consider(const Fleet& fleet, bool published, ControlContext& context)
 {
-    const std::uint64_t interval = context.limits.snapshotInterval;
+    const std::uint64_t interval = context.limits.versionsPerSnapshot;
     if (this->slack == 0)
         this->slack = 1 + context.randomness.next() % interval;
     const std::uint64_t due = this->newest + interval + (published ? 0 : this->slack);
@@ -29,7 +29,7 @@
         row = rows->rows.front();
     const ReleaseVersion there = row ? parseVersion(row->value).value_or(ReleaseVersion()) : ReleaseVersion();
     this->newest = std::max(this->newest, there.get());
-    if (fleet.version.get() < this->newest + context.limits.snapshotInterval) {
+    if (fleet.version.get() < this->newest + context.limits.versionsPerSnapshot) {
         this->busy = false;
         return;
     }
