Make the control part clean for clang

Cause: the linter found a capture that clang refuses, a move without effect and a narrow product. Change: those three mended; order logs name the subject, not its key.

--- a/src/adapters/fleet/DocumentReader.cpp
+++ b/src/adapters/fleet/DocumentReader.cpp
@@ -46,8 +46,8 @@
 
 }
 
-DocumentReader::DocumentReader(YAML::Node node, std::string place, ReadLog& log)
-    : node(std::move(node))
+DocumentReader::DocumentReader(const YAML::Node& node, std::string place, ReadLog& log)
+    : node(node)
     , place(std::move(place))
     , log(&log)
 {
--- a/src/adapters/fleet/DocumentReader.h
+++ b/src/adapters/fleet/DocumentReader.h
@@ -25,7 +25,7 @@
 class DocumentReader {
 public:
     /** @param log collects the faults; must outlive the reader. */
-    DocumentReader(YAML::Node node, std::string place, ReadLog& log);
+    DocumentReader(const YAML::Node& node, std::string place, ReadLog& log);
 
     /** Reads a text; a missing one is a fault. */
     std::string text(const std::string& name);
--- a/src/adapters/http/AdminApi.cpp
+++ b/src/adapters/http/AdminApi.cpp
@@ -145,7 +145,8 @@
     auto parsed = parseReleaseNote(request.body);
     if (auto* problems = std::get_if<std::vector<NoteProblem>>(&parsed))
         return renderAdminMessage(NoteInvalid { std::move(*problems) });
-    auto& [note, lines] = std::get<ParsedNote>(parsed);
+    auto& [parsedNote, lines] = std::get<ParsedNote>(parsed);
+    ReleaseNote& note = parsedNote;
     if (note.author.empty())
         note.author = operatorName;
     const auto dryRun = request.query.find("dry_run");
--- a/src/adapters/http/AdminListener.cpp
+++ b/src/adapters/http/AdminListener.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-    constexpr std::size_t maximumBody = 1024 * 1024;
+    constexpr std::size_t maximumBody = 1024UL * 1024UL;
     constexpr int maximumQueued = 64;
     constexpr Seconds readTimeout(5);
 
--- a/src/core/control/OrderKeeper.cpp
+++ b/src/core/control/OrderKeeper.cpp
@@ -19,7 +19,7 @@
     void logOrder(const char* name, const ServiceOrder& order, ControlContext& context)
     {
         context.log(name,
-            { { "subject", orderKey(order.subject) }, { "out", order.out ? "true" : "false" },
+            { { "subject", subjectText(order.subject) }, { "out", order.out ? "true" : "false" },
                 { "order", order.id.get() }, { "sequence", std::to_string(order.sequence) },
                 { "author", order.author } });
     }
