--- /dev/null
+++ b/apps/teaselfold-entry/Main.cpp
@@ -0,0 +1,213 @@
+#include "adapters/fleet/JsonDocumentCodec.h"
+#include "adapters/http/AdminServer.h"
+#include "adapters/http/CallerServer.h"
+#include "adapters/link/EntryLinkClient.h"
+#include "adapters/logging/GlogLog.h"
+#include "adapters/metrics/TelemetryHub.h"
+#include "adapters/platform/PlatformClient.h"
+#include "adapters/settings/CommandLine.h"
+#include "core/control/ConfigurationKeeper.h"
+#include "runtime/ControlDuty.h"
+#include "runtime/RouterDuty.h"
+
+#include <csignal>
+#include <future>
+#include <random>
+
+using namespace teaselfold;
+
+namespace {
+
+class SystemRandomness final : public Randomness {
+public:
+    std::uint64_t next() override
+    {
+        const std::uint64_t high = this->device();
+        return (high << halfBits) | this->device();
+    }
+
+private:
+    static constexpr int halfBits = 32;
+    std::random_device device;
+};
+
+/** Blocks the stop signals in this thread and in all that it starts, so that only waitForStop sees them. */
+sigset_t blockStopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+/** Waits for the first stop signal; later ones stay blocked and cut nothing off. */
+void waitForStop(const sigset_t& signals)
+{
+    int received = 0;
+    sigwait(&signals, &received);
+}
+
+RouterLimits routerLimits(const EntrySettings& settings)
+{
+    RouterLimits limits;
+    limits.linksPerService = settings.linksPerService;
+    limits.silenceLimit = settings.silentLinkLimit;
+    limits.heartbeatPeriod = settings.heartbeat;
+    limits.defaultBudget = settings.defaultDeadline;
+    return limits;
+}
+
+CallerLimits callerLimits(const EntrySettings& settings)
+{
+    CallerLimits limits;
+    limits.threads = settings.callerThreads;
+    limits.maxBodyBytes = settings.maxBodyBytes;
+    limits.defaultDeadline = settings.defaultDeadline;
+    limits.maxDeadline = settings.maxDeadline;
+    limits.receiveLimit = settings.callerIdleLimit;
+    return limits;
+}
+
+AdminServerOptions adminOptions(const EntrySettings& settings)
+{
+    AdminServerOptions options;
+    options.listen = settings.admin;
+    options.requireTokens = settings.adminTokensRequired;
+    for (const auto& token : settings.adminTokens) {
+        auto& added = options.tokens.emplace_back();
+        added.name = token.author;
+        added.role = static_cast<decltype(added.role)>(token.role);
+        added.sha256 = token.sha256;
+    }
+    return options;
+}
+
+/** All parts of an entry; members are destroyed in the reverse order of their use of each other. */
+class EntryProcess {
+public:
+    explicit EntryProcess(const EntrySettings& settings);
+
+    /** Serves until a stop signal came and no request is in progress. @return the reason when a port is taken. */
+    std::optional<Failure> run(const sigset_t& signals);
+
+private:
+    std::unique_ptr<Router> buildRouter(const EntrySettings& settings);
+    ConfigurationKeeper buildKeeper(const EntrySettings& settings);
+    void startDuties();
+    void stopAll();
+
+    JsonDocumentCodec codec;
+    SystemRandomness routerRandomness;
+    SystemRandomness controlRandomness;
+    std::unique_ptr<TelemetryHub> telemetry;
+    RouterDuty router;
+    ControlDuty control;
+    CallerRegistry registry;
+    TeamDirectory teams;
+    std::unique_ptr<EntryLinkClient> links;
+    std::unique_ptr<PlatformClient> platform;
+    AdminServer admin;
+    std::unique_ptr<CallerServer> callers;
+    std::promise<void> drained;
+};
+
+EntryProcess::EntryProcess(const EntrySettings& settings)
+    : telemetry(TelemetryHubBuilder().withLogSink(writeLog).build())
+    , router(this->buildRouter(settings))
+    , control(this->buildKeeper(settings))
+    , admin(adminOptions(settings), this->control.ring(),
+          { [this] { return this->router.isReady(); }, [this] { return this->telemetry->renderPrometheus(); } })
+{
+    this->links = EntryLinkClientBuilder()
+                      .withSelf(settings.instance)
+                      .withRouterRing(this->router.ring())
+                      .withCodec(this->codec)
+                      .withTelemetry(*this->telemetry)
+                      .build();
+    this->platform = PlatformClientBuilder()
+                         .withAddress(settings.platform)
+                         .withTimeout(settings.platformTimeout)
+                         .withSink([this](const PlatformReply& reply) {
+                             this->control.ring().push(ControlPlatformReply { reply });
+                         })
+                         .build();
+    this->callers
+        = CallerServerBuilder()
+              .withAddress(settings.callers)
+              .withLimits(callerLimits(settings))
+              .build({ this->router.ring(), this->registry, this->teams, [this] { return this->router.isReady(); } });
+}
+
+std::unique_ptr<Router> EntryProcess::buildRouter(const EntrySettings& settings)
+{
+    return RouterBuilder()
+        .withSelf(settings.instance)
+        .withZone(settings.zone)
+        .withRandomness(this->routerRandomness)
+        .withLimits(routerLimits(settings))
+        .build();
+}
+
+ConfigurationKeeper EntryProcess::buildKeeper(const EntrySettings& settings)
+{
+    return ConfigurationKeeperBuilder()
+        .withEntry(settings.instance)
+        .withCodec(this->codec)
+        .withRandomness(this->controlRandomness)
+        .build();
+}
+
+void EntryProcess::startDuties()
+{
+    this->telemetry->start();
+    this->links->start();
+    this->router.start({ *this->links, this->registry, *this->telemetry, this->control.ring(),
+        [this](const Fleet& fleet) { this->teams.update(fleet); }, [this] { this->drained.set_value(); } });
+    this->control.start({ *this->platform, this->router.ring(), this->admin, *this->telemetry });
+}
+
+std::optional<Failure> EntryProcess::run(const sigset_t& signals)
+{
+    this->startDuties();
+    std::optional<Failure> failure = this->admin.start();
+    if (!failure)
+        failure = this->callers->start();
+    if (!failure) {
+        waitForStop(signals);
+        this->router.ring().push(StopRequested {});
+        this->drained.get_future().wait();
+    }
+    this->stopAll();
+    return failure;
+}
+
+void EntryProcess::stopAll()
+{
+    this->callers->stop();
+    this->admin.stop();
+    this->platform->stop();
+    this->control.stop();
+    this->router.stop();
+    this->links->stop();
+    this->telemetry->stop();
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    const sigset_t signals = blockStopSignals();
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    const auto read = readEntryCommandLine({ "teaselfold-entry", TEASELFOLD_VERSION }, arguments);
+    if (const auto* exit = std::get_if<ProcessExit>(&read))
+        return finishProcess(*exit);
+    startLogging(argv[0]);
+    EntryProcess process(std::get<EntrySettings>(read));
+    const auto failure = process.run(signals);
+    if (failure)
+        writeLog({ "start_failed", { { "reason", failure->message } } });
+    return static_cast<int>(failure ? ExitCode::Failed : ExitCode::Done);
+}
