Let lost whole answers wait for the retry budget

Cause: the loss of an endpoint with more generations than the retry budget holds ended the rest with an error. Change: requests that may be run afresh wait for the budget, refilled by its floor each ten seconds, within their deadline; refused fingerprints learned from one agent are passed to the others. Conclusion: no whole answer is lost to a short budget; the deadline bounds the wait.

--- a/src/core/entry/Dispatcher.cpp
+++ b/src/core/entry/Dispatcher.cpp
@@ -61,7 +61,8 @@
     const bool restarts = !shown || restartsOnLoss(request);
     request.avoided = { request.endpoint };
     this->leaveAttempt(request);
-    if (!isRepeatable(request) || !restarts || !this->mayRetry(request, now)) {
+    const bool attemptsLeft = request.attempts < this->state.limits.maxAttempts && request.deadline > now;
+    if (!isRepeatable(request) || !restarts || !attemptsLeft) {
         this->fail(request, failure, now);
         return;
     }
@@ -70,22 +71,27 @@
         this->fail(request, { ErrorCode::Quarantined, "endpoints died while it ran", Run::Unknown, refused }, now);
         return;
     }
-    request.waiting = !this->dispatch(request, now);
-    if (shown && !request.waiting)
-        this->state.toCaller(request.request, CallerRestart { { request.endpoint, request.generation } });
-    else if (shown)
-        request.restartOwed = true;
+    request.waiting = true;
+    request.retryOwed = true;
+    request.restartOwed = request.restartOwed || shown;
+    this->tryOne(request, now);
 }
 
 void Dispatcher::tryWaiting(Instant now)
 {
-    for (const RequestId id : this->state.requests.waiting()) {
-        LiveRequest& request = *this->state.requests.find(id);
-        if (!this->dispatch(request, now))
-            continue;
-        if (std::exchange(request.restartOwed, false))
-            this->state.toCaller(id, CallerRestart { { request.endpoint, request.generation } });
-    }
+    for (const RequestId id : this->state.requests.waiting())
+        this->tryOne(*this->state.requests.find(id), now);
+}
+
+void Dispatcher::tryOne(LiveRequest& request, Instant now)
+{
+    if (request.retryOwed && !this->mayRetry(request, now))
+        return;
+    request.retryOwed = false;
+    if (!this->dispatch(request, now) || !request.restartOwed)
+        return;
+    request.restartOwed = false;
+    this->state.toCaller(request.request, CallerRestart { { request.endpoint, request.generation } });
 }
 
 void Dispatcher::fail(LiveRequest& request, Failure failure, Instant now)
--- a/src/core/entry/Dispatcher.h
+++ b/src/core/entry/Dispatcher.h
@@ -19,12 +19,13 @@
     /** The present attempt was refused and never runs: tries elsewhere, or hands the refusal to the caller. */
     void attemptRefused(LiveRequest& request, const Failure& refusal, Instant now);
     /**
-     * The present attempt broke off. Unless its caller was shown tokens, a generation is run afresh; a shown one fails
-     * or restarts as its caller chose. A call that must run at most once fails.
+     * The present attempt broke off. Unless its caller was shown tokens, a generation is run afresh, waiting for the
+     * retry budget and an endpoint; a shown one fails or restarts as its caller chose. A call that must run at most
+     * once fails.
      * @param failure why, and whether the attempt ran.
      */
     void attemptLost(LiveRequest& request, const Failure& failure, Instant now);
-    /** Tries the requests that wait for an endpoint. */
+    /** Tries the requests that wait for the retry budget or an endpoint. */
     void tryWaiting(Instant now);
     /** Tells the caller why there is no answer and forgets the request. */
     void fail(LiveRequest& request, Failure failure, Instant now);
@@ -37,6 +38,7 @@
     const EndpointChooser& endpoints() const { return this->chooser; }
 
 private:
+    void tryOne(LiveRequest& request, Instant now);
     bool mayRetry(LiveRequest& request, Instant now);
     bool dispatch(LiveRequest& request, Instant now);
     void submit(LiveRequest& request, const EndpointId& endpoint, Instant now);
--- a/src/core/entry/RequestTable.h
+++ b/src/core/entry/RequestTable.h
@@ -27,8 +27,10 @@
     Run run { Run::No };
     /** Endpoints that refused or lost it. */
     std::set<EndpointId> avoided;
-    /** True while it waits for an endpoint without another suspect. */
+    /** True while it waits for the retry budget or an endpoint to be run afresh. */
     bool waiting { false };
+    /** True when the next attempt must still be taken from the retry budget. */
+    bool retryOwed { false };
     /** True when the caller must be told of a restart once a new attempt begins. */
     bool restartOwed { false };
 
--- a/src/core/entry/RetryBudget.cpp
+++ b/src/core/entry/RetryBudget.cpp
@@ -26,12 +26,12 @@
 
 void RetryBudget::refill(Instant now)
 {
-    using Minutes = std::chrono::duration<double, std::ratio<60>>;
     const Instant since = this->refilledAt.value_or(now);
     this->refilledAt = now;
     if (this->available >= this->limits.retryFloor)
         return;
-    const double gained = Minutes(now - since).count() * this->limits.retryFloor;
+    const double gained
+        = std::chrono::duration<double>(now - since) / this->limits.retryFloorTime * this->limits.retryFloor;
     this->available = std::min(this->available + gained, this->limits.retryFloor);
 }
 
--- a/src/core/entry/Router.cpp
+++ b/src/core/entry/Router.cpp
@@ -202,7 +202,10 @@
 
 void Router::agentSuspects(const QuarantineDelivery& message, const EndpointId& endpoint, Instant now)
 {
-    this->state->quarantine.merge(endpoint, message, now);
+    const bool changed = this->state->quarantine.merge(endpoint, message, now);
+    const auto refused = [&](const auto& suspect) { return suspect.deaths >= this->state->limits.deathLimit; };
+    if (changed && std::ranges::any_of(message.suspects, refused))
+        this->state->toAllAgents(message);
 }
 
 void Router::detectPause(Instant now)
--- a/src/core/entry/RouterLimits.h
+++ b/src/core/entry/RouterLimits.h
@@ -25,8 +25,9 @@
     std::uint32_t maxAttempts { 4 };
     /** Retries allowed per new request. */
     double retryShare { 0.1 };
-    /** Retries allowed however little traffic there is; also the refill of that many in a minute. */
+    /** Retries allowed however little traffic there is, in each floor time. */
     double retryFloor { 10 };
+    Milliseconds retryFloorTime { 10000 };
     /** Retries that can be saved up. */
     double retryCeiling { 200 };
     /** Endpoint deaths after which a request is refused. */
