Add teaselfold-load

Cause: the fleet's behaviour is measured on real processes, by callers that check what they get. Conclusion: not yet run against real entries, which are not built here.

--- /dev/null
+++ b/src/emulator/load/LoadClient.cpp
@@ -0,0 +1,170 @@
+#include "emulator/load/LoadClient.h"
+
+#include "emulator/host/StandinServer.h"
+#include "emulator/load/EventStream.h"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/StreamCopier.h>
+
+#include <algorithm>
+#include <array>
+#include <sstream>
+
+namespace teaselfold {
+
+namespace {
+
+    /** Tries of one answer, each at the next entry. */
+    constexpr std::size_t attempts = 4;
+    constexpr int okStatus = 200;
+    constexpr std::array priorityNames { "interactive", "standard", "batch" };
+
+    void setTimeout(Poco::Net::HTTPClientSession& session, Milliseconds timeout)
+    {
+        session.setTimeout(Poco::Timespan(std::chrono::duration_cast<Microseconds>(timeout).count()));
+    }
+
+    /** @return "no", "unknown" or "yes" of an error body; "unknown" when it has none. */
+    std::string runOf(const std::string& body)
+    {
+        const auto object = parseObject(body);
+        const auto error = object ? object->getObject("error") : Poco::JSON::Object::Ptr();
+        return error ? error->optValue<std::string>("run", "unknown") : "unknown";
+    }
+
+    Instant clockNow() { return std::chrono::steady_clock::now(); }
+
+}
+
+void LoadClient::run(const LoadJob& job)
+{
+    this->lastEventId.clear();
+    AnswerEnd end = AnswerEnd::Lost;
+    for (std::size_t attempt = 0; attempt < attempts; ++attempt) {
+        const Address& entry = this->target.entries[(job.request + attempt) % this->target.entries.size()];
+        const Step step = this->lastEventId.empty() ? this->submit(job, entry) : this->resume(job, entry);
+        if (step == Step::Ended)
+            return;
+        end = step == Step::Broken ? AnswerEnd::Lost : AnswerEnd::Failed;
+        const bool resumable = !this->lastEventId.empty();
+        if (step == Step::Broken && !resumable)
+            break;
+    }
+    this->finish(job, end);
+}
+
+std::string LoadClient::requestBody(const LoadJob& job) const
+{
+    const RequestKind& kind = this->kinds[job.arrival.kind];
+    Poco::JSON::Object body;
+    body.set("model", this->model.get());
+    body.set("prompt", job.arrival.prompt);
+    body.set("stream", true);
+    body.set("priority", priorityNames[static_cast<std::size_t>(kind.priority)]);
+    if (kind.maxTokens != 0)
+        body.set("max_tokens", kind.maxTokens);
+    if (this->target.restartOnLoss)
+        body.set("on_engine_loss", "restart");
+    std::ostringstream text;
+    body.stringify(text);
+    return text.str();
+}
+
+LoadClient::Step LoadClient::submit(const LoadJob& job, const Address& entry)
+{
+    Poco::Net::HTTPClientSession session(entry.host, entry.port);
+    setTimeout(session, this->target.silence);
+    Poco::Net::HTTPRequest request("POST", "/v1/completions", Poco::Net::HTTPMessage::HTTP_1_1);
+    request.setContentType("application/json");
+    request.set("Teaselfold-Team", job.arrival.team.get());
+    const Milliseconds budget = this->kinds[job.arrival.kind].budget;
+    request.set("Teaselfold-Deadline-Ms", std::to_string(budget.count()));
+    if (!this->target.bearer.empty())
+        request.set("Authorization", "Bearer " + this->target.bearer);
+    const std::string body = this->requestBody(job);
+    request.setContentLength(static_cast<std::streamsize>(body.size()));
+    try {
+        session.sendRequest(request) << body;
+        Poco::Net::HTTPResponse response;
+        std::istream& in = session.receiveResponse(response);
+        return this->readAnswer(job, response, in);
+    } catch (const Poco::Net::ConnectionRefusedException&) {
+        // Nothing was sent, so that another entry may be asked.
+        return Step::TryElsewhere;
+    } catch (const Poco::Exception&) {
+        return Step::Broken;
+    }
+}
+
+LoadClient::Step LoadClient::resume(const LoadJob& job, const Address& entry)
+{
+    Poco::Net::HTTPClientSession session(entry.host, entry.port);
+    setTimeout(session, this->target.silence);
+    Poco::Net::HTTPRequest request("GET", "/v1/completions/stream", Poco::Net::HTTPMessage::HTTP_1_1);
+    request.set("Teaselfold-Team", job.arrival.team.get());
+    request.set("Last-Event-ID", this->lastEventId);
+    if (!this->target.bearer.empty())
+        request.set("Authorization", "Bearer " + this->target.bearer);
+    try {
+        session.sendRequest(request);
+        Poco::Net::HTTPResponse response;
+        std::istream& in = session.receiveResponse(response);
+        return this->readAnswer(job, response, in);
+    } catch (const Poco::Exception&) {
+        return Step::Broken;
+    }
+}
+
+LoadClient::Step LoadClient::readAnswer(const LoadJob& job, const Poco::Net::HTTPResponse& response, std::istream& in)
+{
+    if (response.getStatus() == okStatus)
+        return this->readStream(job, in);
+    std::string body;
+    Poco::StreamCopier::copyToString(in, body);
+    const bool notRun = this->lastEventId.empty() && runOf(body) == "no";
+    return this->finish(job, notRun ? AnswerEnd::Refused : AnswerEnd::Failed);
+}
+
+LoadClient::Step LoadClient::readStream(const LoadJob& job, std::istream& in)
+{
+    while (const auto event = readStreamEvent(in)) {
+        if (!event->id.empty())
+            this->lastEventId = event->id;
+        if (event->kind == "restart")
+            this->events.push(AnswerRestarted { job.request });
+        else if (event->kind == "error")
+            return this->finish(job, runOf(event->data) == "no" ? AnswerEnd::Refused : AnswerEnd::Failed);
+        else if (event->data == "[DONE]")
+            return this->finish(job, AnswerEnd::Whole);
+        else
+            this->readToken(job, event->data);
+    }
+    return Step::Broken;
+}
+
+void LoadClient::readToken(const LoadJob& job, const std::string& data)
+{
+    const auto object = parseObject(data);
+    const auto choices = object ? object->getArray("choices") : Poco::JSON::Array::Ptr();
+    const auto choice = choices ? choices->getObject(0) : Poco::JSON::Object::Ptr();
+    const bool hasText = choice && object->has("index") && choice->has("text");
+    if (!hasText)
+        return;
+    const auto text = choice->optValue<std::string>("text", "");
+    // The last event tells the reason and has no text.
+    if (text.empty())
+        return;
+    this->events.push(TokenSeen { job.request, object->getValue<std::uint32_t>("index"), text, clockNow() });
+}
+
+LoadClient::Step LoadClient::finish(const LoadJob& job, AnswerEnd end)
+{
+    this->events.push(AnswerEnded { job.request, end, clockNow() });
+    return Step::Ended;
+}
+
+}
--- /dev/null
+++ b/test/error/LoadClientResumesElsewhere.cpp
@@ -0,0 +1,149 @@
+#include "emulator/host/StandinServer.h"
+#include "emulator/load/LoadRun.h"
+
+#include <doctest/doctest.h>
+
+#include <Poco/Net/ServerSocket.h>
+
+using namespace teaselfold;
+
+namespace {
+
+/** @return a port that was free a moment ago. */
+std::uint16_t freePort()
+{
+    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+    return socket.address().port();
+}
+
+std::string tokenEvent(int index, const std::string& mark)
+{
+    const std::string number = std::to_string(index);
+    return "id: e:1:" + number + "\ndata: {\"index\":" + number + ",\"choices\":[{\"index\":0,\"text\":\" " + mark + "."
+        + number + "\"}]}\n\n";
+}
+
+void sendStream(Exchange& exchange, const std::string& events)
+{
+    exchange.response.setContentType("text/event-stream");
+    exchange.response.setChunkedTransferEncoding(true);
+    exchange.response.send() << events << std::flush;
+}
+
+/** What a scripted entry answers. */
+struct Script {
+    std::string submitted;
+    bool cutAfterSubmit { false };
+    std::string resumed;
+    std::uint16_t status { 200 };
+    std::string errorBody;
+};
+
+/** An entry that answers by its script. */
+class ScriptedEntry {
+public:
+    explicit ScriptedEntry(Script script)
+        : script(std::move(script))
+        , port(freePort())
+        , server(
+              Address { "127.0.0.1", this->port }, ServerLimits {}, this->faults,
+              [this](Exchange& exchange) { this->answer(exchange); }, [](const Fault&) { return true; })
+    {
+        this->server.start();
+    }
+
+    /** @return what one request got. */
+    Tally sendOne() const
+    {
+        LoadTarget target;
+        target.entries = { Address { "127.0.0.1", this->port } };
+        const auto kinds = defaultKinds();
+        const ModelId model("drafter");
+        Ring<RecordEvent> events(100);
+        LoadRecorder recorder(kinds);
+        LoadJob job;
+        job.request = 1;
+        job.arrival.team = TeamId("t");
+        recorder.sent(1, job.arrival.team, 0, Instant {});
+        LoadClient(target, kinds, model, events).run(job);
+        while (const auto event = events.tryPop()) {
+            if (const auto* token = std::get_if<TokenSeen>(&*event))
+                recorder.token(1, token->index, token->text, token->at);
+            if (const auto* end = std::get_if<AnswerEnded>(&*event))
+                recorder.ended(1, end->end, end->at);
+        }
+        return recorder.whole();
+    }
+
+private:
+    void answer(Exchange& exchange)
+    {
+        if (exchange.request.getMethod() == "GET")
+            return sendStream(exchange, this->script.resumed);
+        if (this->script.status != 200)
+            return sendJson(exchange, this->script.status, *parseObject(this->script.errorBody));
+        sendStream(exchange, this->script.submitted);
+        if (this->script.cutAfterSubmit)
+            cutConnection(exchange.request);
+    }
+
+    Script script;
+    FaultSwitch faults;
+    std::uint16_t port;
+    StandinServer server;
+};
+
+}
+
+TEST_CASE("a stream that breaks is resumed after its last event")
+{
+    Script script;
+    script.submitted = tokenEvent(0, "ab12") + tokenEvent(1, "ab12");
+    script.cutAfterSubmit = true;
+    script.resumed = tokenEvent(2, "ab12") + "data: [DONE]\n\n";
+    const Tally tally = ScriptedEntry(script).sendOne();
+    CHECK(tally.completed == 1);
+    CHECK(tally.tokens == 3);
+    CHECK(tally.doubled == 0);
+}
+
+TEST_CASE("a resume that repeats a token or mixes generations is found")
+{
+    Script script;
+    script.submitted = tokenEvent(0, "ab12") + tokenEvent(1, "ab12");
+    script.cutAfterSubmit = true;
+    script.resumed = tokenEvent(1, "ab12") + "data: [DONE]\n\n";
+    CHECK(ScriptedEntry(script).sendOne().doubled == 1);
+    script.resumed = tokenEvent(2, "ff00") + "data: [DONE]\n\n";
+    CHECK(ScriptedEntry(script).sendOne().doubled == 1);
+}
+
+TEST_CASE("refusals, errors and silent ends are told apart")
+{
+    Script refusing;
+    refusing.status = 503;
+    refusing.errorBody = R"({"error":{"code":"no_capacity","message":"","run":"no"}})";
+    CHECK(ScriptedEntry(refusing).sendOne().refused == 1);
+    refusing.errorBody = R"({"error":{"code":"endpoint_lost","message":"","run":"unknown"}})";
+    CHECK(ScriptedEntry(refusing).sendOne().failed == 1);
+    Script failing;
+    failing.submitted = tokenEvent(0, "ab12") + R"(event: error
+data: {"error":{"code":"engine_failed","run":"yes"}}
+
+)";
+    CHECK(ScriptedEntry(failing).sendOne().failed == 1);
+    Script cutting;
+    cutting.cutAfterSubmit = true;
+    CHECK(ScriptedEntry(cutting).sendOne().lost == 1);
+}
+
+TEST_CASE("durations and scheduled calls are read strictly")
+{
+    CHECK(parseDuration("250ms") == Duration(Milliseconds(250)));
+    CHECK_FALSE(parseDuration("250").has_value());
+    CHECK_FALSE(parseDuration("-1s").has_value());
+    const ScheduledCall call { Seconds(5), "POST", "http://127.0.0.1:1/x", R"({"a": 1})" };
+    CHECK(parseScheduledCall(R"(5s POST http://127.0.0.1:1/x {"a": 1})") == call);
+    CHECK_FALSE(parseScheduledCall("5 POST http://127.0.0.1:1/x").has_value());
+    CHECK_FALSE(parseScheduledCall("5s POST ftp://x").has_value());
+}
