Tell refusals by their reason in the admission experiment

Cause: how many were refused does not say which estimate was wrong. Change: counts by reason, printed below each row.

--- a/src/emulator/experiment/AdmissionExperiment.cpp
+++ b/src/emulator/experiment/AdmissionExperiment.cpp
@@ -53,7 +53,7 @@
                             .withZone(ZoneId("zone-1"))
                             .withIncarnation(Incarnation(1))
                             .build())
-            , result { LoadRecorder(settings.workload.kinds), 0, 0, 0 }
+            , result { LoadRecorder(settings.workload.kinds), 0, 0, {}, 0 }
         {
         }
 
@@ -225,6 +225,7 @@
 
         void receive(const GenerationRefused& end)
         {
+            ++this->result.refusals[end.code];
             this->result.record.ended(end.generation.get(), AnswerEnd::Refused, this->now);
         }
 
--- a/src/emulator/experiment/AdmissionExperiment.h
+++ b/src/emulator/experiment/AdmissionExperiment.h
@@ -3,9 +3,10 @@
 #include "emulator/EngineSettings.h"
 #include "emulator/load/LoadRecorder.h"
 #include "emulator/load/Workload.h"
+#include "ports/Outcome.h"
 
 #include <cstdint>
-#include <string>
+#include <map>
 
 namespace teaselfold {
 
@@ -23,6 +24,8 @@
     std::uint64_t preemptions { 0 };
     /** Generations handed to the engine. */
     std::uint64_t started { 0 };
+    /** Refusals by their reason. */
+    std::map<ErrorCode, std::uint64_t> refusals;
     /** Times the engine died. */
     std::uint64_t deaths { 0 };
 
--- a/test/performance/AdmissionPolicies.cpp
+++ b/test/performance/AdmissionPolicies.cpp
@@ -7,6 +7,7 @@
 #include <cstdio>
 #include <future>
 #include <iostream>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -119,6 +120,18 @@
     std::fflush(stdout);
 }
 
+void printRefusals(double load, const char* policy, const std::vector<ExperimentResult>& results)
+{
+    std::map<ErrorCode, std::uint64_t> reasons;
+    for (const ExperimentResult& result : results) {
+        for (const auto& [code, count] : result.refusals)
+            reasons[code] += count;
+    }
+    for (const auto& [code, count] : reasons)
+        std::printf("%-6.1f %-12s refused, all seeds: %s %llu\n", load, policy, std::string(codeName(code)).c_str(),
+            static_cast<unsigned long long>(count));
+}
+
 void comparePolicies(const Options& chosen, double capacity)
 {
     printHeader();
@@ -129,7 +142,9 @@
                 all.push_back(settingsFor(chosen, seed, policy));
                 all.back().workload.requestsPerSecond = load * capacity;
             }
-            printRow(load, policy, runAll(all, chosen.jobs));
+            const auto results = runAll(all, chosen.jobs);
+            printRow(load, policy, results);
+            printRefusals(load, policy, results);
         }
     }
 }
