Add the agent's duty, engine and service clients and wiring

Cause: the agent's decisions need a process around them. Conclusion: one duty serves either a model engine or a plain service.

--- /dev/null
+++ b/apps/teaselfold-agent/AgentProcess.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "adapters/engine/EngineClient.h"
+#include "adapters/engine/PlainServiceClient.h"
+#include "adapters/fleet/JsonDocumentCodec.h"
+#include "adapters/link/AgentLinkServer.h"
+#include "adapters/metrics/TelemetryHub.h"
+#include "adapters/platform/PlatformClient.h"
+#include "adapters/settings/AgentSettings.h"
+#include "runtime/AgentDuty.h"
+
+#include <future>
+#include <memory>
+#include <random>
+
+namespace teaselfold {
+
+class AgentAdminServer;
+
+/** Random numbers from the system. */
+class SystemRandomness final : public Randomness {
+public:
+    std::uint64_t next() override { return (std::uint64_t { this->device() } << 32U) | this->device(); }
+
+private:
+    std::random_device device;
+};
+
+/** All threads of an agent, wired together. */
+class AgentProcess {
+public:
+    explicit AgentProcess(const AgentSettings& settings);
+    ~AgentProcess();
+    /** @return false when a port cannot be bound. */
+    bool start();
+    /** Begins a planned stop. Idempotent. */
+    void requestStop() { this->duty.ring().push(AgentStopRequested {}); }
+    /** Waits until nothing is in progress, then ends all threads. */
+    void finish();
+
+private:
+    void logEvent(const std::string& name) { this->telemetry->log(LogEvent { name, {} }); }
+
+    AgentSettings settings;
+    SystemRandomness randomness;
+    Incarnation incarnation { this->randomness.next() };
+    std::unique_ptr<TelemetryHub> telemetry;
+    JsonDocumentCodec codec;
+    AgentDuty duty;
+    std::unique_ptr<PlatformClient> platform;
+    std::unique_ptr<EngineClient> engine;
+    std::unique_ptr<PlainServiceClient> service;
+    std::unique_ptr<AgentLinkServer> links;
+    std::unique_ptr<AgentAdminServer> admin;
+    std::promise<void> drained;
+};
+
+}
--- a/src/runtime/AgentDuty.cpp
+++ b/src/runtime/AgentDuty.cpp
@@ -70,8 +70,10 @@
 
 void AgentDuty::onToService(const ToService& action)
 {
-    if (this->peers->service == nullptr || !this->peers->service->submit(action.forward))
-        this->refused.emplace_back(FromService { ServiceLost { action.forward.call, Run::No } });
+    if (this->peers->service != nullptr && this->peers->service->submit(action.forward))
+        return;
+    auto& lost = this->refused.emplace_back().emplace<FromService>();
+    lost.event.emplace<ServiceLost>(action.forward.call, Run::No);
 }
 
 void AgentDuty::onToPlatform(const ToPlatform& action)
