--- a/apps/teaselfold-agent/AgentProcess.h
+++ b/apps/teaselfold-agent/AgentProcess.h
@@ -7,6 +7,7 @@
 #include "adapters/metrics/TelemetryHub.h"
 #include "adapters/platform/PlatformClient.h"
 #include "adapters/settings/AgentSettings.h"
+#include "ports/Randomness.h"
 #include "runtime/AgentDuty.h"
 
 #include <future>
--- /dev/null
+++ b/test/correctness/AdmissionHoldsTheBatch.cpp
@@ -0,0 +1,95 @@
+#include "core/agent/AdmissionStrategy.h"
+#include "core/agent/FairQueue.h"
+
+#include <doctest/doctest.h>
+
+using namespace teaselfold;
+
+namespace {
+
+QueueItem itemOf(std::uint64_t id, const char* team, PriorityClass priority = PriorityClass::Standard)
+{
+    return { GenerationId(id), TeamId(team), priority, 100 };
+}
+
+}
+
+TEST_CASE("lengths are judged given what exists already")
+{
+    LengthModel lengths;
+    for (int count = 0; count < 900; ++count)
+        lengths.observe(PriorityClass::Standard, 20);
+    for (int count = 0; count < 100; ++count)
+        lengths.observe(PriorityClass::Standard, 10000);
+    CHECK(lengths.conditionalQuantile(PriorityClass::Standard, 0, 0.5, 0) < 40);
+    CHECK(lengths.conditionalQuantile(PriorityClass::Standard, 2000, 0.5, 0) > 5000);
+    CHECK(lengths.conditionalQuantile(PriorityClass::Standard, 2000, 0.5, 2500) == 2500);
+    CHECK(lengths.conditionalQuantile(PriorityClass::Standard, 100000, 0.5, 0) > 100000);
+}
+
+TEST_CASE("memory is kept for the expected growth of the batch")
+{
+    LengthModel lengths;
+    PaceModel pace;
+    Warmth warmth;
+    for (int count = 0; count < 8; ++count)
+        warmth.finishedOne();
+    for (int count = 0; count < 1000; ++count)
+        lengths.observe(PriorityClass::Standard, 1000);
+    EngineView view { {}, 4000, 0.8, 16, Milliseconds(50), lengths, pace, warmth };
+    const GenerationSize fresh { 100, 0, 0, PriorityClass::Standard };
+    view.running = { fresh };
+    CHECK(admissionStrategy("conditional").admits(view, fresh));
+    view.running = { fresh, fresh, fresh };
+    CHECK_FALSE(admissionStrategy("conditional").admits(view, fresh));
+    CHECK(admissionStrategy("unlimited").admits(view, fresh));
+    CHECK_FALSE(admissionStrategy("reserve-max").admits(view, fresh));
+}
+
+TEST_CASE("the batch stops growing where the learnt pace meets the target")
+{
+    PaceModel pace;
+    for (int round = 0; round < 50; ++round) {
+        for (std::uint32_t batch = 1; batch <= 10; ++batch)
+            pace.observe(batch, Milliseconds(10 + 2 * batch));
+    }
+    CHECK(pace.allows(8, Milliseconds(26)));
+    CHECK_FALSE(pace.allows(9, Milliseconds(26)));
+    CHECK(pace.allows(10, Milliseconds(50)));
+    bool collapsed = false;
+    for (int count = 0; count < 48; ++count)
+        collapsed = pace.observe(4, Milliseconds(400));
+    CHECK(collapsed);
+}
+
+TEST_CASE("a cold endpoint carries one generation, and more with finished work")
+{
+    Warmth warmth;
+    CHECK(warmth.allowance() == 1);
+    warmth.finishedOne();
+    CHECK(warmth.allowance() == 2);
+    for (int count = 0; count < 7; ++count)
+        warmth.finishedOne();
+    CHECK_FALSE(warmth.cold());
+    warmth.turnCold();
+    CHECK(warmth.allowance() == 1);
+}
+
+TEST_CASE("a flooding team does not hold up another, and urgent classes go first")
+{
+    FairQueue queue(100);
+    for (std::uint64_t id = 1; id <= 20; ++id)
+        queue.push(itemOf(id, "large"), 1);
+    queue.push(itemOf(100, "small"), 1);
+    queue.push(itemOf(200, "large", PriorityClass::Interactive), 1);
+    std::vector<std::uint64_t> order;
+    for (int count = 0; count < 4; ++count) {
+        order.push_back(queue.front()->id.get());
+        queue.pop();
+    }
+    CHECK(order[0] == 200);
+    CHECK(std::find(order.begin(), order.end(), 100) != order.end());
+    CHECK(queue.remove(itemOf(20, "large")));
+    CHECK_FALSE(queue.remove(itemOf(20, "large")));
+    CHECK(queue.size() == 17);
+}
