--- a/src/core/agent/EngineProfile.cpp
+++ b/src/core/agent/EngineProfile.cpp
@@ -50,9 +50,9 @@
     return preemptions;
 }
 
-bool EngineProfile::observeGap(std::uint32_t batch, std::uint32_t tokens, Duration gap)
+bool EngineProfile::observeGap(std::uint32_t batch, std::uint32_t tokens, Duration gap, Instant now)
 {
-    this->warmth.generated(tokens);
+    this->warmth.generated(tokens, now);
     if (!this->paceModel.observe(batch, gap / std::max(1U, tokens)))
         return false;
     this->turnCold();
@@ -62,7 +62,7 @@
 void EngineProfile::observeFinished(const Generation& generation, Instant now)
 {
     this->lengths.observe(generation.work.priority, static_cast<std::uint32_t>(generation.tokens.size()));
-    this->warmth.finishedOne();
+    this->warmth.finishedOne(now);
     this->quantile = std::max(lowestQuantile, this->quantile - quantileStepDown);
     this->usageScale = std::max(1.0, scaleRetention * this->usageScale);
     const Duration run = now - generation.started;
--- a/src/core/agent/EngineProfile.h
+++ b/src/core/agent/EngineProfile.h
@@ -15,7 +15,7 @@
     std::uint64_t observeReport(const EngineReport& report);
 
     /** Learns a gap between tokens. @return true when the endpoint turned cold by it. */
-    bool observeGap(std::uint32_t batch, std::uint32_t tokens, Duration gap);
+    bool observeGap(std::uint32_t batch, std::uint32_t tokens, Duration gap, Instant now);
 
     /** Learns from a finished generation. */
     void observeFinished(const Generation& generation, Instant now);
--- a/src/core/agent/EngineSupervisor.cpp
+++ b/src/core/agent/EngineSupervisor.cpp
@@ -132,7 +132,7 @@
     if (gap >= stallGap)
         context.actions.push_back(observationOf(generation, Metric::Stall, millisecondsOf(gap)));
     const auto batch = static_cast<std::uint32_t>(context.table.running().size());
-    if (context.profile.observeGap(batch, count, gap))
+    if (context.profile.observeGap(batch, count, gap, context.now))
         context.actions.push_back(LogEvent { "endpoint_cold", { { "reason", "pace_collapsed" } } });
 }
 
