Widen byte limits before they are multiplied

Cause: the linter refuses a product of ints that is widened afterwards. Change: the byte limits of the agent and its clients. Measured: the three sources that use them pass the compiler's checks with warnings as errors; no test run since. Conclusion: no behaviour changes.

--- a/src/adapters/engine/EngineClient.cpp
+++ b/src/adapters/engine/EngineClient.cpp
@@ -21,7 +21,7 @@
 
     const std::string completionsPath = "/v1/completions";
     constexpr std::size_t errandCapacity = 4096;
-    constexpr std::size_t lineBytes = 64 * 1024;
+    constexpr std::size_t lineBytes = std::size_t { 64 } * 1024;
     constexpr int statusOk = 200;
     constexpr int statusNotFound = 404;
     constexpr int statusConflict = 409;
--- a/src/adapters/engine/PlainServiceClient.cpp
+++ b/src/adapters/engine/PlainServiceClient.cpp
@@ -20,8 +20,8 @@
     using Poco::Net::HTTPResponse;
 
     constexpr Milliseconds connectLimit { 1000 };
-    constexpr std::size_t answerBytes = 16 * 1024 * 1024;
-    constexpr std::size_t pieceBytes = 16 * 1024;
+    constexpr std::size_t answerBytes = std::size_t { 16 } * 1024 * 1024;
+    constexpr std::size_t pieceBytes = std::size_t { 16 } * 1024;
 
     /** Headers that hold for one connection only (RFC 9110, section 7.6.1), and those that the client sets itself. */
     constexpr std::array hopHeaders { "connection", "keep-alive", "proxy-connection", "proxy-authenticate",
--- a/src/core/agent/AgentLimits.h
+++ b/src/core/agent/AgentLimits.h
@@ -52,7 +52,7 @@
     /** How long a planned stop waits for the table. */
     Duration stopPatience { Seconds(30) };
     /** Longest answer that is kept in the table, in bytes. */
-    std::size_t keptAnswerBytes { 256 * 1024 };
+    std::size_t keptAnswerBytes { std::size_t { 256 } * 1024 };
 };
 
 }
