Keep the defaulted comparison of ids

Cause: clang-tidy 14 reports modernize-use-nullptr on a defaulted three-way comparison, in every file that uses ids. Change: one NOLINT at that line, with the reason. Conclusion: a false positive; no code changes.

--- a/src/ports/Ids.h
+++ b/src/ports/Ids.h
@@ -25,7 +25,7 @@
     /** @return the representation, for encoders and logs. */
     const Value& get() const { return this->value; }
 
-    auto operator<=>(const Id&) const = default;
+    auto operator<=>(const Id&) const = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 misreads the defaulted comparison
 
 private:
     Value value {};
