Let planned stops drain and free room when an attempt ends

After a zone came back, a request was refused with `no_capacity` because the room an entry had taken since an endpoint's last report was given back only by the next report. And agents did not end after SIGTERM, because an entry forgot a finished stream before its caller's connection had taken the last tokens, so those were never acknowledged. A third fault was seen beside them: an agent delivered each configuration message twice, as its link server was given both rings.

Change: EndpointTable frees taken room when an attempt ends; StreamTails keeps the address of a finished stream's last tokens until they are taken, for at most RouterLimits::tailTimeout; an agent's link server gets the one ring it serves.

Ruled out: the engine's queue (its report showed no work) and the signal handler (the duty had seen the stop).

--- a/apps/teaselfold-agent/AgentProcess.cpp
+++ b/apps/teaselfold-agent/AgentProcess.cpp
@@ -58,16 +58,14 @@
                          .withWorkers(platformWorkers)
                          .withSink([&ring](const PlatformReply& reply) { ring.push(FromPlatform { reply }); })
                          .build();
-    this->links = AgentLinkServerBuilder()
-                      .withAddress(given.link)
-                      .withEndpoint(given.endpoint)
-                      .withIncarnation(this->incarnation)
-                      .withAdmissionRing(ring)
-                      .withCallRing(ring)
-                      .withCodec(this->codec)
-                      .withTelemetry(*this->telemetry)
-                      .withIdleLimit(given.linkIdleLimit)
-                      .build();
+    AgentLinkServerBuilder links;
+    links.withAddress(given.link).withEndpoint(given.endpoint).withIncarnation(this->incarnation);
+    links.withCodec(this->codec).withTelemetry(*this->telemetry).withIdleLimit(given.linkIdleLimit);
+    if (given.engine)
+        links.withAdmissionRing(ring);
+    else
+        links.withCallRing(ring);
+    this->links = links.build();
     const ProbeSources probes { [this] { return this->duty.isReady(); },
         [this] { return this->telemetry->renderPrometheus(); } };
     this->admin = std::make_unique<AgentAdminServer>(given.admin, probes);
--- a/src/core/entry/Dispatcher.cpp
+++ b/src/core/entry/Dispatcher.cpp
@@ -164,8 +164,12 @@
 void Dispatcher::leaveAttempt(LiveRequest& request)
 {
     const bool submitted = !std::holds_alternative<StreamResumeRequest>(request.origin);
-    if (submitted && request.generation != GenerationId() && !request.confirmed)
-        this->state.endpoints.confirmed(request.endpoint, false);
+    if (submitted && request.generation != GenerationId()) {
+        if (request.confirmed)
+            this->state.endpoints.ended(request.endpoint);
+        else
+            this->state.endpoints.confirmed(request.endpoint, false);
+    }
     this->state.requests.unassign(request);
 }
 
--- a/src/core/entry/EndpointTable.cpp
+++ b/src/core/entry/EndpointTable.cpp
@@ -72,6 +72,13 @@
         view->acceptedSinceReport += 1;
 }
 
+void EndpointTable::ended(const EndpointId& endpoint)
+{
+    EndpointState* view = this->find(endpoint);
+    if (view && view->acceptedSinceReport > 0)
+        view->acceptedSinceReport -= 1;
+}
+
 void EndpointTable::forgetReport(const EndpointId& endpoint)
 {
     EndpointState* view = this->find(endpoint);
--- a/src/core/entry/EndpointTable.h
+++ b/src/core/entry/EndpointTable.h
@@ -55,6 +55,8 @@
     void submitted(const EndpointId& endpoint);
     /** The agent answered a submission. @param accepted adds it to the load until the next report. */
     void confirmed(const EndpointId& endpoint, bool accepted);
+    /** An accepted attempt ended, so the room it took since the last report is free again. */
+    void ended(const EndpointId& endpoint);
     /** Drops what was learned on earlier connections. */
     void forgetReport(const EndpointId& endpoint);
 
--- a/src/core/entry/GenerationFlow.cpp
+++ b/src/core/entry/GenerationFlow.cpp
@@ -121,10 +121,19 @@
             CallerCompletion { request.generation, std::move(request.text), message.tokenCount, message.reason });
     } else {
         this->state.toCaller(request.request, CallerFinished { message.tokenCount, message.reason });
+        this->keepTail(request, message, now);
     }
     this->dispatcher.end(request, Metric::Completed, now);
 }
 
+void GenerationFlow::keepTail(const LiveRequest& request, const GenerationFinished& message, Instant now)
+{
+    if (request.consumed >= message.tokenCount)
+        return;
+    const Instant until = now + this->state.limits.tailTimeout;
+    this->state.tails.add(request.request, { request.endpoint, message.generation, message.tokenCount, until });
+}
+
 void GenerationFlow::failed(const EndpointId& endpoint, const GenerationFailed& message, Instant now)
 {
     LiveRequest* request = this->attempt(endpoint, message.generation);
@@ -180,6 +189,8 @@
 
 void GenerationFlow::consumed(const CallerConsumed& message)
 {
+    if (const auto tail = this->state.tails.consumed(message.request, message.nextIndex))
+        this->state.toAgent(tail->endpoint, AcknowledgeTokens { tail->generation, message.nextIndex });
     LiveRequest* request = this->state.requests.find(message.request);
     if (!request || message.nextIndex <= request->consumed || message.nextIndex > request->nextIndex)
         return;
@@ -194,6 +205,7 @@
 
 void GenerationFlow::callerGone(const CallerGone& message, Instant now)
 {
+    this->state.tails.forget(message.request);
     LiveRequest* request = this->state.requests.find(message.request);
     if (!request)
         return;
--- a/src/core/entry/GenerationFlow.h
+++ b/src/core/entry/GenerationFlow.h
@@ -35,6 +35,7 @@
     void show(LiveRequest& request, std::vector<std::string> texts, std::uint32_t firstIndex);
     void observeTokens(LiveRequest& request, std::size_t count, Instant now);
     void complete(LiveRequest& request, const GenerationFinished& message, Instant now);
+    void keepTail(const LiveRequest& request, const GenerationFinished& message, Instant now);
     void clearSuspect(const LiveRequest& request, Instant now);
 
     RouterState& state;
--- a/src/core/entry/Router.cpp
+++ b/src/core/entry/Router.cpp
@@ -127,6 +127,7 @@
     this->links.maintain(now);
     this->dispatcher.tryWaiting(now);
     this->state->quarantine.expire(now);
+    this->state->tails.expire(now);
 }
 
 void Router::agentHello(const AgentHello& message, const EndpointId& endpoint, Instant now)
@@ -229,7 +230,8 @@
 
 void Router::reportDrained()
 {
-    if (!this->state->stopping || this->drainedReported || !this->state->requests.empty())
+    const bool idle = this->state->requests.empty() && this->state->tails.empty();
+    if (!this->state->stopping || this->drainedReported || !idle)
         return;
     this->drainedReported = true;
     this->state->actions.emplace_back(Drained {});
--- a/src/core/entry/RouterLimits.h
+++ b/src/core/entry/RouterLimits.h
@@ -38,6 +38,8 @@
     Milliseconds deathWindow { 2000 };
     /** Tokens handed to a caller's thread and not yet taken by its connection. */
     std::uint32_t callerWindow { 512 };
+    /** How long the last tokens of a whole stream may wait for the caller's connection. */
+    Milliseconds tailTimeout { 30000 };
     /** Leading bytes of a prompt that choose the endpoints with a likely cached prefix. */
     std::size_t prefixBytes { 1024 };
     /** Deadline of a request that names none. */
--- a/src/core/entry/RouterState.h
+++ b/src/core/entry/RouterState.h
@@ -7,6 +7,7 @@
 #include "core/entry/RequestTable.h"
 #include "core/entry/RetryBudget.h"
 #include "core/entry/RouterLimits.h"
+#include "core/entry/StreamTails.h"
 #include "ports/EntryPorts.h"
 #include "ports/Randomness.h"
 
@@ -36,6 +37,7 @@
     ServiceOrders orders;
     EndpointTable endpoints;
     RequestTable requests;
+    StreamTails tails;
     RetryBudget retries;
     Quarantine quarantine;
     OverflowMeter overflow;
--- a/src/ports/Ids.h
+++ b/src/ports/Ids.h
@@ -25,7 +25,8 @@
     /** @return the representation, for encoders and logs. */
     const Value& get() const { return this->value; }
 
-    auto operator<=>(const Id&) const = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 misreads the defaulted comparison
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the defaulted comparison
+    auto operator<=>(const Id&) const = default;
 
 private:
     Value value {};
--- a/test/correctness/StoppingEntryFinishesItsWork.cpp
+++ b/test/correctness/StoppingEntryFinishesItsWork.cpp
@@ -8,7 +8,7 @@
 {
     RouterBench bench({ "a-1" });
     bench.connect("a-1");
-    bench.complete("running", true);
+    const RequestId request = bench.complete("running", true);
     const GenerationId generation = bench.toAgents<SubmitGeneration>().front().second.generation;
     bench.send(StopRequested {});
     bench.send(StopRequested {});
@@ -22,6 +22,10 @@
     bench.agent("a-1", GenerationFinished { generation, 1, FinishReason::Stop });
     bench.send(Tick {});
     CHECK(bench.toCallers<CallerFinished>().size() == 1);
+    CHECK(bench.count<Drained>() == 0);
+    bench.send(CallerConsumed { request, 1 });
+    CHECK(bench.toAgents<AcknowledgeTokens>().size() == 1);
+    bench.send(Tick {});
     CHECK(bench.count<Drained>() == 1);
 }
 
