--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	@scripts/install-packages
 
 build: deps
-	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo > /dev/null
+	@cmake -S . -B $(BUILD) -G Ninja > /dev/null
 	@cmake --build $(BUILD) -j $(JOBS)
 
 demo: build
