Play golden sessions over the real decision objects

A story is a text of events; a session drives Router, Admission, CallKeeper and ConfigurationKeeper on a manual clock with small fakes of the engine and the platform. Its transcript is compared with a committed file and read by invariants for tokens, keys, refusals, orders, versions and answers.

--- /dev/null
+++ b/test/golden/GoldenSessions.cpp
@@ -0,0 +1,67 @@
+#include "support/Invariants.h"
+#include "support/Story.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+using namespace teaselfold;
+using namespace teaselfold::testing;
+
+namespace {
+
+constexpr std::uint64_t seed = 1;
+
+/** The folder of the tests' files; the runner sets it. */
+std::string testFolder()
+{
+    const char* folder = std::getenv("TEASELFOLD_TEST_DIR");
+    return folder ? folder : "test";
+}
+
+std::string readFile(const std::filesystem::path& path)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+std::vector<std::filesystem::path> stories()
+{
+    std::vector<std::filesystem::path> found;
+    for (const auto& entry : std::filesystem::directory_iterator(testFolder() + "/golden/sessions")) {
+        if (entry.path().extension() == ".story")
+            found.push_back(entry.path());
+    }
+    std::sort(found.begin(), found.end());
+    return found;
+}
+
+void checkStory(const std::filesystem::path& path)
+{
+    const Story story = readStory(readFile(path));
+    const Transcript transcript = play(story, seed);
+    for (const auto& breach : findBreaches(transcript))
+        FAIL_CHECK(breach.promise << "\n" << breach.line);
+    for (const auto& fault : unmet(story, transcript))
+        FAIL_CHECK(fault);
+    std::filesystem::path golden = path;
+    golden.replace_extension(".golden");
+    if (std::getenv("TEASELFOLD_UPDATE_GOLDEN"))
+        std::ofstream(golden) << transcript.text();
+    CHECK_MESSAGE(transcript.text() == readFile(golden), "the transcript differs from " << golden.string());
+}
+
+}
+
+TEST_CASE("golden sessions keep their promises and their transcripts")
+{
+    for (const auto& path : stories()) {
+        SUBCASE(path.stem().c_str()) { checkStory(path); }
+    }
+}
--- /dev/null
+++ b/test/support/FakePlatform.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "ports/PlatformMessages.h"
+#include "support/Scheduler.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace teaselfold::testing {
+
+/** The platform's table, object store and instance list, with its faults. */
+class FakePlatform {
+public:
+    enum class Mode {
+        Up,
+        /** Nothing is carried out; callers time out. */
+        Down,
+        /** Writes take effect, answers are lost; callers time out. */
+        LoseAnswers,
+        /** Callers time out first, the operation is carried out long after. */
+        Slow,
+    };
+
+    explicit FakePlatform(Scheduler& scheduler)
+        : scheduler(scheduler)
+    {
+    }
+
+    void setMode(Mode mode) { this->mode = mode; }
+    void setLeaving(const std::string& instance, bool leaving) { this->instances[instance] = leaving; }
+
+    /** Starts an operation; the reply comes later. */
+    void submit(const PlatformOperation& operation, std::function<void(const PlatformReply&)> reply);
+
+    const std::map<std::string, TableRecord>& rows() const { return this->table; }
+
+private:
+    PlatformResult carryOut(const PlatformRequest& request);
+    PlatformResult write(const std::string& key, const std::string& value, std::uint64_t expected);
+
+    static constexpr Milliseconds latency { 2 };
+    static constexpr Milliseconds timeout { 500 };
+    static constexpr Milliseconds slowLatency { 3000 };
+
+    Scheduler& scheduler;
+    Mode mode { Mode::Up };
+    std::map<std::string, TableRecord> table;
+    std::map<std::string, std::string> objects;
+    std::map<std::string, bool> instances;
+};
+
+}
--- /dev/null
+++ b/test/support/Invariants.cpp
@@ -0,0 +1,230 @@
+#include "support/Invariants.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace teaselfold::testing {
+
+namespace {
+
+    /** One promise, read line by line. */
+    class Promise {
+    public:
+        virtual ~Promise() = default;
+        /** @return whether the line keeps the promise. */
+        virtual bool holds(const Line& line) = 0;
+        virtual std::string name() const = 0;
+    };
+
+    /** Callers get each token once, in order, from one generation; a restart begins again at zero. */
+    class TokensOnceInOrder : public Promise {
+    public:
+        std::string name() const override { return "each token once, in order, from one generation"; }
+        bool holds(const Line& line) override
+        {
+            if (line.what == "asks")
+                this->streams[line.from] = {};
+            if (line.what == "resumes" && line.to.size() == 1)
+                this->streams[line.from] = this->streams[line.field("stream")];
+            const auto found = this->streams.find(line.to);
+            if (found == this->streams.end())
+                return true;
+            return this->advance(found->second, line);
+        }
+
+    private:
+        struct Stream {
+            std::string generation;
+            unsigned long next { 0 };
+            bool ended { false };
+        };
+
+        static bool advance(Stream& stream, const Line& line)
+        {
+            if (line.what == "restart") {
+                stream = Stream { line.field("gen"), 0, false };
+                return true;
+            }
+            if (line.what == "finished") {
+                const bool whole = std::stoul(line.field("count")) == stream.next && !stream.ended;
+                stream.ended = true;
+                return whole;
+            }
+            if (line.what == "completion")
+                return onlyOneMark(line.field("text"), std::stoul(line.field("count")));
+            if (line.what != "tokens")
+                return true;
+            if (stream.generation.empty())
+                stream.generation = line.field("gen");
+            const bool next = std::stoul(line.field("first")) == stream.next && !stream.ended;
+            stream.next += std::stoul(line.field("count"));
+            return next && stream.generation == line.field("gen")
+                && onlyOneMark(line.field("text"), std::stoul(line.field("count")));
+        }
+
+        /** Each token reads `[<mark>.<index>]`; all marks are equal and indexes rise by one. */
+        static bool onlyOneMark(const std::string& text, unsigned long expected)
+        {
+            std::set<std::string> marks;
+            std::optional<unsigned long> last;
+            unsigned long count = 0;
+            for (std::size_t at = text.find('['); at != std::string::npos; at = text.find('[', at + 1)) {
+                const auto dot = text.find('.', at);
+                marks.insert(text.substr(at + 1, dot - at - 1));
+                const unsigned long index = std::stoul(text.substr(dot + 1));
+                if (last && index != *last + 1)
+                    return false;
+                last = index;
+                ++count;
+            }
+            return marks.size() <= 1 && count == expected;
+        }
+
+        std::map<std::string, Stream> streams;
+    };
+
+    /** No key runs twice at the services. */
+    class KeyRunsOnce : public Promise {
+    public:
+        std::string name() const override { return "a registration runs at most once"; }
+        bool holds(const Line& line) override
+        {
+            if (line.what != "runs" || !line.to.starts_with("service@") || line.field("key").empty())
+                return true;
+            return this->run.insert(line.field("key")).second;
+        }
+
+    private:
+        std::set<std::string> run;
+    };
+
+    /** What an agent or entry said was not run never ran and never runs. */
+    class NotRunIsTrue : public Promise {
+    public:
+        std::string name() const override { return "a refusal saying \"not run\" is true"; }
+        bool holds(const Line& line) override
+        {
+            const std::string generation = line.field("gen");
+            if (line.what == "runs") {
+                this->ran.insert(generation);
+                return !this->refused.contains(generation);
+            }
+            if (line.what == "submit" || line.what == "call")
+                this->tries[line.from].insert(generation);
+            if (line.field("run") != "no" || generation.empty())
+                return true;
+            this->refused.insert(generation);
+            return !this->ran.contains(generation);
+        }
+
+    private:
+        std::set<std::string> ran;
+        std::set<std::string> refused;
+        std::map<std::string, std::set<std::string>> tries;
+    };
+
+    /** Some seconds after an order or notice, no entry sends new work to its subject, until it is brought back. */
+    class NoWorkToWhatIsOut : public Promise {
+    public:
+        std::string name() const override { return "no new work to what is out or leaving"; }
+        bool holds(const Line& line) override
+        {
+            if (line.what == "takes-out")
+                this->outSince.try_emplace(line.field("subject"), line.at);
+            if (line.what == "brings-back")
+                this->outSince.erase(line.field("subject"));
+            if (line.what == "leaving-notice" || line.what == "stop" || line.what == "listed-leaving")
+                this->outSince.try_emplace(line.to, line.at);
+            if (line.what == "start")
+                this->outSince.erase(line.to);
+            if (line.what != "runs" && line.what != "start")
+                return true;
+            const auto at = line.from.find('@');
+            const std::string endpoint
+                = at == std::string::npos ? line.to.substr(line.to.find('@') + 1) : line.from.substr(at + 1);
+            return !this->isOut(endpoint, line.at) && !this->isOut(zoneOf(endpoint), line.at);
+        }
+
+    private:
+        static std::string zoneOf(const std::string& endpoint)
+        {
+            return endpoint.size() < 2 ? std::string() : std::string(1, static_cast<char>('a' + (endpoint[1] - '1')));
+        }
+
+        bool isOut(const std::string& subject, Milliseconds at) const
+        {
+            const auto found = this->outSince.find(subject);
+            return found != this->outSince.end() && at - found->second > orderSpread;
+        }
+
+        std::map<std::string, Milliseconds> outSince;
+    };
+
+    /** In no process does the version in force fall while it lives. */
+    class VersionsRise : public Promise {
+    public:
+        std::string name() const override { return "an accepted release note never reverts"; }
+        bool holds(const Line& line) override
+        {
+            if (line.what == "start")
+                this->inForce.erase(line.to);
+            if (line.what != "in-force")
+                return true;
+            const unsigned long version = std::stoul(line.field("version"));
+            unsigned long& known = this->inForce[line.from];
+            const bool rises = version >= known;
+            known = version;
+            return rises;
+        }
+
+    private:
+        std::map<std::string, unsigned long> inForce;
+    };
+
+    /** Only who asked and did not leave gets an answer, and not after its end. */
+    class AnswersToWhoAsked : public Promise {
+    public:
+        std::string name() const override { return "each caller gets the answer to its own request"; }
+        bool holds(const Line& line) override
+        {
+            if (line.what == "asks" || line.what == "calls" || line.what == "resumes")
+                this->open.insert(line.from);
+            static const std::set<std::string> ends { "finished", "completion", "answer", "failure" };
+            if (!this->open.contains(line.to) && this->ended.contains(line.to))
+                return !ends.contains(line.what) && line.what != "tokens";
+            if (this->open.contains(line.to) && ends.contains(line.what)) {
+                this->open.erase(line.to);
+                this->ended.insert(line.to);
+            }
+            return line.to != "nobody";
+        }
+
+    private:
+        std::set<std::string> open;
+        std::set<std::string> ended;
+    };
+
+}
+
+std::vector<Breach> findBreaches(const Transcript& transcript)
+{
+    std::vector<std::unique_ptr<Promise>> promises;
+    promises.push_back(std::make_unique<TokensOnceInOrder>());
+    promises.push_back(std::make_unique<KeyRunsOnce>());
+    promises.push_back(std::make_unique<NotRunIsTrue>());
+    promises.push_back(std::make_unique<NoWorkToWhatIsOut>());
+    promises.push_back(std::make_unique<VersionsRise>());
+    promises.push_back(std::make_unique<AnswersToWhoAsked>());
+    std::vector<Breach> breaches;
+    for (const auto& line : transcript.lines()) {
+        for (const auto& promise : promises) {
+            if (!promise->holds(line))
+                breaches.push_back({ promise->name(), line.text() });
+        }
+    }
+    return breaches;
+}
+
+}
--- /dev/null
+++ b/test/support/Invariants.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "support/Transcript.h"
+
+#include <string>
+#include <vector>
+
+namespace teaselfold::testing {
+
+/** A promise that was broken, with the line that broke it. */
+struct Breach {
+    std::string promise;
+    std::string line;
+};
+
+/**
+ * Reads a transcript and finds broken promises: tokens once, in order and of one generation; never two runs of a key;
+ * "not run" never followed by a run; no new work, some seconds after an order or a notice, to what is out or leaving;
+ * no version that falls; an answer only to who asked.
+ */
+std::vector<Breach> findBreaches(const Transcript& transcript);
+
+/** Time after an operator's order or a leaving notice from which new work to its subject is a breach. */
+constexpr Milliseconds orderSpread { 5000 };
+
+}
--- /dev/null
+++ b/test/support/Scheduler.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "ports/Time.h"
+
+#include <functional>
+#include <map>
+
+namespace teaselfold::testing {
+
+/** A manual clock with tasks due at points on it. Tasks due at one time run in the order they were added. */
+class Scheduler {
+public:
+    Instant now() const { return this->current; }
+
+    void after(Duration delay, std::function<void()> task)
+    {
+        this->tasks.emplace(this->current + delay, std::move(task));
+    }
+
+    /** Runs all tasks up to and including a point in time, and the tasks they add. */
+    void runUntil(Instant until)
+    {
+        while (!this->tasks.empty() && this->tasks.begin()->first <= until) {
+            auto task = std::move(this->tasks.begin()->second);
+            this->current = this->tasks.begin()->first;
+            this->tasks.erase(this->tasks.begin());
+            task();
+        }
+        this->current = until;
+    }
+
+    Milliseconds elapsed() const { return std::chrono::duration_cast<Milliseconds>(this->current - start); }
+
+    /** Well above zero, so that a core object may subtract from it. */
+    static constexpr Instant start { Seconds(1000) };
+
+private:
+    Instant current { start };
+    std::multimap<Instant, std::function<void()>> tasks;
+};
+
+}
