Put only the newest version in force after a read

Cause: a fresh entry that caught up over notes 1 and 2 told its router of each version on the way. Conclusion: no process puts a configuration in force that is known to be superseded.

--- a/src/core/control/FleetKeeper.cpp
+++ b/src/core/control/FleetKeeper.cpp
@@ -3,6 +3,8 @@
 #include "core/common/FleetUpdate.h"
 #include "core/control/ReleaseKeys.h"
 
+#include <algorithm>
+
 namespace teaselfold {
 
 bool FleetKeeper::isReady() const
@@ -36,10 +38,8 @@
 {
     this->reading = false;
     const auto* rows = std::get_if<Rows>(&result);
-    if (rows == nullptr) {
-        this->tableFailed = true;
-        return;
-    }
+    if (rows == nullptr)
+        return this->failRead(context);
     this->stage = rows->rows.empty() ? Stage::Following : Stage::LoadingSnapshot;
     if (!rows->rows.empty())
         this->snapshotVersion = rows->rows.front().value;
@@ -49,15 +49,13 @@
 void FleetKeeper::onSnapshotObject(const PlatformResult& result, ControlContext& context)
 {
     this->reading = false;
-    if (isUnavailable(result)) {
-        this->tableFailed = true;
-        return;
-    }
+    if (isUnavailable(result))
+        return this->failRead(context);
     this->stage = Stage::Following;
     const auto* object = std::get_if<ObjectFound>(&result);
     Outcome<Fleet> decoded = object ? context.codec.decodeFleet(object->value) : Failure {};
     if (auto* fleet = std::get_if<Fleet>(&decoded))
-        this->adopt(std::move(*fleet), context);
+        this->adopt(std::move(*fleet));
     else
         context.log("snapshot_unreadable", { { "version", this->snapshotVersion } });
     this->startRead(context);
@@ -68,19 +66,24 @@
     this->reading = false;
     const auto* rows = std::get_if<Rows>(&result);
     if (rows == nullptr) {
-        this->tableFailed = true;
+        this->failRead(context);
         return false;
     }
-    for (const TableRecord& row : rows->rows) {
-        if (!this->takeRow(row, context))
-            return false;
-    }
-    if (rows->rows.size() >= context.limits.scanLimit) {
+    const bool readable = std::all_of(rows->rows.begin(), rows->rows.end(),
+        [&](const TableRecord& row) { return this->takeRow(row, context); });
+    if (readable && rows->rows.size() >= context.limits.scanLimit) {
         this->startRead(context);
         return false;
     }
-    this->confirmed = true;
-    return true;
+    this->confirmed = this->confirmed || readable;
+    this->announce(context);
+    return readable;
+}
+
+void FleetKeeper::failRead(ControlContext& context)
+{
+    this->tableFailed = true;
+    this->announce(context);
 }
 
 bool FleetKeeper::takeRow(const TableRecord& row, ControlContext& context)
@@ -99,7 +102,7 @@
         context.log("note_unreadable", { { "key", row.key } });
         return false;
     }
-    this->takeNote(*version, *note, context);
+    this->adopt(applyNote(this->current, *note));
     return true;
 }
 
@@ -107,13 +110,15 @@
 {
     if (version != nextVersion(this->current.version) || nextVersion(note.base) != version)
         return;
-    this->adopt(applyNote(this->current, note), context);
+    this->adopt(applyNote(this->current, note));
+    this->announce(context);
 }
 
 void FleetKeeper::takePeerCopy(const Fleet& copy, ControlContext& context)
 {
     this->notePeer(context.now);
-    this->adopt(copy, context);
+    this->adopt(copy);
+    this->announce(context);
 }
 
 void FleetKeeper::takePeerNote(const NoteDelivery& delivery, ControlContext& context)
@@ -121,11 +126,17 @@
     this->takeNote(delivery.version, delivery.note, context);
 }
 
-void FleetKeeper::adopt(Fleet fleet, ControlContext& context)
+void FleetKeeper::adopt(Fleet fleet)
+{
+    if (fleet.version > this->current.version)
+        this->current = std::move(fleet);
+}
+
+void FleetKeeper::announce(ControlContext& context)
 {
-    if (fleet.version <= this->current.version)
+    if (this->current.version <= this->announced)
         return;
-    this->current = std::move(fleet);
+    this->announced = this->current.version;
     context.log("configuration_in_force", { { "version", std::to_string(this->current.version.get()) } });
     context.actions.emplace_back(ToRouter { FleetChanged { this->current } });
 }
--- a/src/core/control/FleetKeeper.h
+++ b/src/core/control/FleetKeeper.h
@@ -4,7 +4,10 @@
 
 namespace teaselfold {
 
-/** Holds the configuration in force, reads it at start and follows the accepted notes. Its version never falls. */
+/**
+ * Holds the configuration in force, reads it at start and follows the accepted notes. Its version never falls, and what a
+ * read passes through on its way to the newest version is not put in force.
+ */
 class FleetKeeper {
 public:
     const Fleet& fleet() const { return this->current; }
@@ -43,12 +46,18 @@
     };
 
     void startRead(ControlContext& context);
-    void adopt(Fleet fleet, ControlContext& context);
+    /** Takes a newer configuration in without telling the router. */
+    void adopt(Fleet fleet);
+    /** Puts the configuration in force unless it is already. */
+    void announce(ControlContext& context);
+    /** Ends a read that the table did not answer. */
+    void failRead(ControlContext& context);
     bool takeRow(const TableRecord& row, ControlContext& context);
     void notePeer(Instant now);
     void settlePeers(const ControlContext& context);
 
     Fleet current;
+    ReleaseVersion announced;
     Stage stage { Stage::LookingUpSnapshot };
     std::string snapshotVersion;
     bool reading { false };
