Run a waiting request at the only endpoint once it takes work again

Cause: a request whose attempt was lost avoided that endpoint for good. Where it was the only one, the request waited until its deadline and failed while the endpoint stood idle. Change: a report that comes after the loss and says that the endpoint takes work lifts the avoidance of the requests that wait.

--- a/src/core/entry/Dispatcher.cpp
+++ b/src/core/entry/Dispatcher.cpp
@@ -83,6 +83,12 @@
         this->tryOne(*this->state.requests.find(id), now);
 }
 
+void Dispatcher::takesWorkAgain(const EndpointId& endpoint)
+{
+    for (const RequestId id : this->state.requests.waiting())
+        this->state.requests.find(id)->avoided.erase(endpoint);
+}
+
 void Dispatcher::tryOne(LiveRequest& request, Instant now)
 {
     if (request.retryOwed && !this->mayRetry(request, now))
--- a/src/core/entry/Dispatcher.h
+++ b/src/core/entry/Dispatcher.h
@@ -27,6 +27,8 @@
     void attemptLost(LiveRequest& request, const Failure& failure, Instant now);
     /** Tries the requests that wait for the retry budget or an endpoint. */
     void tryWaiting(Instant now);
+    /** The endpoint reported that it takes work: requests that lost an attempt there before may run there again. */
+    void takesWorkAgain(const EndpointId& endpoint);
     /** Tells the caller why there is no answer and forgets the request. */
     void fail(LiveRequest& request, Failure failure, Instant now);
     /** Forgets the request, counting how long it took when it completed. */
--- a/src/core/entry/Router.cpp
+++ b/src/core/entry/Router.cpp
@@ -138,6 +138,8 @@
 void Router::agentReport(const LoadReport& message, const EndpointId& endpoint, Instant)
 {
     this->links.reported(endpoint, message);
+    if (!message.leaving)
+        this->dispatcher.takesWorkAgain(endpoint);
 }
 
 void Router::agentAccepted(const GenerationAccepted& message, const EndpointId& endpoint, Instant)
