Add golden sessions of orders, refusals, registrations, leaving and notes

Cause: promises 3, 5, 6, 7 and 9 had no session under failure. Change: one story for each failure of the issue's table. The session's links now carry a message to the end once it arrived: a paused process reads what is in its buffers even when the connection was replaced since, as with TCP. Messages may be changed on their way (Tampering), for mutations.

--- /dev/null
+++ b/test/golden/sessions/claimer-killed-before-the-call.story
@@ -0,0 +1,10 @@
+# The agent that claims a key dies before its insert is answered. The caller sends the registration again.
+start x y s1 s2
+3000ms c1 calls x /orders key=k1 body=one
+3003ms kill s1
+3003ms kill s2
+6000ms start s1 s2
+12s c2 calls y /orders key=k1 body=one
+end 40s
+expect c2 failure run=unknown
+expect count runs key=k1 is 0
--- /dev/null
+++ b/test/golden/sessions/store-down-right-after-acceptance.story
@@ -0,0 +1,8 @@
+# The store goes down right after it accepted a note. The note spreads over the agents to the other entry.
+start x y e1 e2
+3000ms op publishes n1 x base=1
+3005ms platform down
+end 12s
+expect op note-accepted version=2
+expect count in-force from=x version=2 is 1
+expect count in-force from=y version=2 is 1
--- a/test/support/Session.cpp
+++ b/test/support/Session.cpp
@@ -155,7 +155,9 @@
                                    .build());
     }
     if (!node.engine) {
-        auto deliver = [this, name](const EngineEvent& event) {
+        auto deliver = [this, name](EngineEvent event) {
+            if (this->tampering.fromEngine)
+                this->tampering.fromEngine(event);
             this->later(name, engineDelay, [this, name, event] { this->toAgent(name, FromEngine { event }); });
         };
         auto tell = [this, name](const std::string& what, GenerationId id) {
@@ -293,7 +295,11 @@
         return this->submitToPlatform(entry, operation->operation,
             [this, entry](const PlatformReply& reply) { this->toKeeper(entry, ControlPlatformReply { reply }); });
     }
-    if (const auto* forward = std::get_if<ToRouter>(&action)) {
+    if (const auto* sent = std::get_if<ToRouter>(&action)) {
+        ToRouter changed = *sent;
+        if (this->tampering.toRouter)
+            this->tampering.toRouter(entry, changed);
+        const ToRouter* forward = &changed;
         if (const auto* fleet = std::get_if<FleetChanged>(&forward->event))
             this->tell(entry, "",
                 Line { {}, {}, {}, "in-force", { { "version", std::to_string(fleet->fleet.version.get()) } } });
@@ -405,37 +411,54 @@
 void Session::sendToAgent(const std::string& entry, const ToAgent& send)
 {
     const std::string agent = send.endpoint.get();
-    const Link& link = this->link(entry, agent);
-    this->tell(entry, agent, this->describer.entryMessage(send.message));
-    if (!link.up)
-        return;
-    this->later(agent, linkDelay, [this, entry, agent, connection = link.connection, message = send.message] {
-        const Link& now = this->link(entry, agent);
-        if (now.connection == connection && !now.silent && !now.blocked)
-            this->toAgent(agent, FromEntry { EntryId(entry), message });
+    EntryMessage sent = send.message;
+    if (this->tampering.toAgent)
+        this->tampering.toAgent(sent);
+    Line line = this->describer.entryMessage(sent);
+    if (const auto* submit = std::get_if<SubmitGeneration>(&sent))
+        line.asker = this->askerOf(entry, submit->work.fingerprint);
+    if (const auto* submit = std::get_if<SubmitCall>(&sent))
+        line.asker = this->askerOf(entry, submit->work.fingerprint);
+    this->tell(entry, agent, line);
+    this->carry(entry, agent, agent, [this, entry, agent, message = std::move(sent)] {
+        this->toAgent(agent, FromEntry { EntryId(entry), message });
     });
 }
 
 void Session::sendToEntry(const std::string& agent, const ToEntry& send)
 {
     const std::string entry = send.entry.get();
-    const Link& link = this->link(entry, agent);
-    Line line = this->describer.agentMessage(send.message);
+    AgentMessage sent = send.message;
+    if (this->tampering.toEntry)
+        this->tampering.toEntry(sent);
+    Line line = this->describer.agentMessage(sent);
     AgentNode& node = this->agents[agent];
-    if (const auto* report = std::get_if<LoadReport>(&send.message)) {
+    if (const auto* report = std::get_if<LoadReport>(&sent)) {
         if (report->leaving != node.lastReport.leaving || report->cold != node.lastReport.cold)
             line = Line { {}, {}, {}, "report",
                 { { "leaving", report->leaving ? "yes" : "no" }, { "cold", report->cold ? "yes" : "no" } } };
         node.lastReport = *report;
     }
     this->tell(agent, entry, line);
+    this->carry(entry, agent, entry, [this, entry, agent, message = std::move(sent)] {
+        this->toRouter(entry, FromAgent { EndpointId(agent), message });
+    });
+}
+
+void Session::carry(
+    const std::string& entry, const std::string& agent, const std::string& receiver, std::function<void()> receive)
+{
+    const Link& link = this->link(entry, agent);
     if (!link.up)
         return;
-    this->later(entry, linkDelay, [this, entry, agent, connection = link.connection, message = send.message] {
-        const Link& now = this->link(entry, agent);
-        if (now.connection == connection && !now.silent && !now.blocked)
-            this->toRouter(entry, FromAgent { EndpointId(agent), message });
-    });
+    const std::uint64_t life = this->process(receiver).life;
+    this->scheduler.after(
+        linkDelay, [this, entry, agent, receiver, life, connection = link.connection, receive = std::move(receive)] {
+            const Link& now = this->link(entry, agent);
+            const bool arrives = now.connection == connection && !now.silent && !now.blocked;
+            if (arrives && this->process(receiver).life == life)
+                this->inProcess(receiver, receive);
+        });
 }
 
 // Engine, service and platform.
@@ -505,9 +528,11 @@
     const Line request = this->describer.platformRequest(operation.request);
     this->tell(process, "platform", request);
     const std::uint64_t life = this->process(process).life;
-    this->table.submit(operation, [this, process, life, request, reply](const PlatformReply& answer) {
+    this->table.submit(operation, [this, process, life, operation, request, reply](PlatformReply answer) {
         if (this->process(process).life != life)
             return;
+        if (this->tampering.fromPlatform)
+            this->tampering.fromPlatform(operation.request, answer.result);
         if (!request.what.empty())
             this->tell("platform", process, this->describer.platformResult(answer.result));
         this->inProcess(process, [reply, answer] { reply(answer); });
@@ -526,6 +551,19 @@
     return work;
 }
 
+std::string Session::askerOf(const std::string& entry, Fingerprint fingerprint) const
+{
+    std::string found;
+    for (const auto& [name, caller] : this->callers) {
+        if (caller.entry != entry || caller.fingerprint != fingerprint || caller.ended)
+            continue;
+        if (!found.empty())
+            return {};
+        found = name;
+    }
+    return found;
+}
+
 std::string Session::callerOf(RequestId request) const
 {
     for (const auto& [name, caller] : this->callers) {
@@ -539,8 +577,8 @@
     OnEngineLoss onLoss, Milliseconds budget, const std::string& team)
 {
     const RequestId request(this->nextRequest++);
-    this->callers[caller] = Caller { entry, request, {}, 0, false };
     const CompletionRequest asked { request, this->work(team, prompt), stream, onLoss, budget };
+    this->callers[caller] = Caller { entry, request, asked.work.fingerprint, {}, 0, false, false };
     this->tell(
         caller, entry, Line { {}, {}, {}, "asks", { { "stream", stream ? "yes" : "no" }, { "prompt", prompt } } });
     this->later(entry, callerDelay, [this, entry, asked] { this->toRouter(entry, asked); });
@@ -550,7 +588,7 @@
 {
     const RequestId request(this->nextRequest++);
     const Caller from = this->callers[earlier];
-    this->callers[caller] = Caller { entry, request, from.token, from.next, false };
+    this->callers[caller] = Caller { entry, request, from.fingerprint, from.token, from.next, false, false };
     const StreamResumeRequest asked { request, defaultTeam, from.token, from.next, Seconds(60) };
     this->tell(caller, entry,
         Line { {}, {}, {}, "resumes", { { "stream", earlier }, { "next", std::to_string(from.next) } } });
@@ -561,7 +599,6 @@
     const std::string& body, Milliseconds budget)
 {
     const RequestId request(this->nextRequest++);
-    this->callers[caller] = Caller { entry, request, {}, 0, false };
     ServiceWork work;
     work.team = defaultTeam;
     work.service = ServiceId("registry");
@@ -571,6 +608,7 @@
     work.key = IdempotencyKey(key);
     work.atMostOnce = !key.empty();
     work.fingerprint = fingerprintOf(path + body);
+    this->callers[caller] = Caller { entry, request, work.fingerprint, {}, 0, false, false };
     this->tell(caller, entry, Line { {}, {}, {}, "calls", { { "path", path }, { "key", key } } });
     this->later(entry, callerDelay,
         [this, entry, asked = ServiceCallRequest { request, work, budget }] { this->toRouter(entry, asked); });
@@ -585,13 +623,17 @@
         leaving.entry, callerDelay, [this, leaving] { this->toRouter(leaving.entry, CallerGone { leaving.request }); });
 }
 
-void Session::deliverToCaller(RequestId request, const CallerMessage& message)
+void Session::deliverToCaller(RequestId request, const CallerMessage& sent)
 {
+    CallerMessage message = sent;
+    if (this->tampering.toCaller)
+        this->tampering.toCaller(message);
     const std::string name = this->callerOf(request);
     this->tell(name == "nobody" ? "entry" : this->callers[name].entry, name, this->describer.callerMessage(message));
     if (name == "nobody" || this->callers[name].gone)
         return;
     Caller& caller = this->callers[name];
+    caller.ended = !std::holds_alternative<CallerRestart>(message) && !std::holds_alternative<CallerTokens>(message);
     if (const auto* restart = std::get_if<CallerRestart>(&message)) {
         caller.token = restart->token;
         caller.next = 0;
--- a/test/support/Session.h
+++ b/test/support/Session.h
@@ -12,6 +12,7 @@
 #include "support/Transcript.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -19,6 +20,17 @@
 
 namespace teaselfold::testing {
 
+/** Changes to messages on their way, to show that the checker sees a mechanism that is missing. */
+struct Tampering {
+    std::function<void(EntryMessage&)> toAgent;
+    std::function<void(AgentMessage&)> toEntry;
+    std::function<void(EngineEvent&)> fromEngine;
+    std::function<void(CallerMessage&)> toCaller;
+    std::function<void(const PlatformRequest&, PlatformResult&)> fromPlatform;
+    /** What the control duty of an entry tells its router. */
+    std::function<void(const std::string&, ToRouter&)> toRouter;
+};
+
 /**
  * A few entries and agents, their real decision objects, on a manual clock, joined by messages with a fixed delay.
  * Faults are the members below. Everything said goes into the transcript.
@@ -29,6 +41,7 @@
     Session(const Session&) = delete;
     Session& operator=(const Session&) = delete;
 
+    void setTampering(Tampering changes) { this->tampering = std::move(changes); }
     void runUntil(Milliseconds at) { this->scheduler.runUntil(Scheduler::start + at); }
     const Transcript& transcript() const { return this->record; }
 
@@ -109,9 +122,12 @@
     struct Caller {
         std::string entry;
         RequestId request;
+        /** Of what was asked for; the same for equal requests. */
+        Fingerprint fingerprint;
         ResumeToken token;
         std::uint32_t next { 0 };
         bool gone { false };
+        bool ended { false };
     };
 
     struct Operator {
@@ -122,6 +138,12 @@
     /** Runs a task in a process now, or when it goes on; drops it when the process has ended since. */
     void inProcess(const std::string& name, std::function<void()> task);
     void later(const std::string& name, Duration delay, std::function<void()> task);
+    /** Carries a message over a connection; once it arrived, its receiver reads it even if the connection is replaced.
+     */
+    void carry(
+        const std::string& entry, const std::string& agent, const std::string& receiver, std::function<void()> receive);
+    /** @return the one caller whose open request at the entry has this content; empty when none or several. */
+    std::string askerOf(const std::string& entry, Fingerprint fingerprint) const;
     void tell(const std::string& from, const std::string& to, Line line);
     void note(const std::string& what, const std::string& subject);
 
@@ -135,7 +157,7 @@
     void dropLinks(const std::string& name, bool tellPeers);
     void sendToAgent(const std::string& entry, const ToAgent& send);
     void sendToEntry(const std::string& agent, const ToEntry& send);
-    void deliverToCaller(RequestId request, const CallerMessage& message);
+    void deliverToCaller(RequestId request, const CallerMessage& sent);
     void runCall(const std::string& agent, const ServiceForward& forward);
     void submitToPlatform(const std::string& process, const PlatformOperation& operation,
         std::function<void(const PlatformReply&)> reply);
@@ -147,6 +169,7 @@
     Link& link(const std::string& entry, const std::string& agent) { return this->links[{ entry, agent }]; }
 
     std::uint64_t seed;
+    Tampering tampering;
     Scheduler scheduler;
     JsonDocumentCodec codec;
     Describer describer;
--- a/test/support/Story.cpp
+++ b/test/support/Story.cpp
@@ -272,9 +272,10 @@
     return story;
 }
 
-Transcript play(const Story& story, std::uint64_t seed)
+Transcript play(const Story& story, std::uint64_t seed, const Tampering& tampering)
 {
     Player player(seed);
+    player.session.setTampering(tampering);
     for (const auto& step : story.steps) {
         player.session.runUntil(step.at);
         player.doStep(step.words);
--- a/test/support/Story.h
+++ b/test/support/Story.h
@@ -32,8 +32,8 @@
 /** @return the story; a line it cannot read stops the test with a message. */
 Story readStory(const std::string& text);
 
-/** Plays a story. @return what happened. */
-Transcript play(const Story& story, std::uint64_t seed);
+/** Plays a story, with messages changed on their way if wanted. @return what happened. */
+Transcript play(const Story& story, std::uint64_t seed, const Tampering& tampering = {});
 
 /** @return what the transcript lacks of the story's expectations, one text each. */
 std::vector<std::string> unmet(const Story& story, const Transcript& transcript);
--- a/test/support/Transcript.h
+++ b/test/support/Transcript.h
@@ -20,6 +20,8 @@
     std::string to;
     std::string what;
     std::vector<std::pair<std::string, std::string>> fields;
+    /** The caller for whom an entry submits work, where it is clear; for the checker, not part of the text. */
+    std::string asker {};
 
     /** @return the value of a field, empty when there is none. */
     std::string field(const std::string& name) const;
