--- a/src/core/control/FleetKeeper.cpp
+++ b/src/core/control/FleetKeeper.cpp
@@ -69,8 +69,8 @@
         this->failRead(context);
         return false;
     }
-    const bool readable = std::all_of(rows->rows.begin(), rows->rows.end(),
-        [&](const TableRecord& row) { return this->takeRow(row, context); });
+    const bool readable = std::all_of(
+        rows->rows.begin(), rows->rows.end(), [&](const TableRecord& row) { return this->takeRow(row, context); });
     if (readable && rows->rows.size() >= context.limits.scanLimit) {
         this->startRead(context);
         return false;
--- a/src/core/control/FleetKeeper.h
+++ b/src/core/control/FleetKeeper.h
@@ -5,8 +5,8 @@
 namespace teaselfold {
 
 /**
- * Holds the configuration in force, reads it at start and follows the accepted notes. Its version never falls, and what a
- * read passes through on its way to the newest version is not put in force.
+ * Holds the configuration in force, reads it at start and follows the accepted notes. Its version never falls, and what
+ * a read passes through on its way to the newest version is not put in force.
  */
 class FleetKeeper {
 public:
--- /dev/null
+++ b/test/golden/sessions/zone-out-through-another-zones-entry.story
@@ -0,0 +1,11 @@
+# Zone b is taken out through the entry of zone a while the store is down; the entry of zone b sends nothing there any more.
+start x y e1 e2 e3
+3000ms platform down
+3100ms op takes-out b x
+9000ms c1 asks y "len=4 one"
+9100ms c2 asks y "len=4 two"
+end 15s
+expect op order-taken subject=b out=yes recorded=no
+expect c1 completion count=4
+expect c2 completion count=4
+expect count runs from=engine@e2 is 0
--- a/test/support/Invariants.cpp
+++ b/test/support/Invariants.cpp
@@ -1,5 +1,6 @@
 #include "support/Invariants.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -100,29 +101,42 @@
         std::set<std::string> run;
     };
 
-    /** What an agent or entry said was not run never ran and never runs. */
+    /**
+     * What an agent or an entry said was not run never ran and never runs. A caller's refusal stands for all that its
+     * entry submitted for it.
+     */
     class NotRunIsTrue : public Promise {
     public:
         std::string name() const override { return "a refusal saying \"not run\" is true"; }
         bool holds(const Line& line) override
         {
             const std::string generation = line.field("gen");
+            if (line.what == "asks" || line.what == "calls")
+                this->submitted[line.from].clear();
+            if (!line.asker.empty())
+                this->submitted[line.asker].insert(generation);
             if (line.what == "runs") {
                 this->ran.insert(generation);
                 return !this->refused.contains(generation);
             }
-            if (line.what == "submit" || line.what == "call")
-                this->tries[line.from].insert(generation);
-            if (line.field("run") != "no" || generation.empty())
+            if (line.field("run") != "no")
                 return true;
-            this->refused.insert(generation);
-            return !this->ran.contains(generation);
+            if (!generation.empty())
+                return this->refuse({ generation });
+            return this->refuse(this->submitted[line.to]);
         }
 
     private:
+        bool refuse(const std::set<std::string>& generations)
+        {
+            this->refused.insert(generations.begin(), generations.end());
+            return std::none_of(generations.begin(), generations.end(),
+                [&](const std::string& generation) { return this->ran.contains(generation); });
+        }
+
         std::set<std::string> ran;
         std::set<std::string> refused;
-        std::map<std::string, std::set<std::string>> tries;
+        std::map<std::string, std::set<std::string>> submitted;
     };
 
     /** Some seconds after an order or notice, no entry sends new work to its subject, until it is brought back. */
@@ -134,7 +148,9 @@
             if (line.what == "takes-out")
                 this->outSince.try_emplace(line.field("subject"), line.at);
             if (line.what == "brings-back")
-                this->outSince.erase(line.field("subject"));
+                this->bringBack(line);
+            if (line.what == "order-superseded")
+                this->settleRace(line);
             if (line.what == "leaving-notice" || line.what == "stop" || line.what == "listed-leaving")
                 this->outSince.try_emplace(line.to, line.at);
             if (line.what == "start")
@@ -148,6 +164,25 @@
         }
 
     private:
+        void bringBack(const Line& line)
+        {
+            const auto found = this->outSince.find(line.field("subject"));
+            if (found == this->outSince.end())
+                return;
+            this->broughtBack[found->first] = found->second;
+            this->outSince.erase(found);
+        }
+
+        /** The order that lost a race counts as never given. */
+        void settleRace(const Line& line)
+        {
+            const std::string subject = line.field("subject");
+            if (line.field("out") == "no")
+                this->outSince.erase(subject);
+            else if (this->broughtBack.contains(subject))
+                this->outSince.try_emplace(subject, this->broughtBack[subject]);
+        }
+
         static std::string zoneOf(const std::string& endpoint)
         {
             return endpoint.size() < 2 ? std::string() : std::string(1, static_cast<char>('a' + (endpoint[1] - '1')));
@@ -160,6 +195,7 @@
         }
 
         std::map<std::string, Milliseconds> outSince;
+        std::map<std::string, Milliseconds> broughtBack;
     };
 
     /** In no process does the version in force fall while it lives. */
@@ -183,6 +219,90 @@
         std::map<std::string, unsigned long> inForce;
     };
 
+    /**
+     * Some seconds after its acceptance a note is in force at each entry that runs and can be reached: while the store
+     * is up, or over agents whose links and lives have had no fault since.
+     */
+    class InForceEverywhere : public Promise {
+    public:
+        std::string name() const override { return "an accepted release note is in force everywhere within seconds"; }
+        bool holds(const Line& line) override
+        {
+            const bool kept = this->allInForce(line.at);
+            this->follow(line);
+            return kept;
+        }
+
+    private:
+        struct Entry {
+            bool runs { true };
+            /** From here on it could learn of a note. */
+            Milliseconds since { 0 };
+            unsigned long version { 0 };
+        };
+
+        bool allInForce(Milliseconds now) const
+        {
+            return std::all_of(this->entries.begin(), this->entries.end(),
+                [&](const auto& row) { return this->upToDate(row.second, now); });
+        }
+
+        bool upToDate(const Entry& entry, Milliseconds now) const
+        {
+            const bool reachable = this->storeUp || (entry.version > 0 && this->openFaults.empty() && !this->deaths);
+            const Milliseconds since = std::max(entry.since, this->storeUp ? this->storeUpSince : this->lastFault);
+            for (const auto& [version, accepted] : this->accepted) {
+                if (version > entry.version && entry.runs && reachable && now - std::max(since, accepted) > orderSpread)
+                    return false;
+            }
+            return true;
+        }
+
+        void follow(const Line& line)
+        {
+            if (line.what == "note-accepted")
+                this->accepted.try_emplace(std::stoul(line.field("version")), line.at);
+            if (line.what == "in-force" && this->entries.contains(line.from))
+                this->entries[line.from].version = std::stoul(line.field("version"));
+            if (line.from == "fault")
+                this->followFault(line);
+        }
+
+        void followFault(const Line& line)
+        {
+            if (line.to == "platform") {
+                this->storeUp = line.what == "up";
+                this->storeUpSince = line.at;
+                this->deaths = this->deaths && !this->storeUp;
+                return;
+            }
+            this->lastFault = line.at;
+            this->deaths = this->deaths || line.what == "kill";
+            if (line.what == "pause" || line.what == "block" || line.what == "silence")
+                this->openFaults.insert(line.to);
+            if (line.what == "resume" || line.what == "unblock" || line.what == "start")
+                this->openFaults.erase(line.to);
+            const bool isEntry = line.to == "x" || line.to == "y";
+            if (isEntry && line.what == "start")
+                this->entries[line.to] = Entry { true, line.at, 0 };
+            if (isEntry && (line.what == "kill" || line.what == "pause"))
+                this->entries[line.to].runs = false;
+            if (isEntry && line.what == "resume") {
+                this->entries[line.to].runs = true;
+                this->entries[line.to].since = line.at;
+            }
+        }
+
+        std::map<std::string, Entry> entries;
+        std::map<unsigned long, Milliseconds> accepted;
+        std::set<std::string> openFaults;
+        Milliseconds lastFault { 0 };
+        Milliseconds storeUpSince { 0 };
+        bool storeUp { true };
+        /** A process died since the store was last up; it may have been the only one that knew a note. */
+        bool deaths { false };
+    };
+
     /** Only who asked and did not leave gets an answer, and not after its end. */
     class AnswersToWhoAsked : public Promise {
     public:
@@ -216,6 +336,7 @@
     promises.push_back(std::make_unique<NotRunIsTrue>());
     promises.push_back(std::make_unique<NoWorkToWhatIsOut>());
     promises.push_back(std::make_unique<VersionsRise>());
+    promises.push_back(std::make_unique<InForceEverywhere>());
     promises.push_back(std::make_unique<AnswersToWhoAsked>());
     std::vector<Breach> breaches;
     for (const auto& line : transcript.lines()) {
--- a/test/support/Invariants.h
+++ b/test/support/Invariants.h
@@ -16,7 +16,7 @@
 /**
  * Reads a transcript and finds broken promises: tokens once, in order and of one generation; never two runs of a key;
  * "not run" never followed by a run; no new work, some seconds after an order or a notice, to what is out or leaving;
- * no version that falls; an answer only to who asked.
+ * no version that falls, and an accepted one in force at all entries that can be reached; an answer only to who asked.
  */
 std::vector<Breach> findBreaches(const Transcript& transcript);
 
