--- a/test/golden/GoldenSessions.cpp
+++ b/test/golden/GoldenSessions.cpp
@@ -42,6 +42,23 @@
     return found;
 }
 
+/** @return the first line in which two texts differ, with both versions; empty when they are equal. */
+std::string firstDifference(const std::string& expected, const std::string& actual)
+{
+    std::istringstream expectedLines(expected);
+    std::istringstream actualLines(actual);
+    for (unsigned number = 1;; ++number) {
+        std::string expectedLine;
+        std::string actualLine;
+        const bool more = static_cast<bool>(std::getline(expectedLines, expectedLine));
+        const bool moreActual = static_cast<bool>(std::getline(actualLines, actualLine));
+        if (more != moreActual || expectedLine != actualLine)
+            return "line " + std::to_string(number) + "\nexpected: " + expectedLine + "\nactual:   " + actualLine;
+        if (!more)
+            return {};
+    }
+}
+
 void checkStory(const std::filesystem::path& path)
 {
     const Story story = readStory(readFile(path));
@@ -54,8 +71,8 @@
     golden.replace_extension(".golden");
     if (std::getenv("TEASELFOLD_UPDATE_GOLDEN"))
         std::ofstream(golden) << transcript.text(story.shownFrom);
-    CHECK_MESSAGE(
-        transcript.text(story.shownFrom) == readFile(golden), "the transcript differs from " << golden.string());
+    const std::string difference = firstDifference(readFile(golden), transcript.text(story.shownFrom));
+    CHECK_MESSAGE(difference.empty(), golden.filename().string() << " differs first in " << difference);
 }
 
 }
--- a/test/support/Session.cpp
+++ b/test/support/Session.cpp
@@ -295,7 +295,11 @@
         return this->submitToPlatform(entry, operation->operation,
             [this, entry](const PlatformReply& reply) { this->toKeeper(entry, ControlPlatformReply { reply }); });
     }
-    if (const auto* forward = std::get_if<ToRouter>(&action)) {
+    if (const auto* sent = std::get_if<ToRouter>(&action)) {
+        ToRouter changed = *sent;
+        if (this->tampering.toRouter)
+            this->tampering.toRouter(entry, changed);
+        const ToRouter* forward = &changed;
         if (const auto* fleet = std::get_if<FleetChanged>(&forward->event))
             this->tell(entry, "",
                 Line { {}, {}, {}, "in-force", { { "version", std::to_string(fleet->fleet.version.get()) } } });
@@ -407,24 +411,23 @@
 void Session::sendToAgent(const std::string& entry, const ToAgent& send)
 {
     const std::string agent = send.endpoint.get();
-    const Link& link = this->link(entry, agent);
     EntryMessage sent = send.message;
     if (this->tampering.toAgent)
         this->tampering.toAgent(sent);
-    this->tell(entry, agent, this->describer.entryMessage(sent));
-    if (!link.up)
-        return;
-    this->later(agent, linkDelay, [this, entry, agent, connection = link.connection, message = std::move(sent)] {
-        const Link& now = this->link(entry, agent);
-        if (now.connection == connection && !now.silent && !now.blocked)
-            this->toAgent(agent, FromEntry { EntryId(entry), message });
+    Line line = this->describer.entryMessage(sent);
+    if (const auto* submit = std::get_if<SubmitGeneration>(&sent))
+        line.asker = this->askerOf(entry, submit->work.fingerprint);
+    if (const auto* submit = std::get_if<SubmitCall>(&sent))
+        line.asker = this->askerOf(entry, submit->work.fingerprint);
+    this->tell(entry, agent, line);
+    this->carry(entry, agent, agent, [this, entry, agent, message = std::move(sent)] {
+        this->toAgent(agent, FromEntry { EntryId(entry), message });
     });
 }
 
 void Session::sendToEntry(const std::string& agent, const ToEntry& send)
 {
     const std::string entry = send.entry.get();
-    const Link& link = this->link(entry, agent);
     AgentMessage sent = send.message;
     if (this->tampering.toEntry)
         this->tampering.toEntry(sent);
@@ -437,13 +440,25 @@
         node.lastReport = *report;
     }
     this->tell(agent, entry, line);
+    this->carry(entry, agent, entry, [this, entry, agent, message = std::move(sent)] {
+        this->toRouter(entry, FromAgent { EndpointId(agent), message });
+    });
+}
+
+void Session::carry(
+    const std::string& entry, const std::string& agent, const std::string& receiver, std::function<void()> receive)
+{
+    const Link& link = this->link(entry, agent);
     if (!link.up)
         return;
-    this->later(entry, linkDelay, [this, entry, agent, connection = link.connection, message = std::move(sent)] {
-        const Link& now = this->link(entry, agent);
-        if (now.connection == connection && !now.silent && !now.blocked)
-            this->toRouter(entry, FromAgent { EndpointId(agent), message });
-    });
+    const std::uint64_t life = this->process(receiver).life;
+    this->scheduler.after(
+        linkDelay, [this, entry, agent, receiver, life, connection = link.connection, receive = std::move(receive)] {
+            const Link& now = this->link(entry, agent);
+            const bool arrives = now.connection == connection && !now.silent && !now.blocked;
+            if (arrives && this->process(receiver).life == life)
+                this->inProcess(receiver, receive);
+        });
 }
 
 // Engine, service and platform.
@@ -529,9 +544,11 @@
     const Line request = this->describer.platformRequest(operation.request);
     this->tell(process, "platform", request);
     const std::uint64_t life = this->process(process).life;
-    this->table.submit(operation, [this, process, life, request, reply](const PlatformReply& answer) {
+    this->table.submit(operation, [this, process, life, operation, request, reply](PlatformReply answer) {
         if (this->process(process).life != life)
             return;
+        if (this->tampering.fromPlatform)
+            this->tampering.fromPlatform(operation.request, answer.result);
         if (!request.what.empty())
             this->tell("platform", process, this->describer.platformResult(answer.result));
         this->inProcess(process, [reply, answer] { reply(answer); });
@@ -550,6 +567,19 @@
     return work;
 }
 
+std::string Session::askerOf(const std::string& entry, Fingerprint fingerprint) const
+{
+    std::string found;
+    for (const auto& [name, caller] : this->callers) {
+        if (caller.entry != entry || caller.fingerprint != fingerprint || caller.ended)
+            continue;
+        if (!found.empty())
+            return {};
+        found = name;
+    }
+    return found;
+}
+
 std::string Session::callerOf(RequestId request) const
 {
     for (const auto& [name, caller] : this->callers) {
@@ -563,8 +593,8 @@
     OnEngineLoss onLoss, Milliseconds budget, const std::string& team)
 {
     const RequestId request(this->nextRequest++);
-    this->callers[caller] = Caller { entry, request, {}, 0, false };
     const CompletionRequest asked { request, this->work(team, prompt), stream, onLoss, budget };
+    this->callers[caller] = Caller { entry, request, asked.work.fingerprint, {}, 0, false, false };
     this->tell(
         caller, entry, Line { {}, {}, {}, "asks", { { "stream", stream ? "yes" : "no" }, { "prompt", prompt } } });
     this->later(entry, callerDelay, [this, entry, asked] { this->toRouter(entry, asked); });
@@ -574,7 +604,7 @@
 {
     const RequestId request(this->nextRequest++);
     const Caller from = this->callers[earlier];
-    this->callers[caller] = Caller { entry, request, from.token, from.next, false };
+    this->callers[caller] = Caller { entry, request, from.fingerprint, from.token, from.next, false, false };
     const StreamResumeRequest asked { request, defaultTeam, from.token, from.next, Seconds(60) };
     this->tell(caller, entry,
         Line { {}, {}, {}, "resumes", { { "stream", earlier }, { "next", std::to_string(from.next) } } });
@@ -585,7 +615,6 @@
     const std::string& body, Milliseconds budget)
 {
     const RequestId request(this->nextRequest++);
-    this->callers[caller] = Caller { entry, request, {}, 0, false };
     ServiceWork work;
     work.team = defaultTeam;
     work.service = ServiceId("registry");
@@ -595,6 +624,7 @@
     work.key = IdempotencyKey(key);
     work.atMostOnce = !key.empty();
     work.fingerprint = fingerprintOf(path + body);
+    this->callers[caller] = Caller { entry, request, work.fingerprint, {}, 0, false, false };
     this->tell(caller, entry, Line { {}, {}, {}, "calls", { { "path", path }, { "key", key } } });
     this->later(entry, callerDelay,
         [this, entry, asked = ServiceCallRequest { request, work, budget }] { this->toRouter(entry, asked); });
@@ -619,6 +649,7 @@
     if (name == "nobody" || this->callers[name].gone)
         return;
     Caller& caller = this->callers[name];
+    caller.ended = !std::holds_alternative<CallerRestart>(message) && !std::holds_alternative<CallerTokens>(message);
     if (const auto* restart = std::get_if<CallerRestart>(&message)) {
         caller.token = restart->token;
         caller.next = 0;
--- a/test/support/Session.h
+++ b/test/support/Session.h
@@ -26,6 +26,9 @@
     std::function<void(AgentMessage&)> toEntry;
     std::function<void(EngineEvent&)> fromEngine;
     std::function<void(CallerMessage&)> toCaller;
+    std::function<void(const PlatformRequest&, PlatformResult&)> fromPlatform;
+    /** What the control duty of an entry tells its router. */
+    std::function<void(const std::string&, ToRouter&)> toRouter;
 };
 
 /**
@@ -125,9 +128,12 @@
     struct Caller {
         std::string entry;
         RequestId request;
+        /** Of what was asked for; the same for equal requests. */
+        Fingerprint fingerprint;
         ResumeToken token;
         std::uint32_t next { 0 };
         bool gone { false };
+        bool ended { false };
     };
 
     struct Operator {
@@ -138,6 +144,12 @@
     /** Runs a task in a process now, or when it goes on; drops it when the process has ended since. */
     void inProcess(const std::string& name, std::function<void()> task);
     void later(const std::string& name, Duration delay, std::function<void()> task);
+    /** Carries a message over a connection; once it arrived, its receiver reads it even if the connection is replaced.
+     */
+    void carry(
+        const std::string& entry, const std::string& agent, const std::string& receiver, std::function<void()> receive);
+    /** @return the one caller whose open request at the entry has this content; empty when none or several. */
+    std::string askerOf(const std::string& entry, Fingerprint fingerprint) const;
     void tell(const std::string& from, const std::string& to, Line line);
     void note(const std::string& what, const std::string& subject);
 
