Run whole deployments under load and report by endpoint

Cause: teaselfold-load was never run against real entries, and its report could not tell the endpoints of a disturbed zone from the others.

--- a/apps/teaselfold-load/Main.cpp
+++ b/apps/teaselfold-load/Main.cpp
@@ -1,6 +1,7 @@
 #include "emulator/host/CommandLine.h"
 #include "emulator/host/LogLine.h"
 #include "emulator/host/StandinServer.h"
+#include "emulator/load/LoadComparison.h"
 #include "emulator/load/LoadReport.h"
 
 #include <algorithm>
@@ -24,6 +25,11 @@
     std::string silence;
     std::string model;
     std::vector<std::string> teams;
+    std::vector<std::string> compared;
+    std::string comparedGroup;
+    std::string output;
+    double lengthScale { 1 };
+    std::uint32_t longest { 0 };
 };
 
 int refuse(const std::string& option, const std::string& value)
@@ -100,6 +106,20 @@
     return true;
 }
 
+/** Prints reports side by side. @return the exit code. */
+int compare(const Words& words)
+{
+    std::vector<ComparedRuns> compared;
+    for (const std::string& text : words.compared) {
+        auto runs = readComparedRuns(text, words.comparedGroup);
+        if (!runs)
+            return refuse("compare", text);
+        compared.push_back(std::move(*runs));
+    }
+    writeComparison(std::cout, compared);
+    return 0;
+}
+
 options::options_description describe(Words& words, LoadSettings& settings)
 {
     options::options_description description(
@@ -122,7 +142,15 @@
     add("engine", options::value(&settings.engines)->composing(), "http://ip:port of an engine to read; repeated");
     add("at", options::value(&words.calls)->composing(), "'<time> <method> <url> [<body>]'; repeated");
     add("schedule", options::value(&words.scheduleFile), "file with one such call a line");
+    add("length-scale", options::value(&words.lengthScale)->default_value(1), "factor on the output lengths");
+    add("longest", options::value(&words.longest)->default_value(16384), "longest output in tokens");
+    add("disturbed", options::value(&settings.disturbed), "prefix of the endpoints that the schedule disturbs");
     add("json", "write the report as JSON");
+    add("output", options::value(&words.output), "file that gets the report as JSON, whatever is printed");
+    add("compare", options::value(&words.compared)->multitoken(),
+        "name=report.json[,report.json...]: sends nothing, prints reports side by side, ratios to the first name");
+    add("group", options::value(&words.comparedGroup)->default_value("all"),
+        "group of the reports to compare: all, elsewhere or disturbed");
     return description;
 }
 
@@ -137,13 +165,21 @@
     const auto values = readCommandLine(argc, argv, description, exitCode);
     if (!values)
         return exitCode;
+    if (!words.compared.empty())
+        return compare(words);
     settings.workload.kinds = defaultKinds();
+    shortenLengths(settings.workload.kinds, words.lengthScale, words.longest);
     settings.workload.model = ModelId(words.model);
     const bool usable = takeEntries(words, settings) && takeTeams(words, settings) && takeDurations(words, settings)
-        && takeSchedule(words, settings) && settings.workload.requestsPerSecond > 0 && settings.clientThreads > 0;
+        && takeSchedule(words, settings) && words.lengthScale > 0 && words.longest > 0
+        && settings.workload.requestsPerSecond > 0 && settings.clientThreads > 0;
     if (!usable)
         return usageExit;
     const LoadResult result = runLoad(settings);
+    if (!words.output.empty()) {
+        std::ofstream file(words.output);
+        writeJson(file, result);
+    }
     if (values->count("json") != 0)
         writeJson(std::cout, result);
     else
--- a/src/emulator/EngineModel.cpp
+++ b/src/emulator/EngineModel.cpp
@@ -240,6 +240,8 @@
     sequence.ownBlocks = needed;
     const std::uint64_t cachedTokens = std::uint64_t { shared } * this->settings.tokensPerBlock;
     sequence.prefillLeft = static_cast<std::uint32_t>(std::max<std::uint64_t>(1, tokens - 1 - cachedTokens));
+    this->reusedTokens += cachedTokens;
+    this->computedTokens += sequence.prefillLeft;
     return true;
 }
 
--- a/src/emulator/EngineModel.h
+++ b/src/emulator/EngineModel.h
@@ -68,6 +68,9 @@
 
     bool cold(Instant now) const { return now < this->coldUntil; }
     std::uint64_t incarnation() const { return this->currentIncarnation; }
+    /** @return prompt tokens that the prefix cache saved, and those computed at a sequence's admission. */
+    std::uint64_t promptTokensReused() const { return this->reusedTokens; }
+    std::uint64_t promptTokensComputed() const { return this->computedTokens; }
     std::uint64_t preemptions() const { return this->preemptionCount; }
     std::uint64_t blocksUsed() const { return this->privateBlocks + this->cache.blocks(); }
 
@@ -153,6 +156,8 @@
     std::uint64_t arrivals { 0 };
     std::uint64_t privateBlocks { 0 };
     std::uint64_t preemptionCount { 0 };
+    std::uint64_t reusedTokens { 0 };
+    std::uint64_t computedTokens { 0 };
     double slowdown { 1 };
     double memoryShare { 1 };
     bool isDead { false };
--- a/src/emulator/host/EngineHost.cpp
+++ b/src/emulator/host/EngineHost.cpp
@@ -14,7 +14,8 @@
     constexpr int diedExitCode = 71;
     constexpr double crowdedMemoryShare = 0.25;
     constexpr ServerLimits limits { 1024, 256 };
-    constexpr std::array knownModes { "none", "slow", "freeze", "die", "silent", "out_of_memory", "turn_cold" };
+    constexpr std::array knownModes { "none", "slow", "freeze", "die", "silent", "out_of_memory", "crowded",
+        "turn_cold" };
 
     GenerationId generationOf(const EngineEvent& event)
     {
@@ -98,6 +99,8 @@
         if (!this->frozenSince && this->model.dead())
             this->deliver(this->model.advance(this->modelTime(now)));
         this->superviseDeath(now);
+        this->promptReused = this->model.promptTokensReused();
+        this->promptComputed = this->model.promptTokensComputed();
     }
     for (const auto& [generation, stream] : this->streams)
         stream->close();
@@ -173,8 +176,9 @@
 {
     const std::string& mode = command.fault.mode;
     const Instant clock = std::chrono::steady_clock::now();
-    this->model.setSlowdown(mode == "slow" ? command.fault.factor : 1);
-    this->model.setMemoryShare(mode == "out_of_memory" ? crowdedMemoryShare : 1);
+    const bool crowded = mode == "crowded";
+    this->model.setSlowdown(crowded || mode == "slow" ? command.fault.factor : 1);
+    this->model.setMemoryShare(crowded || mode == "out_of_memory" ? crowdedMemoryShare : 1);
     if (mode == "turn_cold")
         this->model.turnCold(now);
     if (mode == "freeze" && !this->frozenSince)
--- a/src/emulator/host/EngineHost.h
+++ b/src/emulator/host/EngineHost.h
@@ -107,6 +107,9 @@
     std::optional<Instant> diedAt;
     /** Read by handlers, which cut connections while the engine is dead. */
     std::atomic<bool> deadNow { false };
+    /** The model's counts as of the last turn of its thread, for reports beyond the engine's own protocol. */
+    std::atomic<std::uint64_t> promptReused { 0 };
+    std::atomic<std::uint64_t> promptComputed { 0 };
     StandinServer server;
     std::thread thread;
 };
--- a/src/emulator/host/EngineHostHttp.cpp
+++ b/src/emulator/host/EngineHostHttp.cpp
@@ -189,6 +189,9 @@
     body.set("loaded_models", hashArray(report->loadedModels));
     body.set("role", report->role);
     body.set("highest_fence", report->highestFence);
+    // Counts of the stand-in alone; agents do not read them.
+    body.set("prompt_tokens_reused", this->promptReused.load());
+    body.set("prompt_tokens_computed", this->promptComputed.load());
     sendJson(exchange, 200, body);
 }
 
--- a/src/emulator/load/LoadClient.cpp
+++ b/src/emulator/load/LoadClient.cpp
@@ -133,7 +133,7 @@
 {
     while (const auto event = readStreamEvent(in)) {
         if (!event->id.empty())
-            this->lastEventId = event->id;
+            this->takeEventId(job, event->id);
         if (event->kind == "restart")
             this->events.push(AnswerRestarted { job.request });
         else if (event->kind == "error")
@@ -146,6 +146,16 @@
     return Step::Broken;
 }
 
+void LoadClient::takeEventId(const LoadJob& job, const std::string& eventId)
+{
+    const bool first = this->lastEventId.empty();
+    this->lastEventId = eventId;
+    const std::size_t index = eventId.rfind(':');
+    const std::size_t generation = index == std::string::npos || index == 0 ? index : eventId.rfind(':', index - 1);
+    if (first && generation != std::string::npos)
+        this->events.push(EndpointSeen { job.request, EndpointId(eventId.substr(0, generation)) });
+}
+
 void LoadClient::readToken(const LoadJob& job, const std::string& data)
 {
     const auto object = parseObject(data);
--- a/src/emulator/load/LoadClient.h
+++ b/src/emulator/load/LoadClient.h
@@ -39,6 +39,11 @@
     std::uint32_t kind { 0 };
     Instant at;
 };
+/** The first token of an answer names the endpoint it came from. */
+struct EndpointSeen {
+    std::uint64_t request { 0 };
+    EndpointId endpoint;
+};
 struct TokenSeen {
     std::uint64_t request { 0 };
     std::uint32_t index { 0 };
@@ -53,7 +58,7 @@
     AnswerEnd end { AnswerEnd::Lost };
     Instant at;
 };
-using RecordEvent = std::variant<RequestSent, TokenSeen, AnswerRestarted, AnswerEnded>;
+using RecordEvent = std::variant<RequestSent, EndpointSeen, TokenSeen, AnswerRestarted, AnswerEnded>;
 
 /** Sends requests one after the other and reads their streams to the end, as a careful caller would. */
 class LoadClient {
@@ -78,6 +83,7 @@
     Step resume(const LoadJob& job, const Address& entry);
     Step readAnswer(const LoadJob& job, const Poco::Net::HTTPResponse& response, std::istream& in);
     Step readStream(const LoadJob& job, std::istream& in);
+    void takeEventId(const LoadJob& job, const std::string& eventId);
     void readToken(const LoadJob& job, const std::string& data);
     Step finish(const LoadJob& job, AnswerEnd end);
     std::string requestBody(const LoadJob& job) const;
--- a/src/emulator/load/LoadRecorder.cpp
+++ b/src/emulator/load/LoadRecorder.cpp
@@ -34,12 +34,14 @@
 {
     change(this->classes[this->kinds[answer.kind].priority]);
     change(this->teams[answer.team]);
+    if (answer.endpoint != EndpointId())
+        change(this->endpoints[answer.endpoint].tally);
 }
 
 void LoadRecorder::sent(std::uint64_t request, const TeamId& team, std::uint32_t kind, Instant now)
 {
     Answer& answer = this->answers[request];
-    answer = Answer { team, kind, now, now, 0, {}, false };
+    answer = Answer { team, kind, now, now, {}, 0, {}, false };
     this->tally(answer, [](Tally& tally) { ++tally.sent; });
 }
 
@@ -66,6 +68,17 @@
     answer.lastToken = now;
 }
 
+void LoadRecorder::cameFrom(std::uint64_t request, const EndpointId& endpoint)
+{
+    const auto found = this->answers.find(request);
+    if (found == this->answers.end() || found->second.endpoint != EndpointId())
+        return;
+    found->second.endpoint = endpoint;
+    EndpointTally& counted = this->endpoints[endpoint];
+    counted.sentAt.push_back(found->second.begun);
+    ++counted.tally.sent;
+}
+
 void LoadRecorder::restarted(std::uint64_t request)
 {
     const auto found = this->answers.find(request);
--- a/src/emulator/load/LoadRecorder.h
+++ b/src/emulator/load/LoadRecorder.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace teaselfold {
 
@@ -34,6 +35,13 @@
     void merge(const Tally& other);
 };
 
+/** Outcomes of the requests whose first token came from one endpoint. */
+struct EndpointTally {
+    Tally tally;
+    /** When each of these requests was due, in order of their first tokens. */
+    std::vector<Instant> sentAt;
+};
+
 /** How one request's answer went wrong or right, for the recorder. */
 enum class AnswerEnd : std::uint8_t {
     Whole,
@@ -55,6 +63,8 @@
 
     void sent(std::uint64_t request, const TeamId& team, std::uint32_t kind, Instant now);
     void token(std::uint64_t request, std::uint32_t index, const std::string& text, Instant now);
+    /** Names the endpoint whose tokens follow; the first named one counts. */
+    void cameFrom(std::uint64_t request, const EndpointId& endpoint);
     /** The answer starts over, as the caller asked for; what came before is void. */
     void restarted(std::uint64_t request);
     void ended(std::uint64_t request, AnswerEnd end, Instant now);
@@ -64,6 +74,7 @@
     std::size_t open() const { return this->answers.size(); }
     const std::map<PriorityClass, Tally>& byClass() const { return this->classes; }
     const std::map<TeamId, Tally>& byTeam() const { return this->teams; }
+    const std::map<EndpointId, EndpointTally>& byEndpoint() const { return this->endpoints; }
     Tally whole() const;
 
 private:
@@ -72,6 +83,8 @@
         std::uint32_t kind { 0 };
         Instant begun;
         Instant lastToken;
+        /** Unnamed until the first token came. */
+        EndpointId endpoint;
         std::uint32_t tokens { 0 };
         std::string mark;
         bool broken { false };
@@ -83,6 +96,7 @@
     std::unordered_map<std::uint64_t, Answer> answers;
     std::map<PriorityClass, Tally> classes;
     std::map<TeamId, Tally> teams;
+    std::map<EndpointId, EndpointTally> endpoints;
 };
 
 }
--- a/src/emulator/load/LoadRun.cpp
+++ b/src/emulator/load/LoadRun.cpp
@@ -19,7 +19,7 @@
 
     struct EngineReading {
         std::uint64_t incarnation { 0 };
-        std::uint64_t preemptions { 0 };
+        EngineCounts counts;
     };
 
     std::map<std::string, EngineReading> readEngines(const std::vector<std::string>& engines)
@@ -31,12 +31,14 @@
             if (!report)
                 continue;
             readings[engine] = { report->optValue<std::uint64_t>("incarnation", 0),
-                report->optValue<std::uint64_t>("preemptions", 0) };
+                { report->optValue<std::uint64_t>("preemptions", 0),
+                    report->optValue<std::uint64_t>("prompt_tokens_reused", 0),
+                    report->optValue<std::uint64_t>("prompt_tokens_computed", 0) } };
         }
         return readings;
     }
 
-    void comparePreemptions(const std::map<std::string, EngineReading>& before,
+    void compareEngines(const std::map<std::string, EngineReading>& before,
         const std::map<std::string, EngineReading>& after, LoadResult& result)
     {
         for (const auto& [engine, last] : after) {
@@ -44,7 +46,9 @@
             if (first == before.end() || first->second.incarnation != last.incarnation)
                 continue;
             ++result.enginesRead;
-            result.preemptions += last.preemptions - first->second.preemptions;
+            result.engines.preemptions += last.counts.preemptions - first->second.counts.preemptions;
+            result.engines.promptReused += last.counts.promptReused - first->second.counts.promptReused;
+            result.engines.promptComputed += last.counts.promptComputed - first->second.counts.promptComputed;
         }
     }
 
@@ -66,7 +70,8 @@
         void handle(const RecordEvent& event, Instant) override
         {
             static const HandlerTable<RecordHandler, void, RecordEvent> table { &RecordHandler::onSent,
-                &RecordHandler::onToken, &RecordHandler::onRestarted, &RecordHandler::onEnded };
+                &RecordHandler::onEndpoint, &RecordHandler::onToken, &RecordHandler::onRestarted,
+                &RecordHandler::onEnded };
             table.dispatch(*this, event);
         }
 
@@ -74,6 +79,7 @@
 
     private:
         void onSent(const RequestSent& event) { this->record.sent(event.request, event.team, event.kind, event.at); }
+        void onEndpoint(const EndpointSeen& event) { this->record.cameFrom(event.request, event.endpoint); }
         void onToken(const TokenSeen& event) { this->record.token(event.request, event.index, event.text, event.at); }
         void onRestarted(const AnswerRestarted& event) { this->record.restarted(event.request); }
         void onEnded(const AnswerEnded& event) { this->record.ended(event.request, event.end, event.at); }
@@ -99,6 +105,7 @@
             for (std::size_t count = 0; count < this->settings.clientThreads; ++count)
                 this->clients.emplace_back([this] { this->serveJobs(); });
             const Instant begin = std::chrono::steady_clock::now();
+            this->result.begun = begin;
             std::thread calls([this, begin] { this->makeCalls(begin); });
             this->paceArrivals(begin);
             this->jobs.close();
@@ -158,12 +165,12 @@
 
 LoadResult runLoad(const LoadSettings& settings)
 {
-    LoadResult result { LoadRecorder(settings.workload.kinds), {}, 0, 0, 0 };
+    LoadResult result { LoadRecorder(settings.workload.kinds), settings.disturbed, {}, {}, 0, {}, 0 };
     const auto before = readEngines(settings.engines);
     LoadRun(settings, result).run();
     if (!settings.engines.empty())
         waitUntil(std::chrono::steady_clock::now() + reportLag);
-    comparePreemptions(before, readEngines(settings.engines), result);
+    compareEngines(before, readEngines(settings.engines), result);
     return result;
 }
 
--- a/src/emulator/load/LoadRun.h
+++ b/src/emulator/load/LoadRun.h
@@ -17,9 +17,19 @@
     std::vector<ScheduledCall> schedule;
     /** Base URLs of engines whose reports are read before and after. */
     std::vector<std::string> engines;
+    /** Prefix of the endpoints that the schedule disturbs; empty for none. The others are reported as one group. */
+    std::string disturbed;
     std::size_t clientThreads { 256 };
 };
 
+/** What engines count themselves. */
+struct EngineCounts {
+    std::uint64_t preemptions { 0 };
+    /** Prompt tokens whose state was taken from the prefix cache. */
+    std::uint64_t promptReused { 0 };
+    std::uint64_t promptComputed { 0 };
+};
+
 /** What a scheduled call was answered. */
 struct ScheduledResult {
     ScheduledCall call;
@@ -29,11 +39,14 @@
 /** What a run measured. */
 struct LoadResult {
     LoadRecorder record;
+    std::string disturbed;
+    /** When the first request could be due. */
+    Instant begun;
     std::vector<ScheduledResult> calls;
     /** Arrivals that found all client threads and their queue busy; they were not sent. */
     std::uint64_t unsent { 0 };
-    /** Preemptions at the engines during the run. */
-    std::uint64_t preemptions { 0 };
+    /** Sums over the engines read, for the time of the run. */
+    EngineCounts engines;
     /** Engines that answered both readings without a restart between them. */
     std::uint64_t enginesRead { 0 };
 };
--- a/src/emulator/load/Workload.cpp
+++ b/src/emulator/load/Workload.cpp
@@ -84,6 +84,15 @@
     return { check, summary, draft };
 }
 
+void shortenLengths(std::vector<RequestKind>& kinds, double factor, std::uint32_t longest)
+{
+    for (RequestKind& kind : kinds) {
+        for (LengthComponent& component : kind.lengths.components)
+            component.medianTokens *= factor;
+        kind.lengths.longestTokens = std::min(kind.lengths.longestTokens, longest);
+    }
+}
+
 std::vector<TeamShare> defaultTeams()
 {
     std::vector<TeamShare> teams { { TeamId("large-1"), 0.30 }, { TeamId("large-2"), 0.25 },
--- a/src/emulator/load/Workload.h
+++ b/src/emulator/load/Workload.h
@@ -64,6 +64,13 @@
 /** Short interactive clause checks, summaries and long drafts. */
 std::vector<RequestKind> defaultKinds();
 
+/**
+ * Makes answers shorter, so that short runs see whole drafts.
+ * @param factor on the medians of the output lengths.
+ * @param longest cap of the lengths in tokens; the caller's own maximum stays.
+ */
+void shortenLengths(std::vector<RequestKind>& kinds, double factor, std::uint32_t longest);
+
 /** Ten teams, a few of them large. */
 std::vector<TeamShare> defaultTeams();
 
--- a/test/error/RecorderFindsBrokenAnswers.cpp
+++ b/test/error/RecorderFindsBrokenAnswers.cpp
@@ -49,3 +49,18 @@
     CHECK(tally.lost == 1);
     CHECK(tally.completed == 0);
 }
+
+TEST_CASE("an answer counts for the endpoint of its first token")
+{
+    LoadRecorder recorder(defaultKinds());
+    recorder.sent(1, team, 0, Instant {});
+    recorder.cameFrom(1, EndpointId("first"));
+    recorder.token(1, 0, " ab12.0", Instant {} + Seconds(1));
+    recorder.cameFrom(1, EndpointId("second"));
+    recorder.ended(1, AnswerEnd::Whole, Instant {} + Seconds(2));
+    REQUIRE(recorder.byEndpoint().size() == 1);
+    const EndpointTally& counted = recorder.byEndpoint().at(EndpointId("first"));
+    CHECK(counted.tally.sent == 1);
+    CHECK(counted.tally.completed == 1);
+    CHECK(counted.sentAt == std::vector<Instant> { Instant {} });
+}
