Make a routing decision allocate less and bound its cost

Cause: a decision built a map and a sorted copy of all candidates' ids, looked each endpoint up by name, and asked the quarantine and the zones once for each endpoint.

--- a/src/core/entry/EndpointChooser.cpp
+++ b/src/core/entry/EndpointChooser.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-    constexpr std::size_t distanceCount = 3;
     /** Share of the reported room that other zones may use beyond the overflow share. */
     constexpr std::uint32_t spareDivisor = 2;
 
@@ -24,6 +23,7 @@
     std::vector<const EndpointState*> keep(const std::vector<const EndpointState*>& candidates, auto condition)
     {
         std::vector<const EndpointState*> kept;
+        kept.reserve(candidates.size());
         std::ranges::copy_if(candidates, std::back_inserter(kept), condition);
         return kept;
     }
@@ -36,7 +36,7 @@
 
 std::optional<EndpointId> EndpointChooser::choose(const LiveRequest& request, Instant now)
 {
-    const std::vector<Candidates> groups = this->byDistance(request, now);
+    const auto groups = this->byDistance(request, now);
     const Candidates& own = groups.front();
     const Candidates ownWithRoom = keep(own, hasRoom);
     if (!ownWithRoom.empty())
@@ -64,37 +64,42 @@
     return !this->state.orders.isOut(view.endpoint.id) && !this->state.orders.isOut(view.endpoint.zone);
 }
 
-std::vector<EndpointChooser::Candidates> EndpointChooser::byDistance(const LiveRequest& request, Instant now) const
+std::array<EndpointChooser::Candidates, EndpointChooser::distanceCount> EndpointChooser::byDistance(
+    const LiveRequest& request, Instant now) const
 {
-    std::vector<Candidates> groups(distanceCount);
-    for (const EndpointId& id : this->state.endpoints.chosenFor(request.service)) {
-        const EndpointState* view = std::as_const(this->state.endpoints).find(id);
-        if (view && this->suits(*view, request, now))
-            groups[this->distance(*view)].push_back(view);
+    // Two suspects at one endpoint could not be told apart if it died again.
+    const bool suspect = this->state.quarantine.isSuspect(request.fingerprint, now);
+    const std::string* region = this->regionOf(this->state.zone);
+    const auto& chosen = this->state.endpoints.chosenFor(request.service);
+    std::array<Candidates, distanceCount> groups;
+    for (Candidates& group : groups)
+        group.reserve(chosen.size());
+    for (const EndpointState* view : chosen) {
+        if (this->suits(*view, request) && !(suspect && this->holdsSuspect(view->endpoint.id, now)))
+            groups[this->distance(*view, region)].push_back(view);
     }
     return groups;
 }
 
-std::size_t EndpointChooser::distance(const EndpointState& view) const
+std::size_t EndpointChooser::distance(const EndpointState& view, const std::string* region) const
 {
     if (view.endpoint.zone == this->state.zone)
         return 0;
-    const auto& zones = this->state.fleet.zones;
-    const auto own = zones.find(this->state.zone);
-    const auto other = zones.find(view.endpoint.zone);
-    const bool sameRegion = own != zones.end() && other != zones.end() && own->second.region == other->second.region;
-    return sameRegion ? 1 : 2;
+    const std::string* other = this->regionOf(view.endpoint.zone);
+    return region && other && *region == *other ? 1 : 2;
+}
+
+const std::string* EndpointChooser::regionOf(const ZoneId& zone) const
+{
+    const auto found = this->state.fleet.zones.find(zone);
+    return found == this->state.fleet.zones.end() ? nullptr : &found->second.region;
 }
 
-bool EndpointChooser::suits(const EndpointState& view, const LiveRequest& request, Instant now) const
+bool EndpointChooser::suits(const EndpointState& view, const LiveRequest& request) const
 {
     if (!this->takesWork(view) || request.avoided.contains(view.endpoint.id))
         return false;
-    if (view.report->cold && roomLeft(view) == 0)
-        return false;
-    // Two suspects at one endpoint could not be told apart if it died again.
-    const bool suspect = this->state.quarantine.isSuspect(request.fingerprint, now);
-    return !suspect || !this->holdsSuspect(view.endpoint.id, now);
+    return !view.report->cold || roomLeft(view) > 0;
 }
 
 bool EndpointChooser::holdsSuspect(const EndpointId& endpoint, Instant now) const
--- a/src/core/entry/EndpointChooser.h
+++ b/src/core/entry/EndpointChooser.h
@@ -3,7 +3,9 @@
 #include "core/entry/RouterState.h"
 #include "core/entry/RoutingPolicy.h"
 
+#include <array>
 #include <optional>
+#include <string>
 
 namespace teaselfold {
 
@@ -24,10 +26,15 @@
 private:
     using Candidates = std::vector<const EndpointState*>;
 
-    /** Candidates by distance: own zone, own region, elsewhere. */
-    std::vector<Candidates> byDistance(const LiveRequest& request, Instant now) const;
-    std::size_t distance(const EndpointState& view) const;
-    bool suits(const EndpointState& view, const LiveRequest& request, Instant now) const;
+    /** Own zone, own region, elsewhere. */
+    static constexpr std::size_t distanceCount = 3;
+
+    /** Candidates by distance. */
+    std::array<Candidates, distanceCount> byDistance(const LiveRequest& request, Instant now) const;
+    /** @param region the region of this entry; null when its zone is unknown. */
+    std::size_t distance(const EndpointState& view, const std::string* region) const;
+    const std::string* regionOf(const ZoneId& zone) const;
+    bool suits(const EndpointState& view, const LiveRequest& request) const;
     bool holdsSuspect(const EndpointId& endpoint, Instant now) const;
     EndpointId decide(const Candidates& candidates, const LiveRequest& request, bool overflow, Instant now);
     const PolicyChoice& policyOf(const ServiceId& service) const;
--- a/src/core/entry/EndpointTable.cpp
+++ b/src/core/entry/EndpointTable.cpp
@@ -32,16 +32,18 @@
         members[endpoint.service].push_back(id);
     }
     this->chosen.clear();
-    for (auto& [service, endpoints] : members)
-        this->chosen[service] = rendezvousOrder(hashOf(self.get()), std::move(endpoints), linksPerService);
-    for (const auto& [service, endpoints] : this->chosen)
-        for (const EndpointId& id : endpoints)
-            this->views[id].chosen = true;
+    for (auto& [service, endpoints] : members) {
+        for (const EndpointId& id : rendezvousOrder(hashOf(self.get()), std::move(endpoints), linksPerService)) {
+            EndpointState& view = this->views[id];
+            view.chosen = true;
+            this->chosen[service].push_back(&view);
+        }
+    }
 }
 
-const std::vector<EndpointId>& EndpointTable::chosenFor(const ServiceId& service) const
+const std::vector<const EndpointState*>& EndpointTable::chosenFor(const ServiceId& service) const
 {
-    static const std::vector<EndpointId> none;
+    static const std::vector<const EndpointState*> none;
     const auto found = this->chosen.find(service);
     return found == this->chosen.end() ? none : found->second;
 }
--- a/src/core/entry/EndpointTable.h
+++ b/src/core/entry/EndpointTable.h
@@ -48,8 +48,8 @@
 
     /** Takes over the endpoints of a newer configuration; those withdrawn stay known until their links close. */
     void update(const Fleet& fleet, const EntryId& self, std::size_t linksPerService);
-    /** @return ids of the endpoints of a service in this entry's subset. */
-    const std::vector<EndpointId>& chosenFor(const ServiceId& service) const;
+    /** @return the endpoints of a service in this entry's subset. Valid until the next `update`. */
+    const std::vector<const EndpointState*>& chosenFor(const ServiceId& service) const;
 
     void reported(const EndpointId& endpoint, const LoadReport& report);
     void submitted(const EndpointId& endpoint);
@@ -62,7 +62,7 @@
 
 private:
     std::map<EndpointId, EndpointState> views;
-    std::map<ServiceId, std::vector<EndpointId>> chosen;
+    std::map<ServiceId, std::vector<const EndpointState*>> chosen;
 };
 
 /** @return submissions that the last report cannot have counted. */
--- a/src/core/entry/RoutingPolicy.cpp
+++ b/src/core/entry/RoutingPolicy.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <utility>
 
 namespace teaselfold {
 
@@ -49,18 +50,36 @@
             const std::vector<const EndpointState*>& candidates, const RoutingQuery& query) const override
         {
             const double bound = this->loadBound(candidates);
-            const EndpointState* first = nullptr;
-            for (const EndpointState* view : this->inPrefixOrder(candidates, query.prefixHash)) {
+            Weighted first;
+            Weighted second;
+            for (const EndpointState* view : candidates) {
                 if (outstanding(*view) > bound)
                     continue;
-                if (first)
-                    return cheaper(view, first) ? *view : *first;
-                first = view;
+                const Weighted next { rendezvousWeight(query.prefixHash, view->endpoint.id), view };
+                if (next.precedes(first))
+                    second = std::exchange(first, next);
+                else if (next.precedes(second))
+                    second = next;
             }
-            return first ? *first : **std::ranges::min_element(candidates, cheaper);
+            if (!first.view)
+                return **std::ranges::min_element(candidates, cheaper);
+            return second.view && cheaper(second.view, first.view) ? *second.view : *first.view;
         }
 
     private:
+        /** A candidate and its place in the prefix's order; without a view it comes after all others. */
+        struct Weighted {
+            std::uint64_t weight { 0 };
+            const EndpointState* view { nullptr };
+
+            bool precedes(const Weighted& other) const
+            {
+                if (!other.view || this->weight != other.weight)
+                    return !other.view || this->weight > other.weight;
+                return this->view->endpoint.id > other.view->endpoint.id;
+            }
+        };
+
         static double loadBound(const std::vector<const EndpointState*>& candidates)
         {
             double total = 0;
@@ -68,21 +87,6 @@
                 total += outstanding(*view);
             return std::ceil(boundedLoadFactor * (total + 1) / static_cast<double>(candidates.size()));
         }
-
-        static std::vector<const EndpointState*> inPrefixOrder(
-            const std::vector<const EndpointState*>& candidates, std::uint64_t prefixHash)
-        {
-            std::map<EndpointId, const EndpointState*> byId;
-            std::vector<EndpointId> ids;
-            for (const EndpointState* view : candidates) {
-                byId.emplace(view->endpoint.id, view);
-                ids.push_back(view->endpoint.id);
-            }
-            std::vector<const EndpointState*> ordered;
-            for (const EndpointId& id : rendezvousOrder(prefixHash, std::move(ids), candidates.size()))
-                ordered.push_back(byId.at(id));
-            return ordered;
-        }
     };
 
     const PrefixTwoChoice prefixTwoChoice;
--- a/src/emulator/load/LoadReport.cpp
+++ b/src/emulator/load/LoadReport.cpp
@@ -135,7 +135,8 @@
     if (!result.disturbed.empty())
         writeDisturbed(out, result);
     out << "preemptions per 1,000 generations: " << preemptionsPerThousand(result) << " (" << result.enginesRead
-        << " engines read without a restart)\nprompt tokens from prefix caches: " << prefixHitShare(result.engines)
+        << " engines read without a restart)\nprompt tokens from prefix caches: " << std::setprecision(3)
+        << prefixHitShare(result.engines)
         << "\nnot sent for want of client threads (counted as refused): " << result.unsent << "\n";
     for (const ScheduledResult& call : result.calls)
         out << call.call.method << " " << call.call.url << " -> " << call.status << "\n";
