Route by the first 256 bytes of a prompt

Cause: engines share prefixes in blocks of 16 tokens, the router hashed 1,024 bytes; prompts that share a shorter beginning went to different endpoints. Change: RouterLimits::prefixBytes is 256.

--- a/src/core/entry/RouterLimits.h
+++ b/src/core/entry/RouterLimits.h
@@ -41,7 +41,7 @@
     /** How long the last tokens of a whole stream may wait for the caller's connection. */
     Milliseconds tailTimeout { 30000 };
     /** Leading bytes of a prompt that choose the endpoints with a likely cached prefix. */
-    std::size_t prefixBytes { 1024 };
+    std::size_t prefixBytes { 256 };
     /** Deadline of a request that names none. */
     Milliseconds defaultBudget { 600000 };
     /** Time until a refused Interactive caller should try again; Standard waits twice, Batch four times as long. */
