Let an entry start while the store is down

Cause: an entry that started in an outage of the platform knew no agent and never became ready. Change: the setting seed_agents lists agents (endpoint, IP:port) that the entry links to until a configuration is known; it asks them for theirs and takes the highest version after the wait for peers. /readyz and callers now wait for the control duty too, so that the first peer's version, which may be old, serves nobody before the wait ends. Lists in settings are read by one table of keys. Conclusion: configuration outlives a store that is down at the start.

--- a/apps/teaselfold-entry/Main.cpp
+++ b/apps/teaselfold-entry/Main.cpp
@@ -96,6 +96,7 @@
 private:
     std::unique_ptr<Router> buildRouter(const EntrySettings& settings);
     ConfigurationKeeper buildKeeper(const EntrySettings& settings);
+    bool isReady() const { return this->control.isReady() && this->router.isReady(); }
     void startDuties();
     void stopAll();
 
@@ -119,7 +120,7 @@
     , router(this->buildRouter(settings))
     , control(this->buildKeeper(settings))
     , admin(adminOptions(settings), this->control.ring(),
-          { [this] { return this->router.isReady(); }, [this] { return this->telemetry->renderPrometheus(); } })
+          { [this] { return this->isReady(); }, [this] { return this->telemetry->renderPrometheus(); } })
 {
     this->links = EntryLinkClientBuilder()
                       .withSelf(settings.instance)
@@ -138,7 +139,7 @@
         = CallerServerBuilder()
               .withAddress(settings.callers)
               .withLimits(callerLimits(settings))
-              .build({ this->router.ring(), this->registry, this->teams, [this] { return this->router.isReady(); } });
+              .build({ this->router.ring(), this->registry, this->teams, [this] { return this->isReady(); } });
 }
 
 std::unique_ptr<Router> EntryProcess::buildRouter(const EntrySettings& settings)
@@ -148,6 +149,7 @@
         .withZone(settings.zone)
         .withRandomness(this->routerRandomness)
         .withLimits(routerLimits(settings))
+        .withSeedAgents(settings.seedAgents)
         .build();
 }
 
--- a/src/adapters/settings/EntrySettings.cpp
+++ b/src/adapters/settings/EntrySettings.cpp
@@ -28,6 +28,8 @@
             "a caller that sends or takes nothing for so long is closed" },
         Row { "links_per_service", &EntrySettings::linksPerService, Need::Optional,
             "endpoints of a service that this entry is linked to" },
+        Row { "seed_agents", &EntrySettings::seedAgents, Need::Optional,
+            "agents to ask for the configuration until one is known" },
         Row { "max_body_bytes", &EntrySettings::maxBodyBytes, Need::Optional, "largest body of a request, in bytes" },
         Row { "admin_tokens_required", &EntrySettings::adminTokensRequired, Need::Optional,
             "whether operators need a token" },
--- a/src/adapters/settings/EntrySettings.h
+++ b/src/adapters/settings/EntrySettings.h
@@ -1,9 +1,7 @@
 #pragma once
 
 #include "adapters/settings/SettingProblem.h"
-#include "ports/Fleet.h"
-#include "ports/Ids.h"
-#include "ports/Time.h"
+#include "ports/EntryPorts.h"
 
 #include <variant>
 
@@ -42,6 +40,8 @@
     Milliseconds maxDeadline { 3600000 };
     Milliseconds callerIdleLimit { 30000 };
     std::uint32_t linksPerService { 32 };
+    /** Linked to until a configuration is known, so that an entry can start while the platform is down. */
+    std::vector<SeedAgent> seedAgents;
     std::uint32_t maxBodyBytes { 1048576 };
     bool adminTokensRequired { true };
     std::vector<AdminToken> adminTokens;
--- a/src/adapters/settings/SettingTable.cpp
+++ b/src/adapters/settings/SettingTable.cpp
@@ -13,55 +13,101 @@
         return isSha256(text);
     }
 
-    struct TokenKey {
+    /** A key of a list's items, with the function that reads it. Every key is required. */
+    template <typename Item> struct ItemKey {
         std::string_view key;
-        bool (*read)(const std::string& text, AdminToken& token);
+        bool (*read)(const std::string& text, Item& item);
         std::string_view expected;
     };
 
+    constexpr std::string_view expectedName = "a name of 1 to 64 letters, digits, '.', '_' and '-'";
+
     constexpr std::array tokenKeys {
-        TokenKey { "sha256", [](const std::string& text, AdminToken& token) { return parseHash(text, token.sha256); },
+        ItemKey<AdminToken> { "sha256",
+            [](const std::string& text, AdminToken& token) { return parseHash(text, token.sha256); },
             "64 lower-case hexadecimal digits" },
-        TokenKey { "role", [](const std::string& text, AdminToken& token) { return parseValue(text, token.role); },
+        ItemKey<AdminToken> { "role",
+            [](const std::string& text, AdminToken& token) { return parseValue(text, token.role); },
             "operator or viewer" },
-        TokenKey { "author", [](const std::string& text, AdminToken& token) { return parseValue(text, token.author); },
-            "a name of 1 to 64 letters, digits, '.', '_' and '-'" },
+        ItemKey<AdminToken> { "author",
+            [](const std::string& text, AdminToken& token) { return parseValue(text, token.author); }, expectedName },
     };
 
-    void readTokenEntry(const std::string& path, const YAML::Node& keyNode, const YAML::Node& node, AdminToken& token,
-        std::set<std::string>& given, std::vector<SettingProblem>& problems)
-    {
-        const std::string key = keyNode.IsScalar() ? keyNode.Scalar() : std::string();
-        const std::string keyPath = path + "." + key;
-        const auto* row = std::find_if(
-            tokenKeys.begin(), tokenKeys.end(), [&](const TokenKey& candidate) { return candidate.key == key; });
-        if (row == tokenKeys.end()) {
-            problems.push_back({ keyPath, lineOf(keyNode), "a known key" });
-            return;
+    constexpr std::array seedKeys {
+        ItemKey<SeedAgent> { "endpoint",
+            [](const std::string& text, SeedAgent& seed) { return parseValue(text, seed.endpoint); }, expectedName },
+        ItemKey<SeedAgent> { "agent",
+            [](const std::string& text, SeedAgent& seed) { return parseValue(text, seed.agent); },
+            "an IP number and port such as 127.0.0.1:7001 or [::1]:7001" },
+    };
+
+    /** Reads the items of a list by the table of their keys. */
+    template <typename Item, std::size_t Count> class ListReader {
+    public:
+        ListReader(const std::array<ItemKey<Item>, Count>& keys, std::vector<SettingProblem>& problems)
+            : keys(keys)
+            , problems(problems)
+        {
         }
-        if (!given.insert(key).second)
-            problems.push_back({ keyPath, lineOf(keyNode), "each key once" });
-        if (!node.IsScalar() || !row->read(node.Scalar(), token))
-            problems.push_back({ keyPath, lineOf(node), std::string(row->expected) });
-    }
 
-    AdminToken readToken(const std::string& path, const YAML::Node& node, std::vector<SettingProblem>& problems)
-    {
-        AdminToken token;
-        if (!node.IsMap()) {
-            problems.push_back({ path, lineOf(node), "{sha256, role, author}" });
-            return token;
+        void read(const std::string& path, const YAML::Node& node, std::vector<Item>& items) const
+        {
+            items.clear();
+            if (!node.IsSequence()) {
+                this->problems.push_back({ path, lineOf(node), expectedValue(items) });
+                return;
+            }
+            for (std::size_t index = 0; index < node.size(); ++index)
+                items.push_back(this->readItem(path + "[" + std::to_string(index) + "]", node[index]));
         }
-        std::set<std::string> given;
-        for (const auto& entry : node)
-            readTokenEntry(path, entry.first, entry.second, token, given, problems);
-        for (const TokenKey& row : tokenKeys) {
-            const std::string key(row.key);
-            if (!given.contains(key))
-                problems.push_back({ path + "." + key, lineOf(node), "this key, which is required" });
+
+    private:
+        Item readItem(const std::string& path, const YAML::Node& node) const
+        {
+            Item item;
+            if (!node.IsMap()) {
+                this->problems.push_back({ path, lineOf(node), this->describeKeys() });
+                return item;
+            }
+            std::set<std::string> given;
+            for (const auto& entry : node)
+                this->readKey(path, entry.first, entry.second, item, given);
+            for (const auto& row : this->keys) {
+                const std::string key(row.key);
+                if (!given.contains(key))
+                    this->problems.push_back({ path + "." + key, lineOf(node), "this key, which is required" });
+            }
+            return item;
         }
-        return token;
-    }
+
+        void readKey(const std::string& path, const YAML::Node& keyNode, const YAML::Node& node, Item& item,
+            std::set<std::string>& given) const
+        {
+            const std::string key = keyNode.IsScalar() ? keyNode.Scalar() : std::string();
+            const std::string keyPath = path + "." + key;
+            const auto* row = std::find_if(
+                this->keys.begin(), this->keys.end(), [&](const auto& candidate) { return candidate.key == key; });
+            if (row == this->keys.end()) {
+                this->problems.push_back({ keyPath, lineOf(keyNode), "a known key" });
+                return;
+            }
+            if (!given.insert(key).second)
+                this->problems.push_back({ keyPath, lineOf(keyNode), "each key once" });
+            if (!node.IsScalar() || !row->read(node.Scalar(), item))
+                this->problems.push_back({ keyPath, lineOf(node), std::string(row->expected) });
+        }
+
+        std::string describeKeys() const
+        {
+            std::string text;
+            for (const auto& row : this->keys)
+                text += (text.empty() ? "{" : ", ") + std::string(row.key);
+            return text + "}";
+        }
+
+        const std::array<ItemKey<Item>, Count>& keys;
+        std::vector<SettingProblem>& problems;
+    };
 
 }
 
@@ -71,20 +117,19 @@
     return line < 0 ? 0 : static_cast<std::uint32_t>(line) + 1;
 }
 
-std::vector<AdminToken> readTokens(
-    const std::string& path, const YAML::Node& node, std::vector<SettingProblem>& problems)
+void readList(const std::string& path, const YAML::Node& node, std::vector<AdminToken>& tokens,
+    std::vector<SettingProblem>& problems)
 {
-    std::vector<AdminToken> tokens;
-    if (!node.IsSequence()) {
-        problems.push_back({ path, lineOf(node), expectedValue(tokens) });
-        return tokens;
-    }
-    for (std::size_t index = 0; index < node.size(); ++index)
-        tokens.push_back(readToken(path + "[" + std::to_string(index) + "]", node[index], problems));
-    return tokens;
+    ListReader(tokenKeys, problems).read(path, node, tokens);
 }
 
-void writeTokens(YAML::Emitter& out, const std::vector<AdminToken>& tokens)
+void readList(const std::string& path, const YAML::Node& node, std::vector<SeedAgent>& agents,
+    std::vector<SettingProblem>& problems)
+{
+    ListReader(seedKeys, problems).read(path, node, agents);
+}
+
+void writeList(YAML::Emitter& out, const std::vector<AdminToken>& tokens)
 {
     out << YAML::BeginSeq;
     for (const AdminToken& token : tokens) {
@@ -97,6 +142,18 @@
     out << YAML::EndSeq;
 }
 
+void writeList(YAML::Emitter& out, const std::vector<SeedAgent>& agents)
+{
+    out << YAML::BeginSeq;
+    for (const SeedAgent& seed : agents) {
+        out << YAML::Flow << YAML::BeginMap;
+        out << YAML::Key << "endpoint" << YAML::Value << YAML::DoubleQuoted << seed.endpoint.get();
+        out << YAML::Key << "agent" << YAML::Value << YAML::DoubleQuoted << printValue(seed.agent);
+        out << YAML::EndMap;
+    }
+    out << YAML::EndSeq;
+}
+
 std::variant<YAML::Node, SettingProblem> parseDocument(const std::string& text)
 {
     const SettingProblem notMapping { "", 1, "a mapping of keys to values" };
--- a/src/adapters/settings/SettingTable.h
+++ b/src/adapters/settings/SettingTable.h
@@ -20,7 +20,8 @@
 template <typename Settings> struct Setting {
     using Member = std::variant<EntryId Settings::*, EndpointId Settings::*, ZoneId Settings::*,
         std::string Settings::*, Address Settings::*, std::optional<Address> Settings::*, Milliseconds Settings::*,
-        std::uint32_t Settings::*, bool Settings::*, std::vector<AdminToken> Settings::*>;
+        std::uint32_t Settings::*, bool Settings::*, std::vector<AdminToken> Settings::*,
+        std::vector<SeedAgent> Settings::*>;
 
     std::string_view key;
     Member member;
@@ -38,12 +39,15 @@
 /** @return the line of a node, from 1; zero when it has none. */
 std::uint32_t lineOf(const YAML::Node& node);
 
-/** Reads a list of administration tokens; adds every fault to the problems. */
-std::vector<AdminToken> readTokens(
-    const std::string& path, const YAML::Node& node, std::vector<SettingProblem>& problems);
+/** Reads a list of mappings; adds every fault to the problems. */
+void readList(const std::string& path, const YAML::Node& node, std::vector<AdminToken>& tokens,
+    std::vector<SettingProblem>& problems);
+void readList(const std::string& path, const YAML::Node& node, std::vector<SeedAgent>& agents,
+    std::vector<SettingProblem>& problems);
 
-/** Writes a list of administration tokens. */
-void writeTokens(YAML::Emitter& out, const std::vector<AdminToken>& tokens);
+/** Writes a list of mappings. */
+void writeList(YAML::Emitter& out, const std::vector<AdminToken>& tokens);
+void writeList(YAML::Emitter& out, const std::vector<SeedAgent>& agents);
 
 /** Parses text. @return the document, or the one problem that it is not a YAML mapping. */
 std::variant<YAML::Node, SettingProblem> parseDocument(const std::string& text);
@@ -55,10 +59,11 @@
         problems.push_back({ path, lineOf(node), expectedValue(value) });
 }
 
-inline void readNode(const std::string& path, const YAML::Node& node, std::vector<AdminToken>& value,
-    std::vector<SettingProblem>& problems)
+template <typename Item>
+void readNode(
+    const std::string& path, const YAML::Node& node, std::vector<Item>& value, std::vector<SettingProblem>& problems)
 {
-    value = readTokens(path, node, problems);
+    readList(path, node, value, problems);
 }
 
 template <typename Value>
@@ -68,19 +73,20 @@
         problems.push_back({ change.key, 0, expectedValue(value) });
 }
 
-inline void readText(const SettingOverride& change, std::vector<AdminToken>&, std::vector<SettingProblem>& problems)
+template <typename Item>
+void readText(const SettingOverride& change, std::vector<Item>&, std::vector<SettingProblem>& problems)
 {
     problems.push_back({ change.key, 0, "this key in the settings file only" });
 }
 
 template <typename Value> void writeValue(YAML::Emitter& out, const Value& value) { out << printValue(value); }
 
-inline void writeValue(YAML::Emitter& out, const std::vector<AdminToken>& value) { writeTokens(out, value); }
+template <typename Item> void writeValue(YAML::Emitter& out, const std::vector<Item>& value) { writeList(out, value); }
 
 template <typename Value> bool isPresent(const Value&) { return true; }
 template <typename Value> bool isPresent(const std::optional<Value>& value) { return value.has_value(); }
 inline bool isPresent(const std::string& value) { return !value.empty(); }
-inline bool isPresent(const std::vector<AdminToken>& value) { return !value.empty(); }
+template <typename Item> bool isPresent(const std::vector<Item>& value) { return !value.empty(); }
 
 /** Loads, prints and describes one kind of settings by a table of its keys. */
 template <typename Settings, std::size_t Count> class SettingTable {
@@ -187,7 +193,7 @@
         return isPresent(value) ? "; default " + printValue(value) : std::string();
     }
 
-    static std::string defaultOf(const std::vector<AdminToken>&) { return {}; }
+    template <typename Item> static std::string defaultOf(const std::vector<Item>&) { return {}; }
 
     const std::array<Setting<Settings>, Count>& rows;
 };
--- a/src/adapters/settings/SettingValue.cpp
+++ b/src/adapters/settings/SettingValue.cpp
@@ -133,6 +133,8 @@
 
 std::string expectedValue(const std::vector<AdminToken>&) { return "a list of {sha256, role, author}"; }
 
+std::string expectedValue(const std::vector<SeedAgent>&) { return "a list of {endpoint, agent}"; }
+
 std::string printValue(const std::string& value) { return value; }
 
 std::string printValue(const Address& value)
--- a/src/adapters/settings/SettingValue.h
+++ b/src/adapters/settings/SettingValue.h
@@ -25,6 +25,7 @@
 std::string expectedValue(const bool& value);
 std::string expectedValue(const AdminRole& value);
 std::string expectedValue(const std::vector<AdminToken>& value);
+std::string expectedValue(const std::vector<SeedAgent>& value);
 
 std::string printValue(const std::string& value);
 std::string printValue(const Address& value);
--- a/src/core/entry/EndpointTable.cpp
+++ b/src/core/entry/EndpointTable.cpp
@@ -18,6 +18,16 @@
     return found == this->views.end() ? nullptr : &found->second;
 }
 
+void EndpointTable::seed(const std::vector<SeedAgent>& agents)
+{
+    for (const SeedAgent& seed : agents) {
+        EndpointState& view = this->views[seed.endpoint];
+        view.endpoint.id = seed.endpoint;
+        view.endpoint.agent = seed.agent;
+        view.chosen = true;
+    }
+}
+
 void EndpointTable::update(const Fleet& fleet, const EntryId& self, std::size_t linksPerService)
 {
     for (auto& [id, view] : this->views) {
--- a/src/core/entry/EndpointTable.h
+++ b/src/core/entry/EndpointTable.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "ports/Fleet.h"
-#include "ports/LinkMessages.h"
+#include "ports/EntryPorts.h"
 
 #include <map>
 #include <optional>
@@ -46,6 +45,8 @@
     const EndpointState* find(const EndpointId& endpoint) const;
     std::map<EndpointId, EndpointState>& all() { return this->views; }
 
+    /** Makes agents known before there is a configuration; the first one decides which of them stay. */
+    void seed(const std::vector<SeedAgent>& agents);
     /** Takes over the endpoints of a newer configuration; those withdrawn stay known until their links close. */
     void update(const Fleet& fleet, const EntryId& self, std::size_t linksPerService);
     /** @return ids of the endpoints of a service in this entry's subset. */
--- a/src/core/entry/Router.cpp
+++ b/src/core/entry/Router.cpp
@@ -261,11 +261,18 @@
     return *this;
 }
 
+RouterBuilder& RouterBuilder::withSeedAgents(std::vector<SeedAgent> agents)
+{
+    this->seeds = std::move(agents);
+    return *this;
+}
+
 std::unique_ptr<Router> RouterBuilder::build()
 {
     internalCheck(this->randomness != nullptr, "a router has a source of randomness");
-    return std::make_unique<Router>(
-        std::make_unique<RouterState>(this->self, this->zone, *this->randomness, this->limits));
+    auto state = std::make_unique<RouterState>(this->self, this->zone, *this->randomness, this->limits);
+    state->endpoints.seed(this->seeds);
+    return std::make_unique<Router>(std::move(state));
 }
 
 }
--- a/src/core/entry/Router.h
+++ b/src/core/entry/Router.h
@@ -80,6 +80,8 @@
     RouterBuilder& withZone(ZoneId zone);
     RouterBuilder& withRandomness(Randomness& randomness);
     RouterBuilder& withLimits(RouterLimits limits);
+    /** @param agents linked to until a configuration is known. */
+    RouterBuilder& withSeedAgents(std::vector<SeedAgent> agents);
     /** @return the router; a source of randomness must have been given. */
     std::unique_ptr<Router> build();
 
@@ -88,6 +90,7 @@
     ZoneId zone;
     Randomness* randomness { nullptr };
     RouterLimits limits;
+    std::vector<SeedAgent> seeds;
 };
 
 }
--- a/src/ports/EntryPorts.h
+++ b/src/ports/EntryPorts.h
@@ -49,6 +49,13 @@
 using RouterEvent = std::variant<CompletionRequest, StreamResumeRequest, ServiceCallRequest, CallerGone, CallerConsumed,
     LinkUp, LinkDown, FromAgent, FleetChanged, OrdersChanged, InstancesListed, StopRequested, Tick>;
 
+/** An agent that an entry may ask for the configuration before it knows one. */
+struct SeedAgent {
+    EndpointId endpoint;
+    Address agent;
+    bool operator==(const SeedAgent&) const = default;
+};
+
 // Actions of the entry's router duty.
 
 /** Sends a message on the link to an endpoint; dropped when the link is down, which the LinkDown event tells. */
--- a/test/correctness/SettingsPrintAndLoad.cpp
+++ b/test/correctness/SettingsPrintAndLoad.cpp
@@ -16,6 +16,7 @@
     settings.platform = { "127.0.0.1", 7003 };
     settings.heartbeat = Milliseconds(250);
     settings.adminTokens = { { std::string(64, 'a'), AdminRole::Operator, "true" } };
+    settings.seedAgents = { { EndpointId("drafter-1"), { "127.0.0.1", 7101 } }, { EndpointId("7"), { "::1", 7102 } } };
     const auto loaded = loadEntrySettings(printEntrySettings(settings), {});
     REQUIRE(std::holds_alternative<EntrySettings>(loaded));
     CHECK(std::get<EntrySettings>(loaded) == settings);
