--- a/src/core/entry/Dispatcher.cpp
+++ b/src/core/entry/Dispatcher.cpp
@@ -73,7 +73,7 @@
     }
     request.waiting = true;
     request.retryOwed = true;
-    request.restartOwed = request.restartOwed || shown;
+    request.restarted = request.restarted || shown;
     this->tryOne(request, now);
 }
 
@@ -88,10 +88,9 @@
     if (request.retryOwed && !this->mayRetry(request, now))
         return;
     request.retryOwed = false;
-    if (!this->dispatch(request, now) || !request.restartOwed)
-        return;
-    request.restartOwed = false;
-    this->state.toCaller(request.request, CallerRestart { { request.endpoint, request.generation } });
+    // Where no other endpoint takes it, the one that lost it may run it again.
+    if (!this->dispatch(request, now))
+        request.avoided.clear();
 }
 
 void Dispatcher::fail(LiveRequest& request, Failure failure, Instant now)
@@ -145,6 +144,8 @@
     if (!endpoint)
         return false;
     this->submit(request, *endpoint, now);
+    if (request.restarted)
+        this->state.toCaller(request.request, CallerRestart { { request.endpoint, request.generation } });
     return true;
 }
 
--- a/src/core/entry/RequestTable.h
+++ b/src/core/entry/RequestTable.h
@@ -31,8 +31,8 @@
     bool waiting { false };
     /** True when the next attempt must still be taken from the retry budget. */
     bool retryOwed { false };
-    /** True when the caller must be told of a restart once a new attempt begins. */
-    bool restartOwed { false };
+    /** True once tokens shown to the caller are void; it is told of each further attempt. */
+    bool restarted { false };
 
     // The present attempt.
     GenerationId generation;
--- a/test/golden/GoldenSessions.cpp
+++ b/test/golden/GoldenSessions.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-constexpr std::uint64_t seed = 1;
-
 /** The folder of the tests' files; the runner sets it. */
 std::string testFolder()
 {
@@ -45,7 +43,7 @@
 void checkStory(const std::filesystem::path& path)
 {
     const Story story = readStory(readFile(path));
-    const Transcript transcript = play(story, seed);
+    const Transcript transcript = play(story);
     for (const auto& breach : findBreaches(transcript))
         FAIL_CHECK(breach.promise << "\n" << breach.line);
     for (const auto& fault : unmet(story, transcript))
--- a/test/support/FakeEngine.cpp
+++ b/test/support/FakeEngine.cpp
@@ -134,7 +134,7 @@
 {
     this->tell("dies", GenerationId());
     this->loseGenerations();
-    this->start();
+    this->beginLife();
 }
 
 void FakeEngine::loseGenerations()
@@ -146,6 +146,13 @@
 }
 
 void FakeEngine::start()
+{
+    if (this->living)
+        return;
+    this->beginLife();
+}
+
+void FakeEngine::beginLife()
 {
     ++this->life;
     this->living = true;
--- a/test/support/FakeEngine.h
+++ b/test/support/FakeEngine.h
@@ -26,6 +26,7 @@
 
     void submit(const EngineCommand& command);
     void die();
+    /** Starts a dead engine. */
     void start();
     /** Dies and is back at once, before anybody finds it unreachable. */
     void restart();
@@ -67,6 +68,7 @@
     bool overloaded() const;
     Milliseconds pace() const { return this->slow && this->cold() ? coldTokenTime : tokenTime; }
     void loseGenerations();
+    void beginLife();
     void begin(const EngineStart& start);
     void attach(const EngineResume& resume);
     void step(GenerationId id, std::uint64_t life);
--- a/test/support/Invariants.cpp
+++ b/test/support/Invariants.cpp
@@ -28,7 +28,7 @@
             if (line.what == "asks")
                 this->streams[line.from] = {};
             if (line.what == "resumes" && line.to.size() == 1)
-                this->streams[line.from] = this->streams[line.field("stream")];
+                this->resume(line);
             const auto found = this->streams.find(line.to);
             if (found == this->streams.end())
                 return true;
@@ -36,6 +36,13 @@
         }
 
     private:
+        /** A resumed stream goes on where its caller stopped; its end may be told again. */
+        void resume(const Line& line)
+        {
+            this->streams[line.from] = this->streams[line.field("stream")];
+            this->streams[line.from].ended = false;
+        }
+
         struct Stream {
             std::string generation;
             unsigned long next { 0 };
@@ -265,14 +272,19 @@
         void follow(const Line& line)
         {
             static const std::set<std::string> ends { "finished", "completion", "answer", "failure" };
-            if (line.what == "asks" || line.what == "calls" || line.what == "resumes")
+            if (line.what == "start")
+                this->living.insert(line.to);
+            const bool asking = line.what == "asks" || line.what == "calls" || line.what == "resumes";
+            if (asking && this->living.contains(line.to))
                 this->requests[line.from] = line.to;
             if (line.what == "leaves")
                 this->requests.erase(line.from);
             if (ends.contains(line.what))
                 this->requests.erase(line.to);
-            if (line.what == "kill")
+            if (line.what == "kill") {
+                this->living.erase(line.to);
                 std::erase_if(this->requests, [&](const auto& row) { return row.second == line.to; });
+            }
             this->followEngine(line);
         }
 
@@ -303,6 +315,7 @@
             return false;
         }
 
+        std::set<std::string> living;
         std::map<std::string, std::string> requests;
         std::map<std::string, std::pair<std::string, Milliseconds>> runs;
     };
--- a/test/support/Story.cpp
+++ b/test/support/Story.cpp
@@ -302,6 +302,8 @@
             continue;
         if (words[0] == "start")
             story.steps.push_back({ Milliseconds(0), words });
+        else if (words[0] == "seed")
+            story.seed = std::stoull(words.at(1));
         else if (words[0] == "shown-from")
             story.shownFrom = readTime(words.at(1));
         else if (words[0] == "end")
@@ -317,7 +319,7 @@
 
 std::string storyText(const Story& story)
 {
-    std::string text;
+    std::string text = "seed " + std::to_string(story.seed) + "\n";
     for (const auto& step : story.steps) {
         if (step.words[0] != "start" || step.at != Milliseconds(0))
             text += std::to_string(step.at.count()) + "ms ";
@@ -329,9 +331,9 @@
     return text;
 }
 
-Transcript play(const Story& story, std::uint64_t seed, const Tampering& tampering)
+Transcript play(const Story& story, const Tampering& tampering)
 {
-    Player player(seed);
+    Player player(story.seed);
     player.session.setTampering(tampering);
     for (const auto& step : story.steps) {
         player.session.runUntil(step.at);
--- a/test/support/Story.h
+++ b/test/support/Story.h
@@ -17,6 +17,7 @@
  * A session as text: processes, steps with their times, and what is expected at the end.
  *
  *     # What the story is about.
+ *     seed 7
  *     start x y e1 e2
  *     1000ms c1 asks x "len=8" stream
  *     1050ms silence x e1
@@ -27,6 +28,7 @@
  */
 struct Story {
     std::vector<Step> steps;
+    std::uint64_t seed { 1 };
     /** The golden file begins here; what comes before is only checked. */
     Milliseconds shownFrom { 0 };
     Milliseconds end { 0 };
@@ -36,8 +38,8 @@
 /** @return the story; a line it cannot read stops the test with a message. */
 Story readStory(const std::string& text);
 
-/** Plays a story, with messages changed on their way if wanted. @return what happened. */
-Transcript play(const Story& story, std::uint64_t seed, const Tampering& tampering = {});
+/** Plays a story with its seed, with messages changed on their way if wanted. @return what happened. */
+Transcript play(const Story& story, const Tampering& tampering = {});
 
 /** @return the story in the text format, to be kept and played again. */
 std::string storyText(const Story& story);
