Notice a collapsed pace of a small batch sooner

Change: five slow gaps in a row that took 1.5 s together count as a collapse too. Conclusion: an idle engine that turns cold shows it only once it works.

--- a/src/core/agent/PaceModel.cpp
+++ b/src/core/agent/PaceModel.cpp
@@ -14,6 +14,9 @@
     /** A gap so many times the expected one counts as slow. */
     constexpr double collapseFactor = 5;
     constexpr std::uint32_t collapseRun = 48;
+    /** A small batch gives few gaps: after fewer slow ones that took this long together the pace has collapsed too. */
+    constexpr std::uint32_t shortCollapseRun = 5;
+    constexpr double shortCollapseMicros = 1.5e6;
     /** An engine that misses the target alone is held at this multiple of its best. */
     constexpr double slowEngineFactor = 1.5;
     /** Batch sizes up to this one are tried without knowledge. */
@@ -31,10 +34,12 @@
     const auto known = static_cast<double>(this->expected(batch).count());
     const bool slow = this->weight >= leastWeight && known > 0 && micros > collapseFactor * known;
     this->slowInRow = slow ? this->slowInRow + 1 : 0;
+    // The gaps of a batch pass at the same time.
+    this->slowMicros = slow ? this->slowMicros + micros / std::max(1.0, size) : 0;
     this->recentGap
         = this->recentGap == 0 ? micros : recentRetention * this->recentGap + (1 - recentRetention) * micros;
     if (slow)
-        return this->slowInRow >= collapseRun;
+        return this->hasCollapsed();
     this->weight = retention * this->weight + 1;
     this->sumBatch = retention * this->sumBatch + size;
     this->sumGap = retention * this->sumGap + micros;
@@ -44,6 +49,12 @@
     return false;
 }
 
+bool PaceModel::hasCollapsed() const
+{
+    const bool slowForLong = this->slowInRow >= shortCollapseRun && this->slowMicros >= shortCollapseMicros;
+    return this->slowInRow >= collapseRun || slowForLong;
+}
+
 double PaceModel::slope() const
 {
     const double spread = this->weight * this->sumBatchSquared - this->sumBatch * this->sumBatch;
--- a/src/core/agent/PaceModel.h
+++ b/src/core/agent/PaceModel.h
@@ -34,6 +34,7 @@
 private:
     double slope() const;
     double base() const;
+    bool hasCollapsed() const;
 
     double weight { 0 };
     double sumBatch { 0 };
@@ -44,6 +45,8 @@
     double recentGap { 0 };
     double largestBatch { 0 };
     std::uint32_t slowInRow { 0 };
+    /** Time that the slow gaps in a row took. */
+    double slowMicros { 0 };
 };
 
 }
