--- a/test/golden/GoldenSessions.cpp
+++ b/test/golden/GoldenSessions.cpp
@@ -1,3 +1,4 @@
+#include "support/GoldenFiles.h"
 #include "support/Invariants.h"
 #include "support/Story.h"
 
@@ -7,32 +8,16 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 
 using namespace teaselfold;
 using namespace teaselfold::testing;
 
 namespace {
 
-/** The folder of the tests' files; the runner sets it. */
-std::string testFolder()
-{
-    const char* folder = std::getenv("TEASELFOLD_TEST_DIR");
-    return folder ? folder : "test";
-}
-
-std::string readFile(const std::filesystem::path& path)
-{
-    std::ifstream file(path);
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 std::vector<std::filesystem::path> stories()
 {
     std::vector<std::filesystem::path> found;
-    for (const auto& entry : std::filesystem::directory_iterator(testFolder() + "/golden/sessions")) {
+    for (const auto& entry : std::filesystem::directory_iterator(goldenFolder())) {
         if (entry.path().extension() == ".story")
             found.push_back(entry.path());
     }
--- a/test/support/Invariants.cpp
+++ b/test/support/Invariants.cpp
@@ -3,7 +3,6 @@
 #include <cstdlib>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 
 namespace teaselfold::testing {
@@ -61,30 +60,29 @@
                 return whole;
             }
             if (line.what == "completion")
-                return onlyOneMark(line.field("text"), std::stoul(line.field("count")));
+                return isRun(line.field("text"), 0, std::stoul(line.field("count")));
             if (line.what != "tokens")
                 return true;
             if (stream.generation.empty())
                 stream.generation = line.field("gen");
-            const bool next = std::stoul(line.field("first")) == stream.next && !stream.ended;
+            const unsigned long first = std::stoul(line.field("first"));
+            const bool next = first == stream.next && !stream.ended;
             stream.next += std::stoul(line.field("count"));
             return next && stream.generation == line.field("gen")
-                && onlyOneMark(line.field("text"), std::stoul(line.field("count")));
+                && isRun(line.field("text"), first, std::stoul(line.field("count")));
         }
 
-        /** Each token reads `[<mark>.<index>]`; all marks are equal and indexes rise by one. */
-        static bool onlyOneMark(const std::string& text, unsigned long expected)
+        /** Each token reads `[<mark>.<index>]`; all marks are equal and indexes rise by one from the first. */
+        static bool isRun(const std::string& text, unsigned long first, unsigned long expected)
         {
             std::set<std::string> marks;
-            std::optional<unsigned long> last;
             unsigned long count = 0;
             for (std::size_t at = text.find('['); at != std::string::npos; at = text.find('[', at + 1)) {
                 const auto dot = text.find('.', at);
                 marks.insert(text.substr(at + 1, dot - at - 1));
                 const unsigned long index = std::stoul(text.substr(dot + 1));
-                if (last && index != *last + 1)
+                if (index != first + count)
                     return false;
-                last = index;
                 ++count;
             }
             return marks.size() <= 1 && count == expected;
