Judge a collapsed pace by the time it lasts

Change: five slow gaps with none faster between them for 1.5 s count as a collapse. Golden and correctness tests pass.

--- a/src/core/agent/EngineProfile.cpp
+++ b/src/core/agent/EngineProfile.cpp
@@ -53,7 +53,7 @@
 bool EngineProfile::observeGap(std::uint32_t batch, std::uint32_t tokens, Duration gap, Instant now)
 {
     this->warmth.generated(tokens, now);
-    if (!this->paceModel.observe(batch, gap / std::max(1U, tokens)))
+    if (!this->paceModel.observe(batch, gap / std::max(1U, tokens), now))
         return false;
     this->turnCold();
     return true;
--- a/src/core/agent/PaceModel.cpp
+++ b/src/core/agent/PaceModel.cpp
@@ -14,9 +14,9 @@
     /** A gap so many times the expected one counts as slow. */
     constexpr double collapseFactor = 5;
     constexpr std::uint32_t collapseRun = 48;
-    /** A small batch gives few gaps: after fewer slow ones that took this long together the pace has collapsed too. */
+    /** A small batch gives few gaps: after fewer slow ones, with none between them for this long, it collapsed too. */
     constexpr std::uint32_t shortCollapseRun = 5;
-    constexpr double shortCollapseMicros = 1.5e6;
+    constexpr Milliseconds shortCollapseTime { 1500 };
     /** An engine that misses the target alone is held at this multiple of its best. */
     constexpr double slowEngineFactor = 1.5;
     /** Batch sizes up to this one are tried without knowledge. */
@@ -27,19 +27,21 @@
 
 }
 
-bool PaceModel::observe(std::uint32_t batch, Duration gap)
+bool PaceModel::observe(std::uint32_t batch, Duration gap, Instant now)
 {
     const double micros = std::chrono::duration<double, std::micro>(gap).count();
     const double size = batch;
     const auto known = static_cast<double>(this->expected(batch).count());
     const bool slow = this->weight >= leastWeight && known > 0 && micros > collapseFactor * known;
     this->slowInRow = slow ? this->slowInRow + 1 : 0;
-    // The gaps of a batch pass at the same time.
-    this->slowMicros = slow ? this->slowMicros + micros / std::max(1.0, size) : 0;
+    if (!slow)
+        this->slowSince.reset();
+    else if (!this->slowSince)
+        this->slowSince = now - gap;
     this->recentGap
         = this->recentGap == 0 ? micros : recentRetention * this->recentGap + (1 - recentRetention) * micros;
     if (slow)
-        return this->hasCollapsed();
+        return this->hasCollapsed(now);
     this->weight = retention * this->weight + 1;
     this->sumBatch = retention * this->sumBatch + size;
     this->sumGap = retention * this->sumGap + micros;
@@ -49,9 +51,9 @@
     return false;
 }
 
-bool PaceModel::hasCollapsed() const
+bool PaceModel::hasCollapsed(Instant now) const
 {
-    const bool slowForLong = this->slowInRow >= shortCollapseRun && this->slowMicros >= shortCollapseMicros;
+    const bool slowForLong = this->slowInRow >= shortCollapseRun && now - *this->slowSince >= shortCollapseTime;
     return this->slowInRow >= collapseRun || slowForLong;
 }
 
--- a/src/core/agent/PaceModel.h
+++ b/src/core/agent/PaceModel.h
@@ -3,6 +3,7 @@
 #include "ports/Time.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace teaselfold {
 
@@ -13,7 +14,7 @@
 class PaceModel {
 public:
     /** Learns one gap between tokens. @param batch generations that ran. @return true when the pace collapsed. */
-    bool observe(std::uint32_t batch, Duration gap);
+    bool observe(std::uint32_t batch, Duration gap, Instant now);
 
     /** @return the expected time between tokens at a batch size; zero while nothing is known. */
     Microseconds expected(std::uint32_t batch) const;
@@ -34,7 +35,7 @@
 private:
     double slope() const;
     double base() const;
-    bool hasCollapsed() const;
+    bool hasCollapsed(Instant now) const;
 
     double weight { 0 };
     double sumBatch { 0 };
@@ -45,8 +46,8 @@
     double recentGap { 0 };
     double largestBatch { 0 };
     std::uint32_t slowInRow { 0 };
-    /** Time that the slow gaps in a row took. */
-    double slowMicros { 0 };
+    /** Begin of the first of the slow gaps in a row. */
+    std::optional<Instant> slowSince;
 };
 
 }
--- a/test/golden/RandomFaults.cpp
+++ b/test/golden/RandomFaults.cpp
@@ -34,6 +34,8 @@
 constexpr unsigned mostFaults = 6;
 constexpr unsigned fewestRequests = 6;
 constexpr unsigned mostRequests = 20;
+constexpr unsigned warmRequests = 60;
+constexpr Milliseconds warmInterval { 250 };
 
 const Words entries { "x", "y" };
 const Words engines { "e1", "e2", "e3" };
@@ -51,6 +53,7 @@
     Story write()
     {
         this->add(Milliseconds(0), { "start", "x", "y", "e1", "e2", "e3", "s1", "s2" });
+        this->warmUp();
         this->drawRequests();
         this->drawFaults();
         this->healAll();
@@ -97,6 +100,8 @@
             const std::string number = std::to_string(i);
             if (this->oneIn(3))
                 this->drawCall(at, number);
+            else if (this->oneIn(6))
+                this->drawBurst(at, "b" + number);
             else
                 this->drawCompletion(at, "c" + number);
         }
@@ -118,6 +123,24 @@
             this->add(at + Milliseconds(this->below(1500)), { caller, "leaves" });
     }
 
+    /** Many requests of one team at once. */
+    void drawBurst(Milliseconds at, const std::string& callers)
+    {
+        this->add(at,
+            { callers, "asks", this->oneOf(entries), "len=" + std::to_string(1 + this->below(20)), "budget=20s",
+                "times=" + std::to_string(2 + this->below(12)), "team=musanze" });
+    }
+
+    /** Short requests that make the engines warm before the faults. */
+    void warmUp()
+    {
+        if (this->oneIn(2))
+            return;
+        for (unsigned i = 0; i < warmRequests; ++i)
+            this->add(firstRequest + warmInterval * i,
+                { "warm" + std::to_string(i), "asks", this->oneOf(entries), "len=3", "budget=20s" });
+    }
+
     void drawCall(Milliseconds at, const std::string& number)
     {
         const std::string path = this->oneIn(3) ? "/records" : "/orders";
