--- /dev/null
+++ b/test/process/malformed-input.sh
@@ -0,0 +1,63 @@
+#!/usr/bin/env bash
+# Malformed input on the callers', administration and link ports, a slow caller and one that leaves in mid-stream. After
+# each, and beside it, an innocent request is served.
+. "$(dirname "$0")/lib/Processes.sh"
+begin_session "$1"
+start_fleet
+
+innocents_are_served()
+{
+    require "$1: a completion beside it is served" complete "$ENTRY_1" "innocent" 3
+    require "$1: operators are served" has_status 200 "$ADMIN_1/admin/status"
+}
+
+# send_bytes <address> <printf format>: the connection is closed after.
+send_bytes()
+{
+    (exec 3<> "/dev/tcp/${1%:*}/${1#*:}" && printf "$2" >&3 && timeout 1 cat <&3) 2> /dev/null | head -c 200
+}
+
+for port in "$ENTRY_1" "$ADMIN_1" "$LINK_A" "$LINK_REGISTRY"; do
+    head -c 20000 /dev/urandom > "$FOLDER/garbage"
+    (exec 3<> "/dev/tcp/${port%:*}/${port#*:}" && cat "$FOLDER/garbage" >&3) 2> /dev/null
+    innocents_are_served "garbage at $port"
+    send_bytes "$port" '\x00\x00\x00' > /dev/null
+    innocents_are_served "a truncated header at $port"
+    send_bytes "$port" '\xff\xff\xff\xff0000' > /dev/null
+    innocents_are_served "an oversized frame at $port"
+    send_bytes "$port" '\x10\x00\x00\x00short' > /dev/null
+    innocents_are_served "a truncated frame at $port"
+done
+
+has_error() { case $(call "${@:2}") in *"\"run\":\"$1\""*) return 0 ;; *) return 1 ;; esac; }
+bodies=('{"model":' '[]' '' '{"model":7,"prompt":{}}' '{"model":"drafter","prompt":"x","max_tokens":-1}' '"'$'\x01''"')
+for body in "${bodies[@]}"; do
+    require "malformed JSON is refused: $body" has_status 400 -H 'Teaselfold-Team: huye' -d "$body" "$ENTRY_1/v1/completions"
+    require "as not run: $body" has_error no -H 'Teaselfold-Team: huye' -d "$body" "$ENTRY_1/v1/completions"
+done
+printf 'id: [\n  - {' > "$FOLDER/wrong.yaml"
+require "a malformed note is refused" has_status 400 --data-binary "@$FOLDER/wrong.yaml" "$ADMIN_1/admin/notes"
+require "a malformed order is refused" has_status 400 -d '{"author":' "$ADMIN_1/admin/zones/kgl-a/out"
+innocents_are_served "malformed JSON"
+
+# A caller that sends a byte a second.
+(exec 3<> "/dev/tcp/${ENTRY_1%:*}/${ENTRY_1#*:}" && for byte in P O S T ' ' /; do printf '%s' "$byte" >&3 && sleep 1; done) \
+    9>&- 2> /dev/null &
+PIDS[slow]=$!
+for number in 1 2 3; do
+    innocents_are_served "a slow caller, $number"
+done
+
+# A caller that leaves in mid-stream.
+until_true "engine a is idle" 10 is_idle "$ENGINE_A"
+until_true "engine b is idle" 10 is_idle "$ENGINE_B"
+open_stream "$ENTRY_1" "a very long draft" 4000 "$FOLDER/stream"
+until_true "the stream begins" 10 has_tokens 5 "$FOLDER/stream"
+kill_hard stream
+until_true "the engine's work is cancelled at a" 8 is_idle "$ENGINE_A"
+until_true "the engine's work is cancelled at b" 8 is_idle "$ENGINE_B"
+innocents_are_served "a caller that left"
+for name in entry-1 drafter-a registry-1; do
+    require "$name is alive" kill -0 "${PIDS[$name]}"
+done
+echo "ok: innocent requests were served all along"
