--- a/test/process/lib/Processes.sh
+++ b/test/process/lib/Processes.sh
@@ -181,6 +181,18 @@
     case $answer in *'"text":"'?*) return 0 ;; *) echo "$answer" && return 1 ;; esac
 }
 
+is_refusal() { case $1 in *'"run":"no"'*) return 0 ;; *) return 1 ;; esac; }
+
+# is_served <entry> <prompt> <tokens>: as a caller that tries again while it is refused as not run.
+is_served()
+{
+    local answer end=$((SECONDS + START_TIMEOUT_S))
+    until answer=$(complete "$@"); do
+        is_refusal "$answer" && [ "$SECONDS" -lt "$end" ] || { echo "$answer" && return 1; }
+        sleep 0.2
+    done
+}
+
 # open_stream <entry> <prompt> <tokens> <file>: begins a stream in the background.
 open_stream()
 {
@@ -189,6 +201,24 @@
     PIDS[stream]=$!
 }
 
+stream_ended() { ! kill -0 "${PIDS[stream]}" 2> /dev/null; }
+
+# begin_stream <entry> <prompt> <tokens> <file> <count>: opens a stream, again while it is refused as not run, and waits for
+# its first tokens.
+begin_stream()
+{
+    local end=$((SECONDS + START_TIMEOUT_S))
+    open_stream "$@"
+    until has_tokens "$5" "$4"; do
+        [ "$SECONDS" -lt "$end" ] || fail "the stream does not begin: $(cat "$4")"
+        if stream_ended && is_refusal "$(cat "$4")"; then
+            await_stream
+            open_stream "$@"
+        fi
+        sleep 0.05
+    done
+}
+
 # await_stream: waits for the end of the stream in the background.
 await_stream()
 {
