--- a/test/correctness/VersionsNeverFall.cpp
+++ b/test/correctness/VersionsNeverFall.cpp
@@ -57,8 +57,9 @@
     publishMany(script, 70);
     CHECK(platform.rows.at("snapshot").value == "64");
     // The notes up to the snapshot are gone, so that only the snapshot gives what they said.
-    std::erase_if(platform.rows,
-        [](const auto& row) { return row.first.starts_with("release/") && row.first < "release/00000000000000000065"; });
+    std::erase_if(platform.rows, [](const auto& row) {
+        return row.first.starts_with("release/") && row.first < "release/00000000000000000065";
+    });
     ControlScript fresh("entry-2", platform);
     CHECK_FALSE(fresh.keeper.isReady());
     fresh.pass(Seconds(1));
