Let an entry serve a thousand callers at once by default

Cause: each stream holds a thread, and the default of 64 threads made callers wait for a free one behind long answers. Change: caller_threads is 1,024 by default.

--- a/src/adapters/http/CallerContext.h
+++ b/src/adapters/http/CallerContext.h
@@ -14,7 +14,7 @@
 /** Limits of the callers' port. */
 struct CallerLimits {
     /** Callers served at once. */
-    std::uint32_t threads { 64 };
+    std::uint32_t threads { 1024 };
     /** Connections that may wait for a thread. */
     std::uint32_t queuedConnections { 256 };
     std::size_t maxBodyBytes { 1048576 };
--- a/src/adapters/settings/EntrySettings.h
+++ b/src/adapters/settings/EntrySettings.h
@@ -32,7 +32,7 @@
     ZoneId zone;
     std::string region;
     Address callers;
-    std::uint32_t callerThreads { 64 };
+    std::uint32_t callerThreads { 1024 };
     Address admin;
     Address platform;
     Milliseconds platformTimeout { 1000 };
--- a/src/emulator/load/LoadClient.cpp
+++ b/src/emulator/load/LoadClient.cpp
@@ -1,5 +1,6 @@
 #include "emulator/load/LoadClient.h"
 
+#include "emulator/host/LogLine.h"
 #include "emulator/host/StandinServer.h"
 #include "emulator/load/EventStream.h"
 
@@ -36,6 +37,15 @@
         return error ? error->optValue<std::string>("run", "unknown") : "unknown";
     }
 
+    void logBroken(const LoadJob& job, const Address& entry, const std::string& reason)
+    {
+        const Duration since = std::chrono::steady_clock::now() - job.due;
+        logLine(LogEvent { "connection_broken",
+            { { "request", std::to_string(job.request) }, { "entry", entry.host + ":" + std::to_string(entry.port) },
+                { "after_ms", std::to_string(std::chrono::duration_cast<Milliseconds>(since).count()) },
+                { "reason", reason } } });
+    }
+
     Instant clockNow() { return std::chrono::steady_clock::now(); }
 
 }
@@ -95,7 +105,8 @@
     } catch (const Poco::Net::ConnectionRefusedException&) {
         // Nothing was sent, so that another entry may be asked.
         return Step::TryElsewhere;
-    } catch (const Poco::Exception&) {
+    } catch (const Poco::Exception& exception) {
+        logBroken(job, entry, exception.displayText());
         return Step::Broken;
     }
 }
@@ -114,7 +125,8 @@
         Poco::Net::HTTPResponse response;
         std::istream& in = session.receiveResponse(response);
         return this->readAnswer(job, response, in);
-    } catch (const Poco::Exception&) {
+    } catch (const Poco::Exception& exception) {
+        logBroken(job, entry, exception.displayText());
         return Step::Broken;
     }
 }
