--- a/apps/teaselfold-agent/AgentProcess.cpp
+++ b/apps/teaselfold-agent/AgentProcess.cpp
@@ -68,6 +68,7 @@
     this->links = links.build();
     const ProbeSources probes { [this] { return this->duty.isReady(); },
         [this] { return this->telemetry->renderPrometheus(); } };
+    this->telemetry->addGauges(this->traffic);
     this->admin = std::make_unique<AgentAdminServer>(given.admin, probes);
 }
 
--- a/apps/teaselfold-agent/AgentProcess.h
+++ b/apps/teaselfold-agent/AgentProcess.h
@@ -5,6 +5,7 @@
 #include "adapters/fleet/JsonDocumentCodec.h"
 #include "adapters/link/AgentLinkServer.h"
 #include "adapters/metrics/TelemetryHub.h"
+#include "adapters/metrics/TrafficGauges.h"
 #include "adapters/platform/PlatformClient.h"
 #include "adapters/settings/AgentSettings.h"
 #include "ports/Randomness.h"
@@ -52,6 +53,7 @@
     std::unique_ptr<EngineClient> engine;
     std::unique_ptr<PlainServiceClient> service;
     std::unique_ptr<AgentLinkServer> links;
+    TrafficGauges traffic { [this] { return this->links->traffic(); } };
     std::unique_ptr<AgentAdminServer> admin;
     std::promise<void> drained;
 };
--- a/apps/teaselfold-entry/Main.cpp
+++ b/apps/teaselfold-entry/Main.cpp
@@ -4,6 +4,7 @@
 #include "adapters/link/EntryLinkClient.h"
 #include "adapters/logging/GlogLog.h"
 #include "adapters/metrics/TelemetryHub.h"
+#include "adapters/metrics/TrafficGauges.h"
 #include "adapters/platform/PlatformClient.h"
 #include "adapters/settings/CommandLine.h"
 #include "core/control/ConfigurationKeeper.h"
@@ -109,6 +110,7 @@
     CallerRegistry registry;
     TeamDirectory teams;
     std::unique_ptr<EntryLinkClient> links;
+    TrafficGauges traffic { [this] { return this->links->traffic(); } };
     std::unique_ptr<PlatformClient> platform;
     AdminServer admin;
     std::unique_ptr<CallerServer> callers;
@@ -128,6 +130,7 @@
                       .withCodec(this->codec)
                       .withTelemetry(*this->telemetry)
                       .build();
+    this->telemetry->addGauges(this->traffic);
     this->platform = PlatformClientBuilder()
                          .withAddress(settings.platform)
                          .withTimeout(settings.platformTimeout)
--- a/apps/teaselfoldctl/Commands.cpp
+++ b/apps/teaselfoldctl/Commands.cpp
@@ -43,6 +43,13 @@
         return text;
     }
 
+    std::string encodePart(const std::string& text)
+    {
+        std::string encoded;
+        Poco::URI::encode(text, "/?#&+", encoded);
+        return encoded;
+    }
+
     /** Waits for a time without using the processor. */
     void pauseFor(Milliseconds time) { Poco::Event().tryWait(static_cast<long>(time.count())); }
 
@@ -71,6 +78,9 @@
         Row { "wait", 1, &Commands::wait },
         Row { "out", 2, &Commands::order },
         Row { "in", 2, &Commands::order },
+        Row { "quarantine", 0, &Commands::quarantine },
+        Row { "release", 1, &Commands::release },
+        Row { "acts", 0, &Commands::acts },
         Row { "status", 0, &Commands::status },
         Row { "top", 0, &Commands::top },
     };
@@ -85,6 +95,9 @@
 
 ExitCode Commands::finish(const std::optional<Reply>& reply) const
 {
+    if (!reply && this->options.json)
+        std::cout << R"({"error":{"code":"unavailable","message":"no entry answered","run":"unknown"}})"
+                  << "\n";
     if (!reply)
         std::cerr << "no entry answered; the outcome is unknown\n";
     else if (this->options.json)
@@ -239,21 +252,72 @@
         return usage("an order applies to a zone or an endpoint");
     if (this->options.author.empty() || this->options.reason.empty())
         return usage("an order needs --author and --reason");
-    std::string encoded;
-    Poco::URI::encode(id, "/?#", encoded);
+    const std::string path = "/admin/" + kind + "s/" + encodePart(id) + "/" + this->options.command;
+    const std::optional<Reply> reply = this->client.send({ "POST", path, this->explanation() });
+    if (reply && reply->isOk() && !reply->json.isNull() && !this->options.json)
+        std::cout << kind << " " << id << " " << this->options.command << ": "
+                  << reply->json->optValue<std::string>("state", "") << "\n";
+    return this->finish(reply);
+}
+
+std::string Commands::explanation() const
+{
     Poco::JSON::Object body;
     body.set("author", this->options.author);
     body.set("reason", this->options.reason);
     std::ostringstream text;
     body.stringify(text);
-    const std::string path = "/admin/" + kind + "s/" + encoded + "/" + this->options.command;
-    const std::optional<Reply> reply = this->client.send({ "POST", path, text.str() });
+    return text.str();
+}
+
+ExitCode Commands::quarantine()
+{
+    const std::optional<Reply> reply = this->client.send({ "GET", "/admin/quarantine", "" });
     if (reply && reply->isOk() && !reply->json.isNull() && !this->options.json)
-        std::cout << kind << " " << id << " " << this->options.command << ": "
-                  << reply->json->optValue<std::string>("state", "") << "\n";
+        printSuspects(*reply->json, std::cout);
     return this->finish(reply);
 }
 
+ExitCode Commands::release()
+{
+    if (this->options.author.empty() || this->options.reason.empty())
+        return usage("a release needs --author and --reason");
+    const std::string& fingerprint = this->options.arguments[0];
+    const std::string path = "/admin/quarantine/" + encodePart(fingerprint);
+    const std::optional<Reply> reply = this->client.send({ "DELETE", path, this->explanation() });
+    if (reply && reply->isOk() && !this->options.json)
+        std::cout << "request " << fingerprint << " may run again\n";
+    return this->finish(reply);
+}
+
+ExitCode Commands::acts()
+{
+    Poco::JSON::Array::Ptr acts(new Poco::JSON::Array);
+    std::string after;
+    bool complete = true;
+    do {
+        const std::optional<Reply> reply = this->client.send({ "GET", "/admin/acts?after=" + encodePart(after), "" });
+        if (!reply || !reply->isOk() || reply->json.isNull())
+            return this->finish(reply);
+        for (const auto& item : *reply->json->getArray("acts"))
+            acts->add(item);
+        complete = complete && reply->json->optValue("complete", true);
+        after = reply->json->optValue<std::string>("next", "");
+    } while (!after.empty());
+    if (this->options.json) {
+        Poco::JSON::Object json;
+        json.set("acts", acts);
+        json.set("complete", complete);
+        json.stringify(std::cout);
+        std::cout << "\n";
+    } else {
+        printActs(*acts, std::cout);
+    }
+    if (!complete)
+        std::cerr << "the platform's table does not answer; only acts that it has not recorded are listed\n";
+    return complete ? ExitCode::Done : ExitCode::Unavailable;
+}
+
 ExitCode Commands::status()
 {
     const std::optional<Reply> reply = this->client.send({ "GET", "/admin/status", "" });
--- a/apps/teaselfoldctl/Commands.h
+++ b/apps/teaselfoldctl/Commands.h
@@ -24,9 +24,14 @@
     ExitCode diff();
     ExitCode wait();
     ExitCode order();
+    ExitCode quarantine();
+    ExitCode release();
+    ExitCode acts();
     ExitCode status();
     ExitCode top();
 
+    /** @return the body that says who acts and why. */
+    std::string explanation() const;
     ExitCode finish(const std::optional<Reply>& reply) const;
     std::optional<Reply> fetchNotes(std::uint64_t after, std::uint64_t last) const;
     std::set<std::string> whoLacks(std::uint64_t version) const;
--- a/apps/teaselfoldctl/Options.cpp
+++ b/apps/teaselfoldctl/Options.cpp
@@ -27,6 +27,9 @@
   wait N                       wait until version N is in force everywhere
   out zone|endpoint ID         take out of service (needs --author, --reason)
   in zone|endpoint ID          bring back into service (needs --author, --reason)
+  quarantine                   list the requests that ran where an endpoint died
+  release FINGERPRINT          let a quarantined request run again (needs --author, --reason)
+  acts                         list every operator's act with its time
   status                       configuration, orders and endpoints
   top                          status as a live table
 
--- a/apps/teaselfoldctl/Printing.cpp
+++ b/apps/teaselfoldctl/Printing.cpp
@@ -1,5 +1,8 @@
 #include "Printing.h"
 
+#include <Poco/DateTimeFormatter.h>
+#include <Poco/Timestamp.h>
+
 #include <iomanip>
 
 namespace teaselfold::Ctl {
@@ -78,6 +81,36 @@
             print(*list->getObject(static_cast<unsigned>(i)));
     }
 
+    /** Work in progress at the endpoints of one zone. */
+    struct ZoneWork {
+        std::uint32_t running { 0 };
+        std::uint32_t queued { 0 };
+        std::uint32_t silent { 0 };
+
+        /** @return the work in words, with the word that tells when an operator may switch the zone off. */
+        std::string describe(const Object& zone) const
+        {
+            std::string text = "running " + std::to_string(this->running) + ", queued " + std::to_string(this->queued);
+            if (this->silent > 0)
+                text += ", " + std::to_string(this->silent) + " endpoints silent";
+            const bool idle = this->running + this->queued + this->silent == 0;
+            return text + (idle && zone.optValue("out", false) ? ": safe to switch off" : "");
+        }
+    };
+
+    ZoneWork workIn(const Object& status, const std::string& zone)
+    {
+        ZoneWork work;
+        forEach(status, "endpoints", [&](const Object& endpoint) {
+            if (textOf(endpoint, "zone") != zone)
+                return;
+            work.running += endpoint.optValue<std::uint32_t>("running", 0);
+            work.queued += endpoint.optValue<std::uint32_t>("queued", 0);
+            work.silent += endpoint.optValue("reported", false) ? 0 : 1;
+        });
+        return work;
+    }
+
     void printProblem(const Object& problem, std::ostream& out)
     {
         out << "  line " << textOf(problem, "line") << ", " << textOf(problem, "place") << ": expected "
@@ -120,8 +153,9 @@
     out << "version " << textOf(status, "version") << ", table "
         << (status.optValue("table_reachable", false) ? "answers" : "does not answer") << "\n";
     forEach(status, "zones", [&](const Object& zone) {
-        out << "zone   " << std::left << std::setw(16) << textOf(zone, "id") << " "
-            << (zone.optValue("out", false) ? "out" : "in") << "\n";
+        out << "zone   " << std::left << std::setw(16) << textOf(zone, "id") << " " << std::setw(4)
+            << (zone.optValue("out", false) ? "out" : "in") << workIn(status, textOf(zone, "id")).describe(zone)
+            << "\n";
     });
     forEach(status, "orders", [&](const Object& order) { printOrder(order, out); });
     out << std::left << std::setw(20) << "endpoint" << std::setw(16) << "zone" << std::setw(18) << "service"
@@ -132,6 +166,31 @@
     forEach(status, "endpoints", [&](const Object& endpoint) { printEndpoint(endpoint, out); });
 }
 
+void printSuspects(const Object& answer, std::ostream& out)
+{
+    out << "fingerprint       deaths  seconds  state\n";
+    forEach(answer, "suspects", [&](const Object& suspect) {
+        constexpr std::int64_t millisecondsPerSecond = 1000;
+        out << std::left << std::setw(18) << textOf(suspect, "fingerprint") << std::right << std::setw(6)
+            << textOf(suspect, "deaths") << std::setw(9)
+            << suspect.optValue<std::int64_t>("remaining_ms", 0) / millisecondsPerSecond << "  "
+            << (suspect.optValue("refused", false) ? "refused" : "watched") << "\n";
+    });
+}
+
+void printActs(const Array& acts, std::ostream& out)
+{
+    constexpr std::int64_t microsecondsPerMillisecond = 1000;
+    for (std::size_t i = 0; i < acts.size(); ++i) {
+        const Object::Ptr act = acts.getObject(static_cast<unsigned>(i));
+        const Poco::Timestamp at(act->optValue<Poco::Int64>("at_ms", 0) * microsecondsPerMillisecond);
+        out << Poco::DateTimeFormatter::format(at, "%Y-%m-%dT%H:%M:%SZ") << "  " << std::left << std::setw(17)
+            << textOf(*act, "kind") << " " << std::setw(26) << textOf(*act, "subject") << " " << std::setw(16)
+            << textOf(*act, "author") << " " << textOf(*act, "id") << "  " << textOf(*act, "reason")
+            << (act->optValue("recorded", false) ? "" : "  (not yet recorded)") << "\n";
+    }
+}
+
 void printError(const Object& answer, std::ostream& out)
 {
     const Object::Ptr error = answer.getObject("error");
--- a/apps/teaselfoldctl/Printing.h
+++ b/apps/teaselfoldctl/Printing.h
@@ -19,6 +19,9 @@
 void printChanges(const NetChanges& changes, std::ostream& out);
 void printHistory(const Poco::JSON::Array& notes, std::ostream& out);
 void printStatus(const Poco::JSON::Object& status, std::ostream& out);
+void printSuspects(const Poco::JSON::Object& answer, std::ostream& out);
+/** Prints operators' acts with their times in UTC. */
+void printActs(const Poco::JSON::Array& acts, std::ostream& out);
 /** Prints the error of an answer with all that it lists. */
 void printError(const Poco::JSON::Object& answer, std::ostream& out);
 
--- a/src/adapters/fleet/FleetDocuments.cpp
+++ b/src/adapters/fleet/FleetDocuments.cpp
@@ -9,6 +9,9 @@
     using Poco::JSON::Array;
     using Poco::JSON::Object;
 
+    /** Indexed by ActKind. */
+    const std::vector<std::string> actKinds { "note_accepted", "taken_out", "brought_in", "request_released" };
+
     constexpr std::uint64_t anyNumber = std::numeric_limits<std::uint64_t>::max();
 
     /** Adds items to the lists of one section of a note, by kind. */
@@ -203,4 +206,32 @@
     return order;
 }
 
+Object::Ptr writeAct(const OperatorAct& act)
+{
+    Object::Ptr json(new Object);
+    json->set("id", act.id.get());
+    json->set("kind", actKinds.at(static_cast<std::size_t>(act.kind)));
+    json->set("subject", act.subject);
+    json->set("author", act.author);
+    json->set("reason", act.reason);
+    json->set("at_ms", static_cast<Poco::UInt64>(act.at.time_since_epoch().count()));
+    json->set("recorded", act.recorded);
+    return json;
+}
+
+OperatorAct readAct(DocumentReader& reader)
+{
+    constexpr std::uint64_t latest = std::numeric_limits<std::int64_t>::max();
+    OperatorAct act;
+    act.id = OrderId(reader.text("id"));
+    act.kind = static_cast<ActKind>(reader.choice("kind", 0, actKinds));
+    act.subject = reader.text("subject");
+    act.author = reader.text("author", "");
+    act.reason = reader.text("reason", "");
+    act.at = WallTime(Milliseconds(reader.number("at_ms", 0, latest)));
+    act.recorded = reader.flag("recorded", false);
+    reader.finish();
+    return act;
+}
+
 }
--- a/src/adapters/fleet/JsonDocumentCodec.cpp
+++ b/src/adapters/fleet/JsonDocumentCodec.cpp
@@ -70,4 +70,11 @@
     return decode<ServiceOrder>(document, Internal::readOrder);
 }
 
+std::string JsonDocumentCodec::encodeAct(const OperatorAct& act) const { return stringify(Internal::writeAct(act)); }
+
+Outcome<OperatorAct> JsonDocumentCodec::decodeAct(const std::string& document) const
+{
+    return decode<OperatorAct>(document, Internal::readAct);
+}
+
 }
--- a/src/adapters/http/AdminApi.cpp
+++ b/src/adapters/http/AdminApi.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/fleet/ReleaseNoteYaml.h"
 #include "adapters/http/AdminTokens.h"
+#include "core/control/ReleaseKeys.h"
 
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
@@ -32,6 +33,8 @@
         return response;
     }
 
+    WallTime wallTime() { return std::chrono::floor<Milliseconds>(std::chrono::system_clock::now()); }
+
     std::optional<std::uint64_t> parseNumber(const std::string& text)
     {
         std::uint64_t value = 0;
@@ -104,6 +107,9 @@
         Route { "POST", { "admin", "zones", "*", "*" }, Access::Operator, &AdminApi::orderZone },
         Route { "POST", { "admin", "endpoints", "*", "*" }, Access::Operator, &AdminApi::orderEndpoint },
         Route { "GET", { "admin", "status" }, Access::Viewer, &AdminApi::status },
+        Route { "GET", { "admin", "quarantine" }, Access::Viewer, &AdminApi::quarantine },
+        Route { "DELETE", { "admin", "quarantine", "*" }, Access::Operator, &AdminApi::release },
+        Route { "GET", { "admin", "acts" }, Access::Viewer, &AdminApi::acts },
     };
     const auto* found = std::find_if(routes.begin(), routes.end(),
         [&](const Route& route) { return route.method == request.method && route.matchesPath(request.path); });
@@ -151,7 +157,7 @@
         note.author = operatorName;
     const auto dryRun = request.query.find("dry_run");
     const bool checkOnly = dryRun != request.query.end() && dryRun->second == "true";
-    AdminMessage answer = this->ask([&](AdminId admin) { return PublishNote { admin, note, checkOnly }; });
+    AdminMessage answer = this->ask([&](AdminId admin) { return PublishNote { admin, note, checkOnly, wallTime() }; });
     if (auto* invalid = std::get_if<NoteInvalid>(&answer))
         addLines(invalid->problems, lines);
     return renderAdminMessage(answer);
@@ -204,7 +210,7 @@
     if (!act)
         return refuse(ErrorCode::BadRequest, "the body is a JSON object with author and reason");
     return renderAdminMessage(this->ask([&](AdminId admin) {
-        return GiveOrder { admin, subject, verb == "out", act->author, act->reason };
+        return GiveOrder { admin, subject, verb == "out", act->author, act->reason, wallTime() };
     }));
 }
 
@@ -213,6 +219,35 @@
     return renderAdminMessage(this->ask([](AdminId admin) { return QueryConfiguration { admin }; }));
 }
 
+AdminResponse AdminApi::quarantine(const AdminRequest&, const std::string&) const
+{
+    return renderAdminMessage(this->ask([](AdminId admin) { return QueryQuarantine { admin }; }));
+}
+
+AdminResponse AdminApi::release(const AdminRequest& request, const std::string& operatorName) const
+{
+    const auto fingerprint = parseFingerprint(request.path.back());
+    if (!fingerprint)
+        return refuse(ErrorCode::BadRequest, "a fingerprint has 16 hexadecimal digits");
+    const auto act = parseReason(request.body, operatorName);
+    if (!act)
+        return refuse(ErrorCode::BadRequest, "the body is a JSON object with author and reason");
+    return renderAdminMessage(this->ask([&](AdminId admin) {
+        return ReleaseQuarantined { admin, *fingerprint, act->author, act->reason, wallTime() };
+    }));
+}
+
+AdminResponse AdminApi::acts(const AdminRequest& request, const std::string&) const
+{
+    const auto limit = numberOf(request, "limit", historyLimit);
+    if (!limit || *limit == 0 || *limit > historyLimit)
+        return refuse(ErrorCode::BadRequest, "limit is a number from 1 to 100");
+    const auto after = request.query.find("after");
+    const std::string position = after == request.query.end() ? "" : after->second;
+    const auto count = static_cast<std::uint32_t>(*limit);
+    return renderAdminMessage(this->ask([&](AdminId admin) { return QueryActs { admin, position, count }; }));
+}
+
 AdminResponse serveProbes(const AdminRequest& request, const ProbeSources& probes)
 {
     const std::string name = request.path.size() == 1 ? request.path[0] : "";
--- a/src/adapters/http/AdminApi.h
+++ b/src/adapters/http/AdminApi.h
@@ -47,6 +47,9 @@
     AdminResponse orderZone(const AdminRequest& request, const std::string& operatorName) const;
     AdminResponse orderEndpoint(const AdminRequest& request, const std::string& operatorName) const;
     AdminResponse status(const AdminRequest&, const std::string&) const;
+    AdminResponse quarantine(const AdminRequest& request, const std::string& operatorName) const;
+    AdminResponse release(const AdminRequest& request, const std::string& operatorName) const;
+    AdminResponse acts(const AdminRequest& request, const std::string& operatorName) const;
     AdminResponse giveOrder(
         const OrderSubject& subject, const AdminRequest& request, const std::string& operatorName) const;
 
--- a/src/adapters/http/AdminDocuments.cpp
+++ b/src/adapters/http/AdminDocuments.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/fleet/FleetDocuments.h"
 #include "core/common/ServiceOrders.h"
+#include "core/control/ReleaseKeys.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
@@ -223,6 +224,41 @@
             return respond(statusOk, json);
         }
 
+        AdminResponse operator()(const QuarantineView& message) const
+        {
+            Array::Ptr list(new Array);
+            for (const SuspectView& suspect : message.suspects) {
+                Object::Ptr item(new Object);
+                item->set("fingerprint", fingerprintText(suspect.fingerprint));
+                item->set("deaths", suspect.deaths);
+                item->set("remaining_ms", static_cast<Poco::Int64>(suspect.remaining.count()));
+                item->set("refused", suspect.refused);
+                list->add(item);
+            }
+            Object::Ptr json(new Object);
+            json->set("suspects", list);
+            return respond(statusOk, json);
+        }
+
+        AdminResponse operator()(const ActDone& message) const
+        {
+            Object::Ptr json(new Object);
+            json->set("act", writeAct(message.act));
+            return respond(statusOk, json);
+        }
+
+        AdminResponse operator()(const ActsView& message) const
+        {
+            Array::Ptr list(new Array);
+            for (const OperatorAct& act : message.acts)
+                list->add(writeAct(act));
+            Object::Ptr json(new Object);
+            json->set("acts", list);
+            json->set("next", message.next);
+            json->set("complete", message.complete);
+            return respond(statusOk, json);
+        }
+
         AdminResponse operator()(const Failure& message) const
         {
             AdminResponse response = respond(httpStatus(message.code), writeError(message));
--- a/src/adapters/link/AgentLinkServer.h
+++ b/src/adapters/link/AgentLinkServer.h
@@ -34,6 +34,8 @@
     void stop();
     /** @return the port in use, also when port 0 was asked for. */
     std::uint16_t port() const { return this->loop.port(); }
+    /** @return what went over all links. From any thread. */
+    LinkTraffic traffic() const { return this->loop.traffic(); }
 
     void send(const EntryId& entry, const AgentMessage& message) override;
 
--- a/src/adapters/link/EntryLinkClient.h
+++ b/src/adapters/link/EntryLinkClient.h
@@ -26,6 +26,9 @@
     void open(const EndpointId& endpoint, const Address& address) override;
     void close(const EndpointId& endpoint) override;
 
+    /** @return what went over all links. From any thread. */
+    LinkTraffic traffic() const { return this->loop.traffic(); }
+
 private:
     struct SendCommand {
         EndpointId endpoint;
--- a/src/adapters/link/SocketLoop.cpp
+++ b/src/adapters/link/SocketLoop.cpp
@@ -187,6 +187,7 @@
     connection.established = established;
     connection.connectBy = Instant::min();
     this->bySocket[socket] = id;
+    this->openConnections.store(this->connections.size());
     return id;
 }
 
@@ -262,6 +263,7 @@
         return this->fail(id, "closed_by_peer");
     if (count < 0)
         return;
+    this->bytesReceived.fetch_add(static_cast<std::uint64_t>(count), std::memory_order_relaxed);
     connection.inbound.append({ chunk.data(), static_cast<std::size_t>(count) });
     this->pumpFrames(id);
 }
@@ -316,6 +318,11 @@
         connection->outbound.append(bytes);
 }
 
+LinkTraffic SocketLoop::traffic() const
+{
+    return { this->bytesSent.load(), this->bytesReceived.load(), this->openConnections.load() };
+}
+
 void SocketLoop::flushDirty()
 {
     while (!this->dirty.empty()) {
@@ -340,6 +347,7 @@
             if (count <= 0)
                 break;
             connection->written += static_cast<std::size_t>(count);
+            this->bytesSent.fetch_add(static_cast<std::uint64_t>(count), std::memory_order_relaxed);
         }
     } catch (const Poco::Exception&) {
         return this->fail(id, "write_failed");
@@ -363,6 +371,7 @@
     this->dirty.erase(id);
     connection->socket.close();
     this->connections.erase(id);
+    this->openConnections.store(this->connections.size());
 }
 
 void SocketLoop::fail(ConnectionId id, std::string_view reason)
--- a/src/adapters/link/SocketLoop.h
+++ b/src/adapters/link/SocketLoop.h
@@ -2,6 +2,7 @@
 
 #include "adapters/link/FrameBuffer.h"
 #include "ports/Fleet.h"
+#include "ports/LinkTraffic.h"
 #include "ports/Time.h"
 
 #include <Poco/Net/DatagramSocket.h>
@@ -54,6 +55,8 @@
     bool listen(const Address& address);
     /** @return the port listened on, also when port 0 was asked for; 0 when nothing is listened on. */
     std::uint16_t port() const { return this->listeningPort; }
+    /** @return what went over all connections. From any thread. */
+    LinkTraffic traffic() const;
     /** Starts the thread. @param handler must outlive the loop's run. */
     void start(SocketHandler& handler);
     /** Sends what can be sent at once, closes all connections and joins the thread. Idempotent. */
@@ -116,6 +119,9 @@
     std::set<ConnectionId> dirty;
     std::set<ConnectionId> paused;
     std::uint64_t lastConnection { 0 };
+    std::atomic<std::uint64_t> bytesSent { 0 };
+    std::atomic<std::uint64_t> bytesReceived { 0 };
+    std::atomic<std::uint64_t> openConnections { 0 };
     std::atomic<bool> wakePending { false };
     std::atomic<bool> stopping { false };
     SocketHandler* handler { nullptr };
--- a/src/core/agent/AgentKnowledge.cpp
+++ b/src/core/agent/AgentKnowledge.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-    constexpr std::size_t keptNotes = 64;
     /** Deaths of endpoints after which a content is refused. */
     constexpr std::uint32_t quarantineDeaths = 2;
     /** A suspect's time must rise by this much to be passed on; the time on the way must not keep it alive. */
@@ -103,16 +102,15 @@
 
 void AgentKnowledge::catchUp(const EntryId& entry, ReleaseVersion release, std::vector<AgentAction>& actions) const
 {
-    if (release >= this->configuration.version)
+    // An entry without a configuration asks one agent at a time for it.
+    const bool asks = release == ReleaseVersion();
+    if (asks || release >= this->configuration.version)
         return;
-    const auto first = std::find_if(this->recentNotes.begin(), this->recentNotes.end(),
-        [&](const NoteDelivery& note) { return note.version.get() == release.get() + 1; });
-    if (first == this->recentNotes.end()) {
+    const std::vector<NoteDelivery> notes = this->recentNotes.after(release);
+    if (notes.empty())
         actions.push_back(ToEntry { entry, FleetCopy { this->configuration } });
-        return;
-    }
-    for (auto note = first; note != this->recentNotes.end(); ++note)
-        actions.push_back(ToEntry { entry, *note });
+    for (const NoteDelivery& note : notes)
+        actions.push_back(ToEntry { entry, note });
 }
 
 void AgentKnowledge::adopt(Fleet fleet, std::vector<AgentAction>& actions)
@@ -135,9 +133,7 @@
     const bool next = delivery.version.get() == this->configuration.version.get() + 1;
     if (!next || delivery.note.base != this->configuration.version)
         return;
-    this->recentNotes.push_back(delivery);
-    if (this->recentNotes.size() > keptNotes)
-        this->recentNotes.pop_front();
+    this->recentNotes.add(delivery);
     this->adopt(applyNote(this->configuration, delivery.note), actions);
 }
 
@@ -165,6 +161,8 @@
 bool AgentKnowledge::raise(const QuarantineDelivery::Suspect& suspect, Instant now)
 {
     std::erase_if(this->suspects, [&](const auto& known) { return known.second.until <= now; });
+    if (suspect.deaths == 0)
+        return this->suspects.erase(suspect.fingerprint) > 0;
     const bool known = this->suspects.contains(suspect.fingerprint);
     if (!known && (suspect.remaining <= Milliseconds(0) || this->suspects.size() >= suspectLimit))
         return false;
--- a/src/core/agent/AgentKnowledge.h
+++ b/src/core/agent/AgentKnowledge.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "core/agent/AgentLimits.h"
+#include "core/common/RecentNotes.h"
 #include "core/common/ServiceOrders.h"
 #include "ports/AgentPorts.h"
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -79,13 +79,14 @@
     void adopt(Fleet fleet, std::vector<AgentAction>& actions);
     void passOn(const EntryId& except, const AgentMessage& message, std::vector<AgentAction>& actions) const;
     void catchUp(const EntryId& entry, ReleaseVersion release, std::vector<AgentAction>& actions) const;
+    /** Takes one suspect in; zero deaths clear it. @return whether that is news for the other entries. */
     bool raise(const QuarantineDelivery::Suspect& suspect, Instant now);
 
     EndpointId endpoint;
     ZoneId zone;
     AdmissionLimits limits;
     Fleet configuration;
-    std::deque<NoteDelivery> recentNotes;
+    RecentNotes recentNotes;
     ServiceOrders orders;
     std::map<Fingerprint, Suspect> suspects;
     /** Linked entries with the release each is known to hold. */
--- a/src/core/control/ConfigurationKeeper.cpp
+++ b/src/core/control/ConfigurationKeeper.cpp
@@ -6,10 +6,21 @@
 
 namespace teaselfold {
 
+namespace {
+
+    Failure unexplainedAct()
+    {
+        return { ErrorCode::BadRequest, "an operator's act needs an author and a reason", Run::No, Milliseconds(0) };
+    }
+
+}
+
 struct ConfigurationKeeper::EventTable {
     static constexpr HandlerTable<ConfigurationKeeper, void, ControlEvent, ControlContext&> table {
         &ConfigurationKeeper::onPublish, &ConfigurationKeeper::onOrder, &ConfigurationKeeper::onQueryConfiguration,
-        &ConfigurationKeeper::onQueryHistory, &ConfigurationKeeper::onPeer, &ConfigurationKeeper::onReply,
+        &ConfigurationKeeper::onQueryHistory, &ConfigurationKeeper::onQueryQuarantine, &ConfigurationKeeper::onRelease,
+        &ConfigurationKeeper::onQueryActs, &ConfigurationKeeper::onSuspectsTold,
+        &ConfigurationKeeper::onSuspectReleased, &ConfigurationKeeper::onPeer, &ConfigurationKeeper::onReply,
         &ConfigurationKeeper::onTick
     };
 };
@@ -21,7 +32,7 @@
             &ConfigurationKeeper::onNoteInsert, &ConfigurationKeeper::onNoteReadBack,
             &ConfigurationKeeper::onHistoryScan, &ConfigurationKeeper::onSnapshotCheck,
             &ConfigurationKeeper::onSnapshotObject, &ConfigurationKeeper::onSnapshotRow,
-            &ConfigurationKeeper::onOrderWrite };
+            &ConfigurationKeeper::onOrderWrite, &ConfigurationKeeper::onActWrite, &ConfigurationKeeper::onActScan };
 };
 
 ConfigurationKeeper::ConfigurationKeeper(EntryId entry, const DocumentCodec& codec, Randomness& randomness,
@@ -37,8 +48,8 @@
 std::vector<ControlAction> ConfigurationKeeper::handle(const ControlEvent& event, Instant now)
 {
     std::vector<ControlAction> actions;
-    ControlContext context { this->entry, *this->codec, *this->randomness, this->limits, this->operations, actions,
-        now };
+    ControlContext context { this->entry, *this->codec, *this->randomness, this->limits, this->operations, this->acts,
+        actions, now };
     EventTable::table.dispatch(*this, event, context);
     return actions;
 }
@@ -52,8 +63,7 @@
 {
     constexpr Milliseconds retryAfter(1000);
     if (event.author.empty() || event.reason.empty())
-        return context.answer(event.admin,
-            Failure { ErrorCode::BadRequest, "an order needs an author and a reason", Run::No, Milliseconds(0) });
+        return context.answer(event.admin, unexplainedAct());
     if (!this->fleets.isReady())
         return context.answer(
             event.admin, Failure { ErrorCode::NotReady, "no configuration is in force here", Run::No, retryAfter });
@@ -94,6 +104,39 @@
     context.ask(TableScan { releasePrefix, releaseKey(event.after), event.limit }, HistoryScan { event.admin });
 }
 
+void ConfigurationKeeper::onQueryQuarantine(const QueryQuarantine& event, ControlContext& context)
+{
+    context.actions.emplace_back(ToRouter { QuerySuspects { event.admin } });
+}
+
+void ConfigurationKeeper::onRelease(const ReleaseQuarantined& event, ControlContext& context)
+{
+    if (event.author.empty() || event.reason.empty())
+        return context.answer(event.admin, unexplainedAct());
+    const OperatorAct act { context.drawId(), ActKind::RequestReleased, fingerprintText(event.fingerprint),
+        event.author, event.reason, event.at };
+    context.actions.emplace_back(ToRouter { ReleaseSuspect { event.admin, event.fingerprint, act } });
+}
+
+void ConfigurationKeeper::onQueryActs(const QueryActs& event, ControlContext& context)
+{
+    this->acts.query(event, context);
+}
+
+void ConfigurationKeeper::onSuspectsTold(const SuspectsTold& event, ControlContext& context)
+{
+    context.answer(event.admin, QuarantineView { event.suspects });
+}
+
+void ConfigurationKeeper::onSuspectReleased(const SuspectReleased& event, ControlContext& context)
+{
+    if (!event.known)
+        return context.answer(
+            event.admin, Failure { ErrorCode::NotFound, "this entry holds no such request", Run::No, Milliseconds(0) });
+    this->acts.record(event.act, context);
+    context.answer(event.admin, ActDone { event.act });
+}
+
 void ConfigurationKeeper::onPeer(const PeerKnowledge& event, ControlContext& context)
 {
     if (const auto* copy = std::get_if<FleetCopy>(&event.message))
@@ -135,6 +178,7 @@
         this->poll(paused, context);
     this->publisher.tick(this->fleets, context);
     this->orders.tick(context);
+    this->acts.tick(context);
 }
 
 bool ConfigurationKeeper::wasPaused(Instant now) const
--- a/src/core/control/ConfigurationKeeper.h
+++ b/src/core/control/ConfigurationKeeper.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/control/ActKeeper.h"
 #include "core/control/NotePublisher.h"
 #include "core/control/OrderKeeper.h"
 #include "core/control/SnapshotWriter.h"
@@ -41,6 +42,11 @@
     void onOrder(const GiveOrder& event, ControlContext& context);
     void onQueryConfiguration(const QueryConfiguration& event, ControlContext& context);
     void onQueryHistory(const QueryHistory& event, ControlContext& context);
+    void onQueryQuarantine(const QueryQuarantine& event, ControlContext& context);
+    void onRelease(const ReleaseQuarantined& event, ControlContext& context);
+    void onQueryActs(const QueryActs& event, ControlContext& context);
+    void onSuspectsTold(const SuspectsTold& event, ControlContext& context);
+    void onSuspectReleased(const SuspectReleased& event, ControlContext& context);
     void onPeer(const PeerKnowledge& event, ControlContext& context);
     void onReply(const ControlPlatformReply& event, ControlContext& context);
     void onTick(const ControlTick& event, ControlContext& context);
@@ -58,6 +64,9 @@
     void onSnapshotRow(const SnapshotRowWrite& purpose, const PlatformResult& result, ControlContext& context);
     void onOrderWrite(const OrderWrite& purpose, const PlatformResult& result, ControlContext& context);
 
+    void onActWrite(const ActWrite& purpose, const PlatformResult& result, ControlContext& context);
+    void onActScan(const ActScan& purpose, const PlatformResult& result, ControlContext& context);
+
     void takeResult(const OperationPurpose& purpose, const PlatformResult& result, ControlContext& context);
     void poll(bool paused, ControlContext& context);
     bool knowsSubject(const OrderSubject& subject) const;
@@ -72,6 +81,7 @@
     NotePublisher publisher;
     SnapshotWriter snapshots;
     OrderKeeper orders;
+    ActKeeper acts;
     std::map<EndpointId, KnownReport> reports;
     InstanceList instances;
     bool listingInstances { false };
--- a/src/core/control/ConfigurationReplies.cpp
+++ b/src/core/control/ConfigurationReplies.cpp
@@ -89,4 +89,14 @@
     this->orders.onWrite(purpose, result, context);
 }
 
+void ConfigurationKeeper::onActWrite(const ActWrite& purpose, const PlatformResult& result, ControlContext& context)
+{
+    this->acts.onWrite(purpose, result, context);
+}
+
+void ConfigurationKeeper::onActScan(const ActScan& purpose, const PlatformResult& result, ControlContext& context)
+{
+    this->acts.onScan(purpose, result, context);
+}
+
 }
--- a/src/core/control/ControlContext.cpp
+++ b/src/core/control/ControlContext.cpp
@@ -1,5 +1,8 @@
 #include "core/control/ControlContext.h"
 
+#include <array>
+#include <cstdio>
+
 namespace teaselfold {
 
 OperationId ControlOperations::start(OperationPurpose purpose, Instant now)
@@ -41,6 +44,13 @@
     this->actions.emplace_back(ToAdmin { admin, std::move(message) });
 }
 
+OrderId ControlContext::drawId()
+{
+    std::array<char, 20> text {};
+    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(this->randomness.next()));
+    return OrderId(this->entry.get() + "-" + text.data());
+}
+
 void ControlContext::log(std::string name, std::vector<LogField> fields)
 {
     this->actions.emplace_back(LogEvent { std::move(name), std::move(fields) });
--- a/src/core/control/ControlContext.h
+++ b/src/core/control/ControlContext.h
@@ -48,13 +48,24 @@
     ReleaseVersion version;
 };
 
+/** The insert of the record of an operator's act. */
+struct ActWrite {
+    std::string key;
+};
+
+/** An operator's read of the acts. */
+struct ActScan {
+    AdminId admin;
+    std::uint32_t limit { 0 };
+};
+
 /** The conditional write that records an order. */
 struct OrderWrite {
     ServiceOrder order;
 };
 
 using OperationPurpose = std::variant<SnapshotRowLookup, SnapshotLoad, NoteScan, OrderScan, InstanceScan, NoteInsert,
-    NoteReadBack, HistoryScan, SnapshotCheck, SnapshotObjectWrite, SnapshotRowWrite, OrderWrite>;
+    NoteReadBack, HistoryScan, SnapshotCheck, SnapshotObjectWrite, SnapshotRowWrite, OrderWrite, ActWrite, ActScan>;
 
 /** The platform operations without a result yet. */
 class ControlOperations {
@@ -76,6 +87,8 @@
     std::map<OperationId, Started> started;
 };
 
+class ActKeeper;
+
 /** What the parts of the control core share while one event is handled. */
 struct ControlContext {
     const EntryId& entry;
@@ -83,6 +96,7 @@
     Randomness& randomness;
     const ControlLimits& limits;
     ControlOperations& operations;
+    ActKeeper& acts;
     std::vector<ControlAction>& actions;
     Instant now;
 
@@ -90,6 +104,8 @@
     void ask(PlatformRequest request, OperationPurpose purpose);
     /** Answers an operator. */
     void answer(AdminId admin, AdminMessage message);
+    /** @return an id for an operator's act. */
+    OrderId drawId();
     /** Writes a log line. */
     void log(std::string name, std::vector<LogField> fields);
 };
--- a/src/core/control/FleetKeeper.cpp
+++ b/src/core/control/FleetKeeper.cpp
@@ -57,7 +57,7 @@
     const auto* object = std::get_if<ObjectFound>(&result);
     Outcome<Fleet> decoded = object ? context.codec.decodeFleet(object->value) : Failure {};
     if (auto* fleet = std::get_if<Fleet>(&decoded))
-        this->adopt(std::move(*fleet), context);
+        this->adopt(std::move(*fleet), std::nullopt, context);
     else
         context.log("snapshot_unreadable", { { "version", this->snapshotVersion } });
     this->startRead(context);
@@ -107,13 +107,13 @@
 {
     if (version != nextVersion(this->current.version) || nextVersion(note.base) != version)
         return;
-    this->adopt(applyNote(this->current, note), context);
+    this->adopt(applyNote(this->current, note), NoteDelivery { version, note }, context);
 }
 
 void FleetKeeper::takePeerCopy(const Fleet& copy, ControlContext& context)
 {
     this->notePeer(context.now);
-    this->adopt(copy, context);
+    this->adopt(copy, std::nullopt, context);
 }
 
 void FleetKeeper::takePeerNote(const NoteDelivery& delivery, ControlContext& context)
@@ -121,13 +121,13 @@
     this->takeNote(delivery.version, delivery.note, context);
 }
 
-void FleetKeeper::adopt(Fleet fleet, ControlContext& context)
+void FleetKeeper::adopt(Fleet fleet, std::optional<NoteDelivery> note, ControlContext& context)
 {
     if (fleet.version <= this->current.version)
         return;
     this->current = std::move(fleet);
     context.log("configuration_in_force", { { "version", std::to_string(this->current.version.get()) } });
-    context.actions.emplace_back(ToRouter { FleetChanged { this->current } });
+    context.actions.emplace_back(ToRouter { FleetChanged { this->current, std::move(note) } });
 }
 
 void FleetKeeper::notePeer(Instant now)
--- a/src/core/control/FleetKeeper.h
+++ b/src/core/control/FleetKeeper.h
@@ -43,7 +43,8 @@
     };
 
     void startRead(ControlContext& context);
-    void adopt(Fleet fleet, ControlContext& context);
+    /** @param note the note that leads to the fleet from the version before, if one does. */
+    void adopt(Fleet fleet, std::optional<NoteDelivery> note, ControlContext& context);
     bool takeRow(const TableRecord& row, ControlContext& context);
     void notePeer(Instant now);
     void settlePeers(const ControlContext& context);
--- a/src/core/control/NotePublisher.cpp
+++ b/src/core/control/NotePublisher.cpp
@@ -1,5 +1,6 @@
 #include "core/control/NotePublisher.h"
 
+#include "core/control/ActKeeper.h"
 #include "core/control/ReleaseKeys.h"
 
 #include <algorithm>
@@ -79,8 +80,10 @@
     Publication* publication = this->find(admin);
     if (publication == nullptr)
         return;
-    if (std::holds_alternative<WriteDone>(result))
+    if (std::holds_alternative<WriteDone>(result)) {
+        NotePublisher::recordAct(publication->request, context);
         return this->accept(*publication, fleets, context);
+    }
     if (const auto* conflict = std::get_if<WriteConflict>(&result); conflict != nullptr && conflict->current)
         return this->onRow(*publication, *conflict->current, fleets, context);
     const auto* unavailable = std::get_if<PlatformUnavailable>(&result);
@@ -119,8 +122,12 @@
         this->end(publication.request.admin, NoteStale { current }, context);
         return fleets.refresh(context);
     }
-    if (context.codec.encodeNote(*there) == context.codec.encodeNote(mine))
+    if (context.codec.encodeNote(*there) == context.codec.encodeNote(mine)) {
+        // A row that this publication cannot have written is an earlier act, which has its record.
+        if (publication.maybeWritten)
+            NotePublisher::recordAct(publication.request, context);
         return this->accept(publication, fleets, context);
+    }
     this->end(publication.request.admin,
         Failure { ErrorCode::Conflict, "another note with this id was accepted", Run::No, Milliseconds(0) }, context);
 }
@@ -135,6 +142,14 @@
     this->end(publication.request.admin, NoteAccepted { version, false }, context);
 }
 
+void NotePublisher::recordAct(const PublishNote& request, ControlContext& context)
+{
+    const ReleaseNote& note = request.note;
+    const std::string subject = "release/" + std::to_string(nextVersion(note.base).get());
+    context.acts.record(
+        { OrderId(note.id.get()), ActKind::NoteAccepted, subject, note.author, note.reason, request.at }, context);
+}
+
 void NotePublisher::end(AdminId admin, AdminMessage message, ControlContext& context)
 {
     context.answer(admin, std::move(message));
--- a/src/core/control/NotePublisher.h
+++ b/src/core/control/NotePublisher.h
@@ -47,6 +47,7 @@
     void retryLater(Publication& publication, ControlContext& context);
     void onRow(Publication& publication, const TableRecord& row, FleetKeeper& fleets, ControlContext& context);
     void accept(const Publication& publication, FleetKeeper& fleets, ControlContext& context);
+    static void recordAct(const PublishNote& request, ControlContext& context);
     void end(AdminId admin, AdminMessage message, ControlContext& context);
 
     StrategyNames strategies;
--- a/src/core/control/OrderKeeper.cpp
+++ b/src/core/control/OrderKeeper.cpp
@@ -1,21 +1,12 @@
 #include "core/control/OrderKeeper.h"
 
+#include "core/control/ActKeeper.h"
 #include "core/control/ReleaseKeys.h"
 
-#include <array>
-#include <cstdio>
-
 namespace teaselfold {
 
 namespace {
 
-    OrderId drawOrderId(const ControlContext& context)
-    {
-        std::array<char, 20> text {};
-        std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(context.randomness.next()));
-        return OrderId(context.entry.get() + "-" + text.data());
-    }
-
     void logOrder(const char* name, const ServiceOrder& order, ControlContext& context)
     {
         context.log(name,
@@ -32,11 +23,14 @@
     order.subject = request.subject;
     order.sequence = this->known.highestSequence() + 1;
     order.out = request.out;
-    order.id = drawOrderId(context);
+    order.id = context.drawId();
     order.author = request.author;
     order.reason = request.reason;
     this->merge(order, context);
     logOrder("order_given", order, context);
+    const ActKind kind = order.out ? ActKind::TakenOut : ActKind::BroughtIn;
+    context.acts.record(
+        { order.id, kind, subjectText(order.subject), order.author, order.reason, request.at }, context);
     this->announce(context);
     Recording& recording = this->recordings[order.subject];
     recording.admin = request.admin;
--- a/src/core/control/ReleaseKeys.cpp
+++ b/src/core/control/ReleaseKeys.cpp
@@ -1,6 +1,8 @@
 #include "core/control/ReleaseKeys.h"
 
+#include <array>
 #include <charconv>
+#include <cstdio>
 #include <string_view>
 
 namespace teaselfold {
@@ -8,19 +10,46 @@
 namespace {
 
     constexpr std::size_t versionDigits = 20;
+    constexpr std::size_t fingerprintDigits = 16;
 
-}
+    std::string padded(std::uint64_t number)
+    {
+        const std::string digits = std::to_string(number);
+        return std::string(versionDigits - digits.size(), '0') + digits;
+    }
 
-std::string releaseKey(ReleaseVersion version)
-{
-    const std::string digits = std::to_string(version.get());
-    return releasePrefix + std::string(versionDigits - digits.size(), '0') + digits;
 }
 
+std::string releaseKey(ReleaseVersion version) { return releasePrefix + padded(version.get()); }
+
 std::string fleetKey(ReleaseVersion version) { return "fleet/" + std::to_string(version.get()); }
 
 std::string orderKey(const OrderSubject& subject) { return orderPrefix + subjectText(subject); }
 
+std::string actKey(const OperatorAct& act)
+{
+    const auto time = static_cast<std::uint64_t>(act.at.time_since_epoch().count());
+    return actPrefix + padded(time) + "-" + act.id.get();
+}
+
+std::string fingerprintText(Fingerprint fingerprint)
+{
+    std::array<char, fingerprintDigits + 1> text {};
+    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(fingerprint.get()));
+    return text.data();
+}
+
+std::optional<Fingerprint> parseFingerprint(const std::string& text)
+{
+    constexpr int hexadecimal = 16;
+    std::uint64_t value = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, value, hexadecimal);
+    if (error != std::errc {} || stop != end || text.size() != fingerprintDigits)
+        return std::nullopt;
+    return Fingerprint(value);
+}
+
 std::string subjectText(const OrderSubject& subject)
 {
     if (const auto* zone = std::get_if<ZoneId>(&subject))
--- a/src/core/control/ReleaseKeys.h
+++ b/src/core/control/ReleaseKeys.h
@@ -11,6 +11,8 @@
 inline constexpr const char* releasePrefix = "release/";
 /** Prefix of the rows that hold service orders. */
 inline constexpr const char* orderPrefix = "order/";
+/** Prefix of the rows that hold operators' acts. */
+inline constexpr const char* actPrefix = "act/";
 /** Key of the row that names the newest snapshot. */
 inline constexpr const char* snapshotKey = "snapshot";
 
@@ -23,6 +25,15 @@
 /** @return the key of the row that holds the order for a subject. */
 std::string orderKey(const OrderSubject& subject);
 
+/** @return the key of the record of an act, which sorts by time. */
+std::string actKey(const OperatorAct& act);
+
+/** @return the fingerprint as 16 hexadecimal digits. */
+std::string fingerprintText(Fingerprint fingerprint);
+
+/** @return the fingerprint in 16 hexadecimal digits, or nothing. */
+std::optional<Fingerprint> parseFingerprint(const std::string& text);
+
 /** @return the subject for messages, such as `zone/kgl-a`. */
 std::string subjectText(const OrderSubject& subject);
 
--- a/src/core/entry/EndpointTable.cpp
+++ b/src/core/entry/EndpointTable.cpp
@@ -95,6 +95,7 @@
     if (!view)
         return;
     view->report.reset();
+    view->delivered = ReleaseVersion();
     view->acceptedSinceReport = 0;
 }
 
--- a/src/core/entry/EndpointTable.h
+++ b/src/core/entry/EndpointTable.h
@@ -27,6 +27,9 @@
     Incarnation incarnation;
     /** Nothing until a report came on the present connection. */
     std::optional<LoadReport> report;
+    /** The version sent on the present connection that no report confirms yet, and when. */
+    ReleaseVersion delivered;
+    Instant deliveredAt;
     std::uint32_t acceptedSinceReport { 0 };
     std::uint32_t unconfirmed { 0 };
     std::optional<Instant> lastHeard;
--- a/src/core/entry/LinkKeeper.cpp
+++ b/src/core/entry/LinkKeeper.cpp
@@ -1,5 +1,6 @@
 #include "core/entry/LinkKeeper.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace teaselfold {
@@ -61,19 +62,53 @@
     this->loseAll(endpoint, true, now);
 }
 
-void LinkKeeper::reported(const EndpointId& endpoint, const LoadReport& report)
+void LinkKeeper::reported(const EndpointId& endpoint, const LoadReport& report, Instant now)
 {
     this->state.actions.emplace_back(ToControl { endpoint, report });
-    const EndpointState* view = this->state.endpoints.find(endpoint);
+    EndpointState* view = this->state.endpoints.find(endpoint);
     if (!view || view->link != LinkState::Up)
         return;
     this->state.endpoints.reported(endpoint, report);
     if (report.ordersDigest != this->state.orders.digest())
         this->state.toAgent(endpoint, OrdersDelivery { this->state.orders.all() });
-    if (report.release < this->state.fleet.version)
+    this->bringUp(endpoint, *view, now);
+    this->askForFleet(endpoint, report.release, now);
+}
+
+void LinkKeeper::deliverFleet(Instant now)
+{
+    for (auto& [id, view] : this->state.endpoints.all())
+        if (view.link == LinkState::Up && view.report)
+            this->bringUp(id, view, now);
+}
+
+void LinkKeeper::bringUp(const EndpointId& endpoint, EndpointState& view, Instant now)
+{
+    const bool onItsWay = now - view.deliveredAt < this->state.limits.deliveryWait;
+    const ReleaseVersion reported = view.report->release;
+    const ReleaseVersion known = onItsWay ? std::max(reported, view.delivered) : reported;
+    if (known >= this->state.fleet.version)
+        return;
+    const std::vector<NoteDelivery> notes = this->state.notes.after(known);
+    if (notes.empty())
         this->state.toAgent(endpoint, FleetCopy { this->state.fleet });
-    else if (report.release > this->state.fleet.version)
-        this->state.toAgent(endpoint, FleetRequest {});
+    for (const NoteDelivery& note : notes)
+        this->state.toAgent(endpoint, note);
+    view.delivered = this->state.fleet.version;
+    view.deliveredAt = now;
+}
+
+void LinkKeeper::askForFleet(const EndpointId& endpoint, ReleaseVersion version, Instant now)
+{
+    // An entry that knows a configuration is told the notes it lacks in answer to its heartbeat.
+    const bool knowsOne = this->state.fleet.version != ReleaseVersion();
+    const bool asked
+        = version <= this->state.requestedVersion && now - this->state.requestedAt < this->state.limits.deliveryWait;
+    if (knowsOne || asked || version == ReleaseVersion())
+        return;
+    this->state.requestedVersion = version;
+    this->state.requestedAt = now;
+    this->state.toAgent(endpoint, FleetRequest {});
 }
 
 void LinkKeeper::maintain(Instant now)
--- a/src/core/entry/LinkKeeper.h
+++ b/src/core/entry/LinkKeeper.h
@@ -23,7 +23,9 @@
     void heard(const EndpointId& endpoint, Instant now);
     /** The agent named itself. Another incarnation means that the work at the former one is lost. */
     void hello(const EndpointId& endpoint, const AgentHello& message, Instant now);
-    void reported(const EndpointId& endpoint, const LoadReport& report);
+    void reported(const EndpointId& endpoint, const LoadReport& report, Instant now);
+    /** Sends every linked agent that is behind what it lacks of the configuration. */
+    void deliverFleet(Instant now);
     /** Opens, replaces and closes links as needed, and gives up work at endpoints without contact. */
     void maintain(Instant now);
     /** This process was paused: what it knows is old and its connections may hold old messages. */
@@ -35,6 +37,10 @@
     void close(const EndpointId& endpoint, EndpointState& view);
     bool isWanted(const EndpointId& endpoint, const EndpointState& view) const;
     bool isOverdue(const EndpointState& view, Instant now) const;
+    /** Sends the notes that the agent lacks, or the whole configuration when it is too far behind. */
+    void bringUp(const EndpointId& endpoint, EndpointState& view, Instant now);
+    /** Asks the agent for its configuration, unless another agent was just asked for as new a one. */
+    void askForFleet(const EndpointId& endpoint, ReleaseVersion version, Instant now);
     void loseCalls(const EndpointId& endpoint, Instant now);
     void loseAll(const EndpointId& endpoint, bool died, Instant now);
     void loseOne(LiveRequest& request, Instant now);
--- a/src/core/entry/Router.cpp
+++ b/src/core/entry/Router.cpp
@@ -22,6 +22,8 @@
         &Router::onFleet,
         &Router::onOrders,
         &Router::onInstances,
+        &Router::onQuerySuspects,
+        &Router::onReleaseSuspect,
         &Router::onStop,
         &Router::onTick,
     };
@@ -95,9 +97,13 @@
 {
     if (event.fleet.version <= this->state->fleet.version)
         return;
+    if (event.note)
+        this->state->notes.add(*event.note);
+    else
+        this->state->notes.clear();
     this->state->fleet = event.fleet;
     this->state->endpoints.update(this->state->fleet, this->state->self, this->state->limits.linksPerService);
-    this->state->toAllAgents(FleetCopy { this->state->fleet });
+    this->links.deliverFleet(now);
     this->links.maintain(now);
 }
 
@@ -119,6 +125,24 @@
             view->listedLeaving = instance.leaving;
 }
 
+void Router::onQuerySuspects(const QuerySuspects& event, Instant now)
+{
+    SuspectsTold told { event.admin, {} };
+    for (const auto& suspect : this->state->quarantine.delivery(now).suspects) {
+        const bool refused = suspect.deaths >= this->state->limits.deathLimit;
+        told.suspects.push_back({ suspect.fingerprint, suspect.deaths, suspect.remaining, refused });
+    }
+    this->state->actions.emplace_back(std::move(told));
+}
+
+void Router::onReleaseSuspect(const ReleaseSuspect& event, Instant)
+{
+    const bool known = this->state->quarantine.clear(event.fingerprint);
+    if (known)
+        this->state->toAllAgents(QuarantineDelivery { { { event.fingerprint, 0, Milliseconds(0) } } });
+    this->state->actions.emplace_back(SuspectReleased { event.admin, event.act, known });
+}
+
 void Router::onStop(const StopRequested&, Instant) { this->state->stopping = true; }
 
 void Router::onTick(const Tick&, Instant now)
@@ -135,9 +159,9 @@
     this->links.hello(endpoint, message, now);
 }
 
-void Router::agentReport(const LoadReport& message, const EndpointId& endpoint, Instant)
+void Router::agentReport(const LoadReport& message, const EndpointId& endpoint, Instant now)
 {
-    this->links.reported(endpoint, message);
+    this->links.reported(endpoint, message, now);
 }
 
 void Router::agentAccepted(const GenerationAccepted& message, const EndpointId& endpoint, Instant)
@@ -204,8 +228,9 @@
 void Router::agentSuspects(const QuarantineDelivery& message, const EndpointId& endpoint, Instant now)
 {
     const bool changed = this->state->quarantine.merge(endpoint, message, now);
-    const auto refused = [&](const auto& suspect) { return suspect.deaths >= this->state->limits.deathLimit; };
-    if (changed && std::ranges::any_of(message.suspects, refused))
+    const auto matters
+        = [&](const auto& suspect) { return suspect.deaths == 0 || suspect.deaths >= this->state->limits.deathLimit; };
+    if (changed && std::ranges::any_of(message.suspects, matters))
         this->state->toAllAgents(message);
 }
 
--- a/src/core/entry/Router.h
+++ b/src/core/entry/Router.h
@@ -41,6 +41,8 @@
     void onFleet(const FleetChanged& event, Instant now);
     void onOrders(const OrdersChanged& event, Instant now);
     void onInstances(const InstancesListed& event, Instant now);
+    void onQuerySuspects(const QuerySuspects& event, Instant now);
+    void onReleaseSuspect(const ReleaseSuspect& event, Instant now);
     void onStop(const StopRequested& event, Instant now);
     void onTick(const Tick& event, Instant now);
 
--- a/src/core/entry/RouterLimits.h
+++ b/src/core/entry/RouterLimits.h
@@ -9,6 +9,8 @@
 
 /** Fixed bounds of a router. */
 struct RouterLimits {
+    /** A configuration sent or asked for is sent or asked for again when nothing came of it for so long. */
+    Milliseconds deliveryWait { 1000 };
     /** Links per service; all endpoints when there are fewer. */
     std::size_t linksPerService { 32 };
     /** Silence on a link after which a new connection is opened. */
--- a/src/core/entry/RouterState.h
+++ b/src/core/entry/RouterState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/common/RecentNotes.h"
 #include "core/common/ServiceOrders.h"
 #include "core/entry/EndpointTable.h"
 #include "core/entry/OverflowMeter.h"
@@ -34,6 +35,10 @@
     Randomness* randomness;
     RouterLimits limits;
     Fleet fleet;
+    RecentNotes notes;
+    /** The version last asked of an agent, and when. */
+    ReleaseVersion requestedVersion;
+    Instant requestedAt;
     ServiceOrders orders;
     EndpointTable endpoints;
     RequestTable requests;
--- a/src/ports/ControlPorts.h
+++ b/src/ports/ControlPorts.h
@@ -4,9 +4,6 @@
 
 namespace teaselfold {
 
-/** Pairs an operator's request on the admin port with its answer. */
-using AdminId = Id<struct AdminTag, std::uint64_t>;
-
 // Events of the entry's control duty, which keeps the configuration and the service orders.
 
 /** An operator submits a release note. */
@@ -15,6 +12,7 @@
     ReleaseNote note;
     /** Checks only; nothing is written. */
     bool dryRun { false };
+    WallTime at {};
 };
 
 /** An operator takes a zone or an endpoint out of service or brings it back. */
@@ -24,6 +22,7 @@
     bool out { false };
     std::string author;
     std::string reason;
+    WallTime at {};
 };
 
 /** An operator asks for the configuration in force and the orders. */
@@ -38,6 +37,28 @@
     std::uint32_t limit { 100 };
 };
 
+/** An operator asks for the quarantined requests. */
+struct QueryQuarantine {
+    AdminId admin;
+};
+
+/** An operator lets a quarantined request run again. */
+struct ReleaseQuarantined {
+    AdminId admin;
+    Fingerprint fingerprint;
+    std::string author;
+    std::string reason;
+    WallTime at {};
+};
+
+/** An operator asks for the operators' acts. */
+struct QueryActs {
+    AdminId admin;
+    /** Only acts whose key is greater; empty for all. */
+    std::string after;
+    std::uint32_t limit { 100 };
+};
+
 /** A peer told what it knows. */
 struct PeerKnowledge {
     EndpointId endpoint;
@@ -52,8 +73,8 @@
 /** The duty's period passed. */
 struct ControlTick { };
 
-using ControlEvent = std::variant<PublishNote, GiveOrder, QueryConfiguration, QueryHistory, PeerKnowledge,
-    ControlPlatformReply, ControlTick>;
+using ControlEvent = std::variant<PublishNote, GiveOrder, QueryConfiguration, QueryHistory, QueryQuarantine,
+    ReleaseQuarantined, QueryActs, SuspectsTold, SuspectReleased, PeerKnowledge, ControlPlatformReply, ControlTick>;
 
 // Actions of the control duty.
 
@@ -131,8 +152,30 @@
     bool operator==(const HistoryView&) const = default;
 };
 
+/** The requests that ran where an endpoint died, as this entry knows them. */
+struct QuarantineView {
+    std::vector<SuspectView> suspects;
+    bool operator==(const QuarantineView&) const = default;
+};
+
+/** The act took effect; `act.recorded` is false until the table has its record. */
+struct ActDone {
+    OperatorAct act;
+    bool operator==(const ActDone&) const = default;
+};
+
+/** Operators' acts, oldest first. */
+struct ActsView {
+    std::vector<OperatorAct> acts;
+    /** Where to go on; empty at the end. */
+    std::string next;
+    /** False when the table does not answer, so that only this entry's unrecorded acts are listed. */
+    bool complete { true };
+    bool operator==(const ActsView&) const = default;
+};
+
 using AdminMessage = std::variant<NoteAccepted, NoteStale, NoteInvalid, OrderTaken, OrderSuperseded, ConfigurationView,
-    HistoryView, Failure>;
+    HistoryView, QuarantineView, ActDone, ActsView, Failure>;
 
 /** Hands an answer to the thread that serves an operator. */
 struct ToAdmin {
@@ -147,9 +190,9 @@
     bool operator==(const ControlToPlatform&) const = default;
 };
 
-/** Hands the router a newer configuration, newer orders or the newest instance list. */
+/** Hands the router a newer configuration, newer orders, the newest instance list or an operator's question. */
 struct ToRouter {
-    std::variant<FleetChanged, OrdersChanged, InstancesListed> event;
+    std::variant<FleetChanged, OrdersChanged, InstancesListed, QuerySuspects, ReleaseSuspect> event;
 };
 
 using ControlAction = std::variant<ToAdmin, ControlToPlatform, ToRouter, LogEvent>;
--- a/src/ports/EntryPorts.h
+++ b/src/ports/EntryPorts.h
@@ -7,6 +7,9 @@
 
 namespace teaselfold {
 
+/** Pairs an operator's request on the admin port with its answer. */
+using AdminId = Id<struct AdminTag, std::uint64_t>;
+
 // Events of the entry's router duty.
 
 /** The link to an endpoint's agent is up; nothing was received on it yet. */
@@ -28,6 +31,8 @@
 /** A newer configuration is in force. Sent by the control duty. */
 struct FleetChanged {
     Fleet fleet;
+    /** The note that led to it from the version before; nothing when several or none did. */
+    std::optional<NoteDelivery> note {};
 };
 
 /** Orders that changed by a merge, recorded or not. Sent by the control duty. */
@@ -40,6 +45,19 @@
     InstanceList list;
 };
 
+/** An operator asks for the requests that ran where an endpoint died. Answered by SuspectsTold. */
+struct QuerySuspects {
+    AdminId admin;
+};
+
+/** An operator lets a quarantined request run again. Answered by SuspectReleased. */
+struct ReleaseSuspect {
+    AdminId admin;
+    Fingerprint fingerprint;
+    /** Comes back with the answer. */
+    OperatorAct act;
+};
+
 /** Takes no new work from here on; requests in progress are finished. */
 struct StopRequested { };
 
@@ -47,7 +65,8 @@
 struct Tick { };
 
 using RouterEvent = std::variant<CompletionRequest, StreamResumeRequest, ServiceCallRequest, CallerGone, CallerConsumed,
-    LinkUp, LinkDown, FromAgent, FleetChanged, OrdersChanged, InstancesListed, StopRequested, Tick>;
+    LinkUp, LinkDown, FromAgent, FleetChanged, OrdersChanged, InstancesListed, QuerySuspects, ReleaseSuspect,
+    StopRequested, Tick>;
 
 /** An agent that an entry may ask for the configuration before it knows one. */
 struct SeedAgent {
@@ -92,11 +111,39 @@
     bool operator==(const ToControl&) const = default;
 };
 
+/** A request that ran where an endpoint died. */
+struct SuspectView {
+    Fingerprint fingerprint;
+    std::uint32_t deaths { 0 };
+    /** Time until it is forgotten. */
+    Milliseconds remaining { 0 };
+    /** True when it is refused until then. */
+    bool refused { false };
+    bool operator==(const SuspectView&) const = default;
+};
+
+/** Answers QuerySuspects; sorted by fingerprint. */
+struct SuspectsTold {
+    AdminId admin;
+    std::vector<SuspectView> suspects;
+    bool operator==(const SuspectsTold&) const = default;
+};
+
+/** Answers ReleaseSuspect. */
+struct SuspectReleased {
+    AdminId admin;
+    OperatorAct act;
+    /** False when no such request is known here. */
+    bool known { false };
+    bool operator==(const SuspectReleased&) const = default;
+};
+
 /** No request is in progress after a StopRequested; the process may end. */
 struct Drained {
     bool operator==(const Drained&) const = default;
 };
 
-using RouterAction = std::variant<ToAgent, ToCaller, OpenLink, CloseLink, ToControl, LogEvent, Observation, Drained>;
+using RouterAction = std::variant<ToAgent, ToCaller, OpenLink, CloseLink, ToControl, SuspectsTold, SuspectReleased,
+    LogEvent, Observation, Drained>;
 
 }
--- a/src/ports/Fleet.h
+++ b/src/ports/Fleet.h
@@ -180,4 +180,28 @@
     bool operator==(const ServiceOrder&) const = default;
 };
 
+enum class ActKind : std::uint8_t {
+    NoteAccepted,
+    TakenOut,
+    BroughtIn,
+    RequestReleased,
+};
+
+/** One act of an operator, kept for good. */
+struct OperatorAct {
+    /** The id of the note or the order, or drawn for this act. */
+    OrderId id;
+    ActKind kind { ActKind::NoteAccepted };
+    /** What it applies to, such as `release/7`, `zone/kgl-a` or a fingerprint. */
+    std::string subject;
+    std::string author;
+    std::string reason;
+    /** When the entry took the request, by the entry's clock. */
+    WallTime at {};
+    /** False while the platform's table has not confirmed the record. */
+    bool recorded { false };
+
+    bool operator==(const OperatorAct&) const = default;
+};
+
 }
--- a/src/ports/Time.h
+++ b/src/ports/Time.h
@@ -11,6 +11,8 @@
 using Duration = std::chrono::steady_clock::duration;
 
 using Milliseconds = std::chrono::milliseconds;
+/** A date, shown to operators and kept in records; no decision compares it. */
+using WallTime = std::chrono::sys_time<Milliseconds>;
 using Microseconds = std::chrono::microseconds;
 using Seconds = std::chrono::seconds;
 
--- a/src/runtime/ControlDuty.cpp
+++ b/src/runtime/ControlDuty.cpp
@@ -81,11 +81,23 @@
         this->waitingOrders = *orders;
     if (const auto* instances = std::get_if<InstancesListed>(&action.event))
         this->waitingInstances = *instances;
+    if (const auto* query = std::get_if<QuerySuspects>(&action.event))
+        this->passQuestion(query->admin, *query);
+    if (const auto* release = std::get_if<ReleaseSuspect>(&action.event))
+        this->passQuestion(release->admin, *release);
     this->passToRouter();
 }
 
 void ControlDuty::onLog(const LogEvent& action) { this->peers->telemetry.log(action); }
 
+void ControlDuty::passQuestion(AdminId admin, const RouterEvent& event)
+{
+    if (this->peers->router.tryPush(event))
+        return;
+    this->peers->admins.deliver(
+        admin, Failure { ErrorCode::NoCapacity, "the entry is too busy to answer", Run::No, Seconds(1) });
+}
+
 void ControlDuty::passToRouter()
 {
     Ring<RouterEvent>& ring = this->peers->router;
--- a/src/runtime/ControlDuty.h
+++ b/src/runtime/ControlDuty.h
@@ -52,6 +52,8 @@
     /** Tells the keeper of the operations that the platform adapter had no room for. */
     void refuseOperations(Instant now);
     void passToRouter();
+    /** Passes an operator's question on, or tells the operator that the router's ring is full. */
+    void passQuestion(AdminId admin, const RouterEvent& event);
 
     ConfigurationKeeper keeper;
     std::optional<ControlPeers> peers;
--- a/src/runtime/RouterDuty.cpp
+++ b/src/runtime/RouterDuty.cpp
@@ -15,6 +15,8 @@
         &RouterDuty::onOpenLink,
         &RouterDuty::onCloseLink,
         &RouterDuty::onToControl,
+        &RouterDuty::onSuspectsTold,
+        &RouterDuty::onSuspectReleased,
         &RouterDuty::onLog,
         &RouterDuty::onObservation,
         &RouterDuty::onDrained,
@@ -48,6 +50,12 @@
     this->peers->control.tryPush(PeerKnowledge { action.endpoint, action.message });
 }
 
+// An answer that finds the ring full is lost; the operator is told that there was none in time and asks again.
+
+void RouterDuty::onSuspectsTold(const SuspectsTold& action) { this->peers->control.tryPush(action); }
+
+void RouterDuty::onSuspectReleased(const SuspectReleased& action) { this->peers->control.tryPush(action); }
+
 void RouterDuty::onLog(const LogEvent& action) { this->peers->telemetry.log(action); }
 
 void RouterDuty::onObservation(const Observation& action) { this->peers->telemetry.observe(action); }
--- a/src/runtime/RouterDuty.h
+++ b/src/runtime/RouterDuty.h
@@ -44,6 +44,8 @@
     void onOpenLink(const OpenLink& action);
     void onCloseLink(const CloseLink& action);
     void onToControl(const ToControl& action);
+    void onSuspectsTold(const SuspectsTold& action);
+    void onSuspectReleased(const SuspectReleased& action);
     void onLog(const LogEvent& action);
     void onObservation(const Observation& action);
     void onDrained(const Drained& action);
--- a/test/correctness/DocumentsRoundTrip.cpp
+++ b/test/correctness/DocumentsRoundTrip.cpp
@@ -37,5 +37,7 @@
     CHECK(fleet.version == ReleaseVersion(42));
     CHECK(codec.decodeFleet(codec.encodeFleet(fleet)) == Outcome<Fleet>(fleet));
     const ServiceOrder order { EndpointId("e"), UINT64_MAX, true, OrderId("o"), "a", "true", true };
+    const OperatorAct act { OrderId("7"), ActKind::RequestReleased, "true", "a\n", "null", WallTime(Seconds(9)), true };
+    CHECK(codec.decodeAct(codec.encodeAct(act)) == Outcome<OperatorAct>(act));
     CHECK(codec.decodeOrder(codec.encodeOrder(order)) == Outcome<ServiceOrder>(order));
 }
--- a/test/error/CrashingRequestIsQuarantined.cpp
+++ b/test/error/CrashingRequestIsQuarantined.cpp
@@ -89,3 +89,38 @@
     die(bench, endpoint);
     CHECK(bench.toAgents<SubmitGeneration>().size() == 2);
 }
+
+TEST_CASE("an operator sees the quarantined requests and releases one, here and at the agents")
+{
+    RouterBench bench({ "a-1" });
+    bench.connect("a-1");
+    bench.complete("crash");
+    const Fingerprint fingerprint = lastFingerprint(bench);
+    bench.agent("a-1", QuarantineDelivery { { { fingerprint, 2, Seconds(60) } } });
+    bench.clear();
+    bench.send(QuerySuspects { AdminId(1) });
+    const SuspectsTold told { AdminId(1), { { fingerprint, 2, Seconds(60), true } } };
+    CHECK(bench.actions.back() == RouterAction(told));
+    const OperatorAct act { OrderId("act"), ActKind::RequestReleased, "x", "an.operator", "mended", {}, false };
+    bench.send(ReleaseSuspect { AdminId(2), fingerprint, act });
+    CHECK(bench.actions.back() == RouterAction(SuspectReleased { AdminId(2), act, true }));
+    CHECK(bench.toAgents<QuarantineDelivery>().back().second.suspects.front().deaths == 0);
+    bench.complete("crash");
+    CHECK(bench.toAgents<SubmitGeneration>().size() == 1);
+    bench.send(ReleaseSuspect { AdminId(3), Fingerprint(5), act });
+    CHECK(bench.actions.back() == RouterAction(SuspectReleased { AdminId(3), act, false }));
+}
+
+TEST_CASE("an entry passes a release that it hears of on to its agents once")
+{
+    RouterBench bench({ "a-1", "a-2" });
+    bench.connect("a-1");
+    bench.connect("a-2");
+    bench.agent("a-1", QuarantineDelivery { { { Fingerprint(7), 2, Seconds(60) } } });
+    bench.clear();
+    const QuarantineDelivery release { { { Fingerprint(7), 0, Milliseconds(0) } } };
+    bench.agent("a-1", release);
+    CHECK(bench.toAgents<QuarantineDelivery>().size() == 2);
+    bench.agent("a-2", release);
+    CHECK(bench.toAgents<QuarantineDelivery>().size() == 2);
+}
--- a/test/support/ControlScript.h
+++ b/test/support/ControlScript.h
@@ -66,6 +66,8 @@
     ConfigurationView view();
     /** @return the answer to the last request, or nothing yet. */
     std::optional<AdminMessage> answer() const;
+    /** @return the answer to a request; there must be one. */
+    const AdminMessage& answerTo(AdminId admin) const { return this->answers.at(admin); }
     /** @return the versions handed to the router, in order. */
     const std::vector<std::uint64_t>& versionsInForce() const { return this->versions; }
     /** Serves what was held back while `hold` was set. */
--- a/test/support/FakeDocuments.h
+++ b/test/support/FakeDocuments.h
@@ -25,6 +25,8 @@
     }
     std::string encodeOrder(const ServiceOrder& order) const override { return order.id.get(); }
     Outcome<ServiceOrder> decodeOrder(const std::string&) const override { return ServiceOrder {}; }
+    std::string encodeAct(const OperatorAct& act) const override { return act.id.get(); }
+    Outcome<OperatorAct> decodeAct(const std::string&) const override { return OperatorAct {}; }
 };
 
 }
