--- a/src/emulator/load/LoadComparison.cpp
+++ b/src/emulator/load/LoadComparison.cpp
@@ -15,7 +15,7 @@
 namespace {
 
     constexpr int nameWidth = 26;
-    constexpr int cellWidth = 36;
+    constexpr int cellWidth = 44;
     /** Figures of a whole run, beside those of the group. */
     constexpr std::array runFigures { "preemptions_per_thousand", "prefix_hit_share", "engines_read" };
 
