--- a/test/support/FakeEngine.cpp
+++ b/test/support/FakeEngine.cpp
@@ -122,6 +122,9 @@
     if (running.made < running.length)
         return;
     this->generations.erase(id);
+    // The time in which the pace shows is time of work.
+    if (this->generations.empty() && this->coldShown && this->scheduler.now() < *this->coldShown)
+        this->coldShown.reset();
     this->deliver(EngineFinished { id, FinishReason::Stop });
 }
 
