Measure admission in steady state on three engines

Cause: the experiment let work left by an overload run after the last arrival, with budgets as long as the run, so that even fixed slots answered 992 of 1,000 on time at 1.3 of capacity; and it had one engine, which one slot number suits by chance. Change: requests count only between a warm-up of 600 s and a cool-down of the longest budget, during both of which the load stays; three engines of half, plain and double speed and memory, each at its own capacity, results taken together. Figures per class. Runs are taken from one list by the workers.

--- a/src/emulator/experiment/AdmissionExperiment.cpp
+++ b/src/emulator/experiment/AdmissionExperiment.cpp
@@ -20,6 +20,7 @@
     const EntryId entryId { "entry-1" };
     const EndpointId endpointId { "drafter-1" };
     const ServiceId serviceId { "fold-drafters" };
+    const TeamId sharedTeam { "all" };
 
     Fleet fleetFor(const ExperimentSettings& settings)
     {
@@ -37,6 +38,7 @@
         fleet.endpoints[endpointId] = Endpoint { endpointId, zone, serviceId, Address { "127.0.0.1", 1 }, true };
         for (const TeamShare& share : settings.workload.teams)
             fleet.teams[share.team] = Team { share.team, 1, 1000, {} };
+        fleet.teams[sharedTeam] = Team { sharedTeam, 1, 1000, {} };
         return fleet;
     }
 
@@ -52,6 +54,7 @@
                             .withEndpoint(endpointId)
                             .withZone(ZoneId("zone-1"))
                             .withIncarnation(Incarnation(1))
+                            .withLimits(settings.limits)
                             .build())
             , result { LoadRecorder(settings.workload.kinds), 0, 0, {}, 0 }
         {
@@ -62,18 +65,34 @@
             this->toAdmission(EntryLinked { entryId });
             this->toAdmission(FromEntry { entryId, EntryHello { entryId } });
             this->toAdmission(FromEntry { entryId, FleetCopy { fleetFor(this->settings) } });
-            while (this->nextArrival < this->arrivals.size() || this->result.record.open() > 0) {
+            while (!this->isOver()) {
                 this->now = this->nextTime();
                 this->step();
                 if (this->now > this->lastTime())
                     break;
             }
             this->result.record.close(this->now);
-            this->result.preemptions += this->engine.preemptions();
+            this->countPreemptions();
             return std::move(this->result);
         }
 
     private:
+        Instant countFrom() const { return Instant {} + this->settings.warmUp; }
+        Instant countUntil() const { return Instant {} + this->settings.workload.length - this->settings.coolDown; }
+
+        bool isOver() const
+        {
+            const bool allSent = this->nextArrival >= this->arrivals.size() || this->now >= this->countUntil();
+            return allSent && this->result.record.open() == 0;
+        }
+
+        /** Adds what the engine counted since its last start or the end of the warm-up. */
+        void countPreemptions()
+        {
+            this->result.preemptions += this->engine.preemptions() - this->preemptionsBefore;
+            this->preemptionsBefore = 0;
+        }
+
         Instant lastTime() const
         {
             Milliseconds longest { 0 };
@@ -96,6 +115,8 @@
 
         void step()
         {
+            if (this->now < this->countFrom())
+                this->preemptionsBefore = this->engine.preemptions();
             this->runEngine();
             if (this->nextArrival < this->arrivals.size()
                 && Instant {} + this->arrivals[this->nextArrival].at <= this->now)
@@ -117,7 +138,7 @@
             if (!this->engine.dead() || this->revival)
                 return;
             ++this->result.deaths;
-            this->result.preemptions += this->engine.preemptions();
+            this->countPreemptions();
             this->revival = this->now + engineRestart;
         }
 
@@ -143,13 +164,14 @@
             SubmitGeneration submit;
             submit.generation = GenerationId(number);
             submit.budget = kind.budget;
-            submit.work.team = arrival.team;
+            submit.work.team = this->settings.tellsTeams ? arrival.team : sharedTeam;
             submit.work.model = this->settings.workload.model;
             submit.work.prompt = arrival.prompt;
             submit.work.maxTokens = kind.maxTokens;
             submit.work.priority = kind.priority;
             submit.work.fingerprint = Fingerprint(number);
-            this->result.record.sent(number, arrival.team, arrival.kind, this->now);
+            if (this->now >= this->countFrom() && this->now < this->countUntil())
+                this->result.record.sent(number, arrival.team, arrival.kind, this->now);
             this->toAdmission(FromEntry { entryId, std::move(submit) });
         }
 
@@ -192,7 +214,7 @@
 
         void command(const EngineStart& start)
         {
-            ++this->result.started;
+            this->result.started += this->now >= this->countFrom() ? 1 : 0;
             if (auto refused = this->engine.submit(start, this->now))
                 this->toAdmission(FromEngine { std::move(*refused) });
         }
@@ -225,7 +247,7 @@
 
         void receive(const GenerationRefused& end)
         {
-            ++this->result.refusals[end.code];
+            this->result.refusals[end.code] += this->result.record.isOpen(end.generation.get()) ? 1 : 0;
             this->result.record.ended(end.generation.get(), AnswerEnd::Refused, this->now);
         }
 
@@ -249,6 +271,7 @@
         Instant nextReport {};
         std::optional<Instant> revival;
         std::size_t nextArrival { 0 };
+        std::uint64_t preemptionsBefore { 0 };
     };
 
 }
--- a/src/emulator/experiment/AdmissionExperiment.h
+++ b/src/emulator/experiment/AdmissionExperiment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/agent/AgentLimits.h"
 #include "emulator/EngineSettings.h"
 #include "emulator/load/LoadRecorder.h"
 #include "emulator/load/Workload.h"
@@ -16,15 +17,23 @@
     WorkloadSettings workload;
     /** Strategy and its settings, as in a release note. */
     PolicyChoice policy;
+    AdmissionLimits limits;
+    /** Requests that arrive earlier are sent but not counted. */
+    Duration warmUp { 0 };
+    /** Arrivals of this last part of the workload keep the load up while the counted requests end; not counted. */
+    Duration coolDown { 0 };
+    /** Whether the agent knows which team sends; when not, all share one line. */
+    bool tellsTeams { true };
 };
 
 /** What the callers of one run got. */
 struct ExperimentResult {
     LoadRecorder record;
+    /** After the warm-up. */
     std::uint64_t preemptions { 0 };
-    /** Generations handed to the engine. */
+    /** Generations handed to the engine after the warm-up. */
     std::uint64_t started { 0 };
-    /** Refusals by their reason. */
+    /** Refusals of counted requests by their reason. */
     std::map<ErrorCode, std::uint64_t> refusals;
     /** Times the engine died. */
     std::uint64_t deaths { 0 };
--- a/src/emulator/load/LoadRecorder.h
+++ b/src/emulator/load/LoadRecorder.h
@@ -62,6 +62,7 @@
     void close(Instant now);
 
     std::size_t open() const { return this->answers.size(); }
+    bool isOpen(std::uint64_t request) const { return this->answers.contains(request); }
     const std::map<PriorityClass, Tally>& byClass() const { return this->classes; }
     const std::map<TeamId, Tally>& byTeam() const { return this->teams; }
     Tally whole() const;
--- a/test/performance/AdmissionPolicies.cpp
+++ b/test/performance/AdmissionPolicies.cpp
@@ -1,13 +1,15 @@
-#include "emulator/experiment/AdmissionExperiment.h"
+#include "emulator/experiment/MixedEngines.h"
 
 #include <boost/program_options.hpp>
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <cstdio>
 #include <future>
 #include <iostream>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,23 +18,28 @@
 
 namespace {
 
-const std::array policies { "conditional", "unlimited", "fixed-slots", "reserve-max" };
 const std::array loads { 0.8, 1.0, 1.3 };
 const TeamId smallTeam { "small-1" };
+const TeamId floodingTeam { "flooding" };
 constexpr double smallTeamShare = 0.04;
+constexpr double floodShare = 1.3;
 
 struct Options {
     std::uint64_t seeds { 3 };
-    std::int64_t seconds { 300 };
+    std::int64_t seconds { 600 };
     std::uint32_t jobs { 3 };
+    std::string only;
+    bool skipFlood { false };
 };
 
-/** One measured column: its title and how a run yields it. */
-struct Column {
-    const char* title;
-    double (*value)(const ExperimentResult&);
+/** One policy or a variant of one, by what it changes in the settings. */
+struct Variant {
+    const char* name;
+    void (*change)(ExperimentSettings&);
 };
 
+using Runs = std::vector<MixedResult>;
+
 double milliseconds(Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
 
 double perThousand(std::uint64_t part, const Tally& tally)
@@ -40,42 +47,38 @@
     return tally.sent == 0 ? 0 : 1000.0 * static_cast<double>(part) / static_cast<double>(tally.sent);
 }
 
-double betweenTokens(const ExperimentResult& run, double share)
-{
-    return milliseconds(run.record.whole().betweenTokens.quantile(share));
-}
+/** One measured column: its title and how a run yields it. */
+struct Column {
+    const char* title;
+    double (*value)(const MixedResult&);
+};
 
 const std::array columns {
-    Column { "preempt/1000", [](const ExperimentResult& run) { return run.preemptionsPerThousand(); } },
-    Column { "p50 ms", [](const ExperimentResult& run) { return betweenTokens(run, 0.5); } },
-    Column { "p95 ms", [](const ExperimentResult& run) { return betweenTokens(run, 0.95); } },
-    Column { "p99 ms", [](const ExperimentResult& run) { return betweenTokens(run, 0.99); } },
-    Column { "p99.9 ms", [](const ExperimentResult& run) { return betweenTokens(run, 0.999); } },
-    Column { "stall s", [](const ExperimentResult& run) { return milliseconds(run.record.whole().stall) / 1000; } },
-    Column { "ttft p95 ms",
-        [](const ExperimentResult& run) { return milliseconds(run.record.whole().firstToken.quantile(0.95)); } },
-    Column { "on time/1000",
-        [](const ExperimentResult& run) { return perThousand(run.record.whole().onTime, run.record.whole()); } },
-    Column { "refused/1000",
-        [](const ExperimentResult& run) { return perThousand(run.record.whole().refused, run.record.whole()); } },
-    Column { "failed/1000",
-        [](const ExperimentResult& run) { return perThousand(run.record.whole().failed, run.record.whole()); } },
-    Column { "lost", [](const ExperimentResult& run) { return static_cast<double>(run.record.whole().lost); } },
-    Column { "doubled", [](const ExperimentResult& run) { return static_cast<double>(run.record.whole().doubled); } },
+    Column { "preempt/1000", [](const MixedResult& run) { return run.preemptionsPerThousand(); } },
+    Column { "p95 ms", [](const MixedResult& run) { return milliseconds(run.whole.betweenTokens.quantile(0.95)); } },
+    Column { "p99 ms", [](const MixedResult& run) { return milliseconds(run.whole.betweenTokens.quantile(0.99)); } },
+    Column { "p99.9 ms", [](const MixedResult& run) { return milliseconds(run.whole.betweenTokens.quantile(0.999)); } },
+    Column { "stall s", [](const MixedResult& run) { return milliseconds(run.whole.stall) / 1000; } },
+    Column { "on time/1000", [](const MixedResult& run) { return perThousand(run.whole.onTime, run.whole); } },
+    Column { "refused/1000", [](const MixedResult& run) { return perThousand(run.whole.refused, run.whole); } },
+    Column { "failed/1000", [](const MixedResult& run) { return perThousand(run.whole.failed, run.whole); } },
+    Column { "lost+doubled", [](const MixedResult& run) { return double(run.whole.lost + run.whole.doubled); } },
 };
 
-ExperimentSettings settingsFor(const Options& chosen, std::uint64_t seed, const std::string& policy)
-{
-    ExperimentSettings settings;
-    settings.engine.seed = seed;
-    settings.engine.maxWaiting = 100000;
-    settings.workload.seed = seed;
-    settings.workload.length = Seconds(chosen.seconds);
-    settings.workload.kinds = defaultKinds();
-    settings.workload.teams = defaultTeams();
-    settings.policy.admission = policy;
-    return settings;
-}
+struct TallyColumn {
+    const char* title;
+    double (*value)(const Tally&);
+};
+
+const std::array classColumns {
+    TallyColumn { "on time/1000", [](const Tally& tally) { return perThousand(tally.onTime, tally); } },
+    TallyColumn { "refused/1000", [](const Tally& tally) { return perThousand(tally.refused, tally); } },
+    TallyColumn { "p99 ms", [](const Tally& tally) { return milliseconds(tally.betweenTokens.quantile(0.99)); } },
+    TallyColumn { "stall s", [](const Tally& tally) { return milliseconds(tally.stall) / 1000; } },
+    TallyColumn { "ttft p95 ms", [](const Tally& tally) { return milliseconds(tally.firstToken.quantile(0.95)); } },
+};
+
+const std::array classNames { "checks", "summaries", "drafts" };
 
 double median(std::vector<double> values)
 {
@@ -83,96 +86,163 @@
     return values[values.size() / 2];
 }
 
-/** Runs all settings, a few at once. */
+/** Runs all settings, a few at once; each worker takes the next that none has taken. */
 std::vector<ExperimentResult> runAll(const std::vector<ExperimentSettings>& all, std::uint32_t jobs)
 {
-    std::vector<ExperimentResult> results;
-    for (std::size_t begin = 0; begin < all.size(); begin += jobs) {
-        std::vector<std::future<ExperimentResult>> running;
-        for (std::size_t place = begin; place < std::min(all.size(), begin + jobs); ++place)
-            running.push_back(
-                std::async(std::launch::async, [&all, place] { return runAdmissionExperiment(all[place]); }));
-        for (auto& one : running)
-            results.push_back(one.get());
+    std::vector<std::optional<ExperimentResult>> results(all.size());
+    std::atomic<std::size_t> next { 0 };
+    std::vector<std::future<void>> workers;
+    for (std::uint32_t job = 0; job < jobs; ++job)
+        workers.push_back(std::async(std::launch::async, [&] {
+            for (std::size_t place = next++; place < all.size(); place = next++)
+                results[place] = runAdmissionExperiment(all[place]);
+        }));
+    for (auto& worker : workers)
+        worker.get();
+    std::vector<ExperimentResult> whole;
+    for (auto& result : results)
+        whole.push_back(std::move(*result));
+    return whole;
+}
+
+/** Runs a variant on each engine with each seed. @return one result for each seed, over all engines. */
+Runs runVariant(const Options& chosen, const std::vector<MeasuredEngine>& engines, double load, const Variant& variant)
+{
+    std::vector<ExperimentSettings> all;
+    for (std::uint64_t seed = 1; seed <= chosen.seeds; ++seed) {
+        for (const MeasuredEngine& engine : engines) {
+            all.push_back(steadySettings(engine, seed, Seconds(chosen.seconds), load));
+            variant.change(all.back());
+        }
     }
-    return results;
+    const auto results = runAll(all, chosen.jobs);
+    Runs merged(chosen.seeds);
+    for (std::size_t place = 0; place < results.size(); ++place)
+        merged[place / engines.size()].add(results[place]);
+    return merged;
+}
+
+template <typename Value> void printCell(const Runs& runs, Value value)
+{
+    std::vector<double> values;
+    for (const MixedResult& run : runs)
+        values.push_back(value(run));
+    std::printf(" %8.1f [%6.1f %6.1f]", median(values), *std::min_element(values.begin(), values.end()),
+        *std::max_element(values.begin(), values.end()));
 }
 
 void printHeader()
 {
-    std::printf("%-6s %-12s", "load", "policy");
+    std::printf("%-5s %-18s", "load", "policy");
     for (const Column& column : columns)
-        std::printf(" %22s", column.title);
+        std::printf(" %24s", column.title);
     std::printf("\n");
 }
 
-void printRow(double load, const char* policy, const std::vector<ExperimentResult>& results)
+void printClasses(const char* name, const Runs& runs)
 {
-    std::printf("%-6.1f %-12s", load, policy);
-    for (const Column& column : columns) {
-        std::vector<double> values;
-        for (const ExperimentResult& result : results)
-            values.push_back(column.value(result));
-        std::printf(" %8.1f [%5.1f %6.1f]", median(values), *std::min_element(values.begin(), values.end()),
-            *std::max_element(values.begin(), values.end()));
+    for (std::size_t index = 0; index < classNames.size(); ++index) {
+        std::printf("      %-18s %-9s", name, classNames[index]);
+        for (const TallyColumn& column : classColumns) {
+            std::printf(" %s", column.title);
+            printCell(runs, [&](const MixedResult& run) {
+                const auto found = run.byClass.find(static_cast<PriorityClass>(index));
+                return found == run.byClass.end() ? 0 : column.value(found->second);
+            });
+        }
+        std::printf("\n");
     }
-    std::printf("\n");
-    std::fflush(stdout);
 }
 
-void printRefusals(double load, const char* policy, const std::vector<ExperimentResult>& results)
+void printRefusals(const char* name, const Runs& runs)
 {
     std::map<ErrorCode, std::uint64_t> reasons;
-    for (const ExperimentResult& result : results) {
-        for (const auto& [code, count] : result.refusals)
+    for (const MixedResult& run : runs) {
+        for (const auto& [code, count] : run.refusals)
             reasons[code] += count;
     }
     for (const auto& [code, count] : reasons)
-        std::printf("%-6.1f %-12s refused, all seeds: %s %llu\n", load, policy, std::string(codeName(code)).c_str(),
+        std::printf("      %-18s refused, all seeds: %s %llu\n", name, std::string(codeName(code)).c_str(),
             static_cast<unsigned long long>(count));
 }
 
-void comparePolicies(const Options& chosen, double capacity)
+void printRow(double load, const char* name, const Runs& runs)
+{
+    std::printf("%-5.1f %-18s", load, name);
+    for (const Column& column : columns)
+        printCell(runs, column.value);
+    std::printf("\n");
+    printClasses(name, runs);
+    printRefusals(name, runs);
+    std::fflush(stdout);
+}
+
+const std::array policyVariants {
+    Variant { "conditional", [](ExperimentSettings& settings) { settings.policy.admission = "conditional"; } },
+    Variant { "unlimited", [](ExperimentSettings& settings) { settings.policy.admission = "unlimited"; } },
+    Variant { "fixed-slots", [](ExperimentSettings& settings) { settings.policy.admission = "fixed-slots"; } },
+    Variant { "reserve-max", [](ExperimentSettings& settings) { settings.policy.admission = "reserve-max"; } },
+};
+
+void comparePolicies(const Options& chosen, const std::vector<MeasuredEngine>& engines)
 {
     printHeader();
     for (const double load : loads) {
-        for (const char* policy : policies) {
-            std::vector<ExperimentSettings> all;
-            for (std::uint64_t seed = 1; seed <= chosen.seeds; ++seed) {
-                all.push_back(settingsFor(chosen, seed, policy));
-                all.back().workload.requestsPerSecond = load * capacity;
-            }
-            const auto results = runAll(all, chosen.jobs);
-            printRow(load, policy, results);
-            printRefusals(load, policy, results);
+        for (const Variant& variant : policyVariants) {
+            if (chosen.only.empty() || chosen.only == variant.name)
+                printRow(load, variant.name, runVariant(chosen, engines, load, variant));
         }
     }
 }
 
-/** A small team alone, and the same team beside one that sends 1.3 times the capacity. */
-void compareFlood(const Options& chosen, double capacity)
+/** The small team's requests without and with the flood; the same seeds. */
+Runs runSmallTeam(const Options& chosen, const std::vector<MeasuredEngine>& engines, const Variant& variant, bool flood)
 {
-    std::printf("\nsmall team: p95 between tokens and p95 to first token, alone and beside a flooding team\n");
-    for (const char* policy : policies) {
-        for (std::uint64_t seed = 1; seed <= chosen.seeds; ++seed) {
-            ExperimentSettings alone = settingsFor(chosen, seed, policy);
-            alone.workload.teams = { { smallTeam, 1 } };
-            alone.workload.requestsPerSecond = smallTeamShare * capacity;
-            ExperimentSettings beside = settingsFor(chosen, seed, policy);
-            beside.workload.teams = { { smallTeam, smallTeamShare }, { TeamId("flooding"), 1.3 } };
-            beside.workload.requestsPerSecond = (smallTeamShare + 1.3) * capacity;
-            const auto results = runAll({ alone, beside }, chosen.jobs);
-            const Tally& first = results[0].record.byTeam().at(smallTeam);
-            const Tally& second = results[1].record.byTeam().at(smallTeam);
-            std::printf("%-12s seed %llu: between %.1f -> %.1f ms, first token %.0f -> %.0f ms, on time %llu/%llu -> "
-                        "%llu/%llu\n",
-                policy, static_cast<unsigned long long>(seed), milliseconds(first.betweenTokens.quantile(0.95)),
-                milliseconds(second.betweenTokens.quantile(0.95)), milliseconds(first.firstToken.quantile(0.95)),
-                milliseconds(second.firstToken.quantile(0.95)), static_cast<unsigned long long>(first.onTime),
-                static_cast<unsigned long long>(first.sent), static_cast<unsigned long long>(second.onTime),
-                static_cast<unsigned long long>(second.sent));
+    std::vector<ExperimentSettings> all;
+    for (std::uint64_t seed = 1; seed <= chosen.seeds; ++seed) {
+        for (const MeasuredEngine& engine : engines) {
+            const double load = flood ? smallTeamShare + floodShare : smallTeamShare;
+            all.push_back(steadySettings(engine, seed, Seconds(chosen.seconds), load));
+            all.back().workload.teams = { { smallTeam, smallTeamShare } };
+            if (flood)
+                all.back().workload.teams.push_back({ floodingTeam, floodShare });
+            variant.change(all.back());
         }
     }
+    const auto results = runAll(all, chosen.jobs);
+    Runs merged(chosen.seeds);
+    for (std::size_t place = 0; place < results.size(); ++place)
+        merged[place / engines.size()].add(results[place]);
+    return merged;
+}
+
+void printSmallTeam(const char* name, const char* when, const Runs& runs)
+{
+    std::printf("%-18s %-7s", name, when);
+    static constexpr std::array shownColumns {
+        TallyColumn {
+            "p95 between ms", [](const Tally& tally) { return milliseconds(tally.betweenTokens.quantile(0.95)); } },
+        TallyColumn {
+            "first token p95 ms", [](const Tally& tally) { return milliseconds(tally.firstToken.quantile(0.95)); } },
+        TallyColumn { "on time/1000", [](const Tally& tally) { return perThousand(tally.onTime, tally); } }
+    };
+    for (const TallyColumn& column : shownColumns) {
+        std::printf(" %s", column.title);
+        printCell(runs, [&](const MixedResult& run) { return column.value(run.byTeam.at(smallTeam)); });
+    }
+    std::printf("\n");
+    std::fflush(stdout);
+}
+
+void compareFlood(const Options& chosen, const std::vector<MeasuredEngine>& engines)
+{
+    std::printf("\na small team alone, and beside a team that sends 1.3 times the capacity\n");
+    for (const Variant& variant : policyVariants) {
+        if (!chosen.only.empty() && chosen.only != variant.name)
+            continue;
+        printSmallTeam(variant.name, "alone", runSmallTeam(chosen, engines, variant, false));
+        printSmallTeam(variant.name, "beside", runSmallTeam(chosen, engines, variant, true));
+    }
 }
 
 }
@@ -180,30 +250,36 @@
 int main(int argc, char** argv)
 {
     Options chosen;
-    options::options_description description("admission policies before one emulated engine");
-    auto add = description.add_options();
-    add("help", "show this text and exit");
-    add("seeds", options::value(&chosen.seeds)->default_value(chosen.seeds), "runs of each row");
-    add("seconds", options::value(&chosen.seconds)->default_value(chosen.seconds), "arrivals, in the engine's time");
-    add("jobs", options::value(&chosen.jobs)->default_value(chosen.jobs), "runs at once");
+    options::options_description description("Compares admission policies in process, under a manual clock");
+    description.add_options()("help", "show this text")(
+        "seeds", options::value(&chosen.seeds)->default_value(chosen.seeds), "seeds 1 to this one")("seconds",
+        options::value(&chosen.seconds)->default_value(chosen.seconds),
+        "time in which requests are counted")("jobs", options::value(&chosen.jobs)->default_value(chosen.jobs),
+        "runs at once")("only", options::value(&chosen.only), "policy to run; all when not given")(
+        "skip-flood", options::bool_switch(&chosen.skipFlood), "leave out the small team beside a flooding one");
     options::variables_map values;
     try {
         options::store(options::parse_command_line(argc, argv, description), values);
         options::notify(values);
     } catch (const options::error& error) {
-        std::cerr << error.what() << "\n" << description;
+        std::cerr << error.what() << '\n';
         return 2;
     }
     if (values.count("help") != 0) {
         std::cout << description;
         return 0;
     }
-    const ExperimentSettings base = settingsFor(chosen, 1, "conditional");
-    const double capacity = measureCapacity(base.engine, base.workload);
-    std::printf("capacity: %.2f requests/s (admission by true lengths, engine always busy)\n", capacity);
-    std::printf("each cell: median [least greatest] over %llu seeds of %lld s\n\n",
+    WorkloadSettings workload;
+    workload.kinds = defaultKinds();
+    workload.teams = defaultTeams();
+    const std::vector<MeasuredEngine> engines = measureEngines(workload);
+    for (const MeasuredEngine& engine : engines)
+        std::printf("capacity of the %s engine: %.2f requests/s (admission by true lengths, engine always busy)\n",
+            engine.name.c_str(), engine.capacity);
+    std::printf("each cell: median [least greatest] over %llu seeds, %lld s counted in steady state, all engines\n\n",
         static_cast<unsigned long long>(chosen.seeds), static_cast<long long>(chosen.seconds));
-    comparePolicies(chosen, capacity);
-    compareFlood(chosen, capacity);
+    comparePolicies(chosen, engines);
+    if (!chosen.skipFlood)
+        compareFlood(chosen, engines);
     return 0;
 }
