Bound waiting per class and give lower classes turns

Change: the bounds count each class on its own; after sixteen items of higher classes a waiting lower class is tried first, and does not hold the others when it does not fit; the engine model sets outdatedFence.

--- a/src/core/agent/Admission.cpp
+++ b/src/core/agent/Admission.cpp
@@ -211,8 +211,9 @@
     const bool coldFull = this->profile.cold() && this->queue.size() >= coldLimit;
     if (coldFull)
         return ErrorCode::NoCapacity;
-    const bool full = this->queue.size() >= this->limits.queueCapacity
-        || this->queue.teamSize(message.work.team) >= this->limits.queueCapacityPerTeam;
+    const PriorityClass priority = message.work.priority;
+    const bool full = this->queue.classSize(priority) >= this->limits.queueCapacity
+        || this->queue.teamSize(message.work.team, priority) >= this->limits.queueCapacityPerTeam;
     return full ? std::optional(ErrorCode::QueueFull) : std::nullopt;
 }
 
@@ -351,7 +352,7 @@
     }
     if (!this->outlook(context.now).mayStart(generation))
         return false;
-    this->queue.pop();
+    this->queue.take(item);
     this->supervisor.start(generation, context);
     return true;
 }
@@ -361,6 +362,10 @@
     if (this->knowledge.holdsStarts())
         return;
     EngineContext context = this->engineContext(now);
+    // What is overdue does not fit at times; the others need not wait for it.
+    auto late = this->queue.overdue();
+    while (late && this->startNext(*late, context))
+        late = this->queue.overdue();
     auto next = this->queue.front();
     while (next && this->startNext(*next, context))
         next = this->queue.front();
--- a/src/core/agent/AgentLimits.h
+++ b/src/core/agent/AgentLimits.h
@@ -31,9 +31,9 @@
     Duration orderInterval { Seconds(10) };
     /** Tokens sent to an entry and not acknowledged. */
     std::uint32_t flowWindow { 1024 };
-    /** Generations or calls that wait. */
+    /** Generations of one priority class, or calls, that wait. */
     std::size_t queueCapacity { 256 };
-    /** Generations or calls of one team that wait. */
+    /** Generations of one priority class, or calls, of one team that wait. */
     std::size_t queueCapacityPerTeam { 128 };
     /** Tries to attach to a generation's stream again. */
     std::uint32_t streamResumes { 3 };
--- a/src/core/agent/CallKeeper.cpp
+++ b/src/core/agent/CallKeeper.cpp
@@ -137,7 +137,7 @@
     if (message.budget <= Milliseconds(0))
         return ErrorCode::DeadlineExceeded;
     const bool full = this->queue.size() >= this->limits.queueCapacity
-        || this->queue.teamSize(message.work.team) >= this->limits.queueCapacityPerTeam;
+        || this->queue.teamSize(message.work.team, PriorityClass::Standard) >= this->limits.queueCapacityPerTeam;
     if (full)
         return ErrorCode::QueueFull;
     if (this->active >= this->limits.concurrentCalls && this->expectedWait() > message.budget)
--- a/src/core/agent/FairQueue.cpp
+++ b/src/core/agent/FairQueue.cpp
@@ -4,6 +4,13 @@
 
 namespace teaselfold {
 
+namespace {
+
+    /** A waiting class gets a turn after so many items of higher classes. */
+    constexpr std::uint32_t mostPassedOver = 16;
+
+}
+
 FairQueue::Line& FairQueue::lineOf(const QueueItem& item, std::uint32_t weight)
 {
     Class& lane = this->classes[static_cast<std::size_t>(item.priority)];
@@ -25,34 +32,57 @@
     line.deficit += item.cost;
 }
 
+std::optional<QueueItem> FairQueue::frontOf(Class& lane, std::uint32_t quantum)
+{
+    while (!lane.round.empty()) {
+        Line& line = lane.lines.at(lane.round.front());
+        const QueueItem& item = line.items.front();
+        if (line.deficit >= item.cost)
+            return item;
+        line.deficit += std::uint64_t { quantum } * line.weight;
+        lane.round.push_back(lane.round.front());
+        lane.round.pop_front();
+    }
+    return std::nullopt;
+}
+
 std::optional<QueueItem> FairQueue::front()
 {
     for (Class& lane : this->classes) {
-        while (!lane.round.empty()) {
-            Line& line = lane.lines.at(lane.round.front());
-            const QueueItem& item = line.items.front();
-            if (line.deficit >= item.cost)
-                return item;
-            line.deficit += std::uint64_t { this->quantum } * line.weight;
-            lane.round.push_back(lane.round.front());
-            lane.round.pop_front();
-        }
+        if (auto item = frontOf(lane, this->quantum))
+            return item;
+    }
+    return std::nullopt;
+}
+
+std::optional<QueueItem> FairQueue::overdue()
+{
+    for (auto lane = this->classes.rbegin(); lane != this->classes.rend(); ++lane) {
+        if (lane->items > 0 && lane->passedOver >= mostPassedOver)
+            return frontOf(*lane, this->quantum);
     }
     return std::nullopt;
 }
 
 void FairQueue::pop()
 {
-    const auto item = this->front();
-    if (!item)
-        return;
-    Class& lane = this->classes[static_cast<std::size_t>(item->priority)];
-    Line& line = lane.lines.at(item->team);
-    line.deficit -= item->cost;
+    if (const auto item = this->front())
+        this->take(*item);
+}
+
+void FairQueue::take(const QueueItem& item)
+{
+    const auto index = static_cast<std::size_t>(item.priority);
+    Class& lane = this->classes[index];
+    lane.passedOver = 0;
+    for (std::size_t lower = index + 1; lower < this->classes.size(); ++lower)
+        this->classes[lower].passedOver += this->classes[lower].items > 0 ? 1 : 0;
+    Line& line = lane.lines.at(item.team);
+    line.deficit -= item.cost;
     line.items.pop_front();
     lane.items -= 1;
     this->items -= 1;
-    this->retireIfEmpty(lane, item->team);
+    this->retireIfEmpty(lane, item.team);
 }
 
 bool FairQueue::remove(const QueueItem& item)
@@ -73,14 +103,11 @@
     return true;
 }
 
-std::size_t FairQueue::teamSize(const TeamId& team) const
+std::size_t FairQueue::teamSize(const TeamId& team, PriorityClass priority) const
 {
-    std::size_t count = 0;
-    for (const Class& lane : this->classes) {
-        const auto line = lane.lines.find(team);
-        count += line == lane.lines.end() ? 0 : line->second.items.size();
-    }
-    return count;
+    const Class& lane = this->classes[static_cast<std::size_t>(priority)];
+    const auto line = lane.lines.find(team);
+    return line == lane.lines.end() ? 0 : line->second.items.size();
 }
 
 std::size_t FairQueue::sizeUpTo(PriorityClass priority) const
--- a/src/core/agent/FairQueue.h
+++ b/src/core/agent/FairQueue.h
@@ -22,8 +22,9 @@
 };
 
 /**
- * Deficit round robin over teams inside each priority class; classes in strict order. Bounded by its owner through
- * size and teamSize. Source: Shreedhar and Varghese, "Efficient Fair Queuing using Deficit Round Robin", 1995.
+ * Deficit round robin over teams inside each priority class; classes in strict order, but for what is overdue. Bounded
+ * by its owner through size and teamSize. Source: Shreedhar and Varghese, "Efficient Fair Queuing using Deficit Round
+ * Robin", 1995.
  */
 class FairQueue {
 public:
@@ -45,11 +46,26 @@
     /** Takes the item that front returned. */
     void pop();
 
+    /**
+     * Classes in strict order would let a lower one wait for ever. One that was passed over often enough is due.
+     * @return the next item of the lowest class that is due; nothing when none is.
+     */
+    std::optional<QueueItem> overdue();
+
+    /** Takes an item that front or overdue returned. */
+    void take(const QueueItem& item);
+
     /** Removes an item wherever it waits. @return false when it does not wait. */
     bool remove(const QueueItem& item);
 
     std::size_t size() const { return this->items; }
-    std::size_t teamSize(const TeamId& team) const;
+    /** @return items of one team that wait in one class. */
+    std::size_t teamSize(const TeamId& team, PriorityClass priority) const;
+    /** @return items that wait in one class. */
+    std::size_t classSize(PriorityClass priority) const
+    {
+        return this->classes[static_cast<std::size_t>(priority)].items;
+    }
     /** @return items that are served before a new one of this class, at most. */
     std::size_t sizeUpTo(PriorityClass priority) const;
 
@@ -63,8 +79,11 @@
         std::map<TeamId, Line> lines;
         std::deque<TeamId> round;
         std::size_t items { 0 };
+        /** Items of higher classes taken since this class had its last turn. */
+        std::uint32_t passedOver { 0 };
     };
 
+    static std::optional<QueueItem> frontOf(Class& lane, std::uint32_t quantum);
     Line& lineOf(const QueueItem& item, std::uint32_t weight);
     void retireIfEmpty(Class& lane, const TeamId& team);
 
--- a/src/emulator/EngineModelReports.cpp
+++ b/src/emulator/EngineModelReports.cpp
@@ -98,7 +98,7 @@
 EngineOrderResult EngineModel::order(const EngineOrder& order, Instant now)
 {
     if (this->settings.checksFencing && order.fence < this->highestFence)
-        return EngineOrderResult { order, false, "old fencing number" };
+        return EngineOrderResult { order, false, "old fencing number", true };
     this->highestFence = std::max(this->highestFence, order.fence);
     switch (order.kind) {
     case EngineOrderKind::LoadModel:
