--- a/test/performance/AdmissionPolicies.cpp
+++ b/test/performance/AdmissionPolicies.cpp
@@ -31,6 +31,7 @@
     std::string only;
     bool skipFlood { false };
     bool onlyAblations { false };
+    bool onlyFlood { false };
 };
 
 /** One policy or a variant of one, by what it changes in the settings. */
@@ -279,7 +280,8 @@
         "time in which requests are counted")("jobs", options::value(&chosen.jobs)->default_value(chosen.jobs),
         "runs at once")("only", options::value(&chosen.only), "policy to run; all when not given")(
         "skip-flood", options::bool_switch(&chosen.skipFlood), "leave out the small team beside a flooding one")(
-        "only-ablations", options::bool_switch(&chosen.onlyAblations), "run the ablations only");
+        "only-ablations", options::bool_switch(&chosen.onlyAblations), "run the ablations only")(
+        "only-flood", options::bool_switch(&chosen.onlyFlood), "run the small team and the flood only");
     options::variables_map values;
     try {
         options::store(options::parse_command_line(argc, argv, description), values);
@@ -301,9 +303,9 @@
             engine.name.c_str(), engine.capacity);
     std::printf("each cell: median [least greatest] over %llu seeds, %lld s counted in steady state, all engines\n\n",
         static_cast<unsigned long long>(chosen.seeds), static_cast<long long>(chosen.seconds));
-    if (!chosen.onlyAblations)
+    if (!chosen.onlyAblations && !chosen.onlyFlood)
         comparePolicies(chosen, engines);
-    if (chosen.onlyAblations || chosen.only.empty())
+    if (chosen.onlyAblations || (chosen.only.empty() && !chosen.onlyFlood))
         compareAblations(chosen, engines);
     if (!chosen.skipFlood && !chosen.onlyAblations)
         compareFlood(chosen, engines);
