--- a/src/core/agent/Admission.cpp
+++ b/src/core/agent/Admission.cpp
@@ -14,6 +14,8 @@
     constexpr Milliseconds longestRetry { 30000 };
     /** A retry is put off by up to this share of its wait. */
     constexpr std::int64_t retrySpreadDivisor = 4;
+    /** The wait is only estimated: work is refused when even this part of it comes too late. */
+    constexpr std::int64_t waitDoubtDivisor = 2;
     /** A cold endpoint queues at most this many generations for each that may run. */
     constexpr std::size_t coldQueueFactor = 2;
 
@@ -211,8 +213,9 @@
     const bool coldFull = this->profile.cold() && this->queue.size() >= coldLimit;
     if (coldFull)
         return ErrorCode::NoCapacity;
-    const bool full = this->queue.size() >= this->limits.queueCapacity
-        || this->queue.teamSize(message.work.team) >= this->limits.queueCapacityPerTeam;
+    const PriorityClass priority = message.work.priority;
+    const bool full = this->queue.classSize(priority) >= this->limits.queueCapacity
+        || this->queue.teamSize(message.work.team, priority) >= this->limits.queueCapacityPerTeam;
     return full ? std::optional(ErrorCode::QueueFull) : std::nullopt;
 }
 
@@ -254,7 +257,8 @@
     generation.deadline = now + message.budget;
     this->profile.observeArrival(message.work.priority, now);
     const Duration wait = this->outlook(now).waitFor(generation, this->queue);
-    if (wait + this->profile.shortestRun(generation) > message.budget) {
+    const bool unreachable = wait / waitDoubtDivisor + this->profile.shortestRun(generation) > message.budget;
+    if (this->limits.refusesEarly && unreachable) {
         this->refuse(entry, generation.id, message.work, ErrorCode::DeadlineUnreachable, this->retryAfter(wait), now);
         return;
     }
@@ -351,7 +355,7 @@
     }
     if (!this->outlook(context.now).mayStart(generation))
         return false;
-    this->queue.pop();
+    this->queue.take(item);
     this->supervisor.start(generation, context);
     return true;
 }
@@ -361,6 +365,10 @@
     if (this->knowledge.holdsStarts())
         return;
     EngineContext context = this->engineContext(now);
+    // What is overdue does not fit at times; the others need not wait for it.
+    auto late = this->queue.overdue();
+    while (late && this->startNext(*late, context))
+        late = this->queue.overdue();
     auto next = this->queue.front();
     while (next && this->startNext(*next, context))
         next = this->queue.front();
--- a/src/core/agent/AgentLimits.h
+++ b/src/core/agent/AgentLimits.h
@@ -29,11 +29,13 @@
     Duration engineSilence { Seconds(5) };
     /** Time between two orders of the same kind to the engine, and between two tries at the fencing row. */
     Duration orderInterval { Seconds(10) };
+    /** Whether work whose wait is expected to outlast its budget is refused at once. */
+    bool refusesEarly { true };
     /** Tokens sent to an entry and not acknowledged. */
     std::uint32_t flowWindow { 1024 };
-    /** Generations or calls that wait. */
+    /** Generations of one priority class, or calls, that wait. */
     std::size_t queueCapacity { 256 };
-    /** Generations or calls of one team that wait. */
+    /** Generations of one priority class, or calls, of one team that wait. */
     std::size_t queueCapacityPerTeam { 128 };
     /** Tries to attach to a generation's stream again. */
     std::uint32_t streamResumes { 3 };
--- a/src/core/entry/Dispatcher.cpp
+++ b/src/core/entry/Dispatcher.cpp
@@ -94,9 +94,7 @@
     if (request.retryOwed && !this->mayRetry(request, now))
         return;
     request.retryOwed = false;
-    // Where no other endpoint takes it, the one that lost it may run it again.
-    if (!this->dispatch(request, now))
-        request.avoided.clear();
+    this->dispatch(request, now);
 }
 
 void Dispatcher::fail(LiveRequest& request, Failure failure, Instant now)
