Count what an agent's earlier life left running at the engine

Cause: an agent that restarts has no ids of the generations its earlier life started.

Change: InheritedWork takes the excess of the first report over the agent's own work, lets it fall only when two reports in a row say so, and forgets it with the engine's life. Warmth counts it. Seeds that once broke a promise are played in each test run. FairQueue walks its classes by a range, as the linter asks.

--- a/src/core/agent/AdmissionStrategy.cpp
+++ b/src/core/agent/AdmissionStrategy.cpp
@@ -60,7 +60,7 @@
 
     bool warmthAllows(const EngineView& view, const GenerationSize&)
     {
-        return view.running.size() < view.warmth.allowance();
+        return view.running.size() + view.inherited < view.warmth.allowance();
     }
 
     bool paceAllows(const EngineView& view, const GenerationSize&)
@@ -85,7 +85,8 @@
 
         bool admits(const EngineView& view, const GenerationSize& candidate) const override
         {
-            return view.running.empty() || std::all_of(this->checks.begin(), this->checks.end(), [&](Check allows) {
+            const bool idle = view.running.empty() && view.inherited == 0;
+            return idle || std::all_of(this->checks.begin(), this->checks.end(), [&](Check allows) {
                 return allows(view, candidate);
             });
         }
--- a/src/core/agent/AdmissionStrategy.h
+++ b/src/core/agent/AdmissionStrategy.h
@@ -31,6 +31,8 @@
     const LengthModel& lengths;
     const PaceModel& pace;
     const Warmth& warmth;
+    /** Generations beside the running ones that an earlier life of the agent left at the engine. */
+    std::uint32_t inherited { 0 };
 };
 
 /** Decides whether one more generation may start. */
--- a/src/core/agent/EngineProfile.cpp
+++ b/src/core/agent/EngineProfile.cpp
@@ -39,8 +39,9 @@
     this->usageScale = std::min(highestScale, this->usageScale * scaleStepUp);
 }
 
-std::uint64_t EngineProfile::observeReport(const EngineReport& report)
+std::uint64_t EngineProfile::observeReport(const EngineReport& report, std::uint32_t own)
 {
+    this->inherited.observe(report, own);
     std::uint64_t preemptions = 0;
     const bool sameLife = this->report && this->report->incarnation == report.incarnation;
     if (sameLife && report.preemptions > this->report->preemptions)
@@ -88,6 +89,7 @@
         this->warmth };
     for (const GenerationId id : table.running())
         view.running.push_back(sizeOf(*table.find(id)));
+    view.inherited = this->inherited.running();
     if (this->report) {
         const auto capacity = static_cast<double>(this->report->blocksTotal * this->report->tokensPerBlock);
         view.capacityTokens = static_cast<std::uint64_t>(capacity / this->usageScale);
--- a/src/core/agent/EngineProfile.h
+++ b/src/core/agent/EngineProfile.h
@@ -2,6 +2,7 @@
 
 #include "core/agent/AdmissionStrategy.h"
 #include "core/agent/GenerationTable.h"
+#include "core/agent/InheritedWork.h"
 
 #include <array>
 #include <optional>
@@ -11,8 +12,12 @@
 /** What was learnt about the engine: its memory, its speed, the lengths of its outputs, and how warm it is. */
 class EngineProfile {
 public:
-    /** Learns from the engine's report. @return preemptions since the last one. */
-    std::uint64_t observeReport(const EngineReport& report);
+    /**
+     * Learns from the engine's report.
+     * @param own generations of this agent that run.
+     * @return preemptions since the last one.
+     */
+    std::uint64_t observeReport(const EngineReport& report, std::uint32_t own);
 
     /** Learns a gap between tokens. @return true when the endpoint turned cold by it. */
     bool observeGap(std::uint32_t batch, std::uint32_t tokens, Duration gap, Instant now);
@@ -54,6 +59,7 @@
     LengthModel lengths;
     PaceModel paceModel;
     Warmth warmth;
+    InheritedWork inherited;
     std::optional<EngineReport> report;
     std::array<std::optional<Instant>, priorityClassCount> lastArrival;
     double quantile { 0.8 };
--- a/src/core/agent/EngineSupervisor.cpp
+++ b/src/core/agent/EngineSupervisor.cpp
@@ -233,7 +233,8 @@
     this->abandoned.clear();
     this->incarnation = event.incarnation;
     this->lastReportAt = context.now;
-    const std::uint64_t preemptions = context.profile.observeReport(event);
+    const auto own = static_cast<std::uint32_t>(context.table.running().size());
+    const std::uint64_t preemptions = context.profile.observeReport(event, own);
     if (preemptions == 0)
         return;
     Observation observation { Metric::Preemption, TeamId(), PriorityClass::Standard, 1, {} };
--- a/src/core/agent/FairQueue.cpp
+++ b/src/core/agent/FairQueue.cpp
@@ -1,6 +1,7 @@
 #include "core/agent/FairQueue.h"
 
 #include <algorithm>
+#include <ranges>
 
 namespace teaselfold {
 
@@ -57,9 +58,9 @@
 
 std::optional<QueueItem> FairQueue::overdue()
 {
-    for (auto lane = this->classes.rbegin(); lane != this->classes.rend(); ++lane) {
-        if (lane->items > 0 && lane->passedOver >= mostPassedOver)
-            return frontOf(*lane, this->quantum);
+    for (Class& lane : std::ranges::reverse_view(this->classes)) {
+        if (lane.items > 0 && lane.passedOver >= mostPassedOver)
+            return frontOf(lane, this->quantum);
     }
     return std::nullopt;
 }
--- a/test/golden/RandomFaults.cpp
+++ b/test/golden/RandomFaults.cpp
@@ -411,18 +411,31 @@
     return text ? std::strtoull(text, nullptr, 10) : otherwise;
 }
 
+void checkSeed(std::uint64_t seed)
+{
+    const Story story = RandomStory(seed).write();
+    const auto faults = faultsOf(story);
+    for (const auto& fault : faults)
+        FAIL_CHECK("seed " << seed << ": " << fault);
+    if (!faults.empty())
+        MESSAGE("story of seed " << seed << "\n" << storyText(story));
+}
+
+/** Seeds that broke a promise once. */
+constexpr std::uint64_t mendedSeeds[] { 369, 716, 781, 3672, 4696, 5013 };
+
+}
+
+TEST_CASE("seeds of random faults that broke a promise once keep it")
+{
+    for (const std::uint64_t seed : mendedSeeds)
+        checkSeed(seed);
 }
 
 TEST_CASE("requests under random faults keep every promise and get their answers")
 {
     const std::uint64_t first = numberFrom("TEASELFOLD_SOAK_FIRST", 1);
     const std::uint64_t count = numberFrom("TEASELFOLD_SOAK_SEEDS", seedsInCi);
-    for (std::uint64_t seed = first; seed < first + count; ++seed) {
-        const Story story = RandomStory(seed).write();
-        const auto faults = faultsOf(story);
-        for (const auto& fault : faults)
-            FAIL_CHECK("seed " << seed << ": " << fault);
-        if (!faults.empty())
-            MESSAGE("story of seed " << seed << "\n" << storyText(story));
-    }
+    for (std::uint64_t seed = first; seed < first + count; ++seed)
+        checkSeed(seed);
 }
