--- a/src/adapters/settings/AgentSettings.cpp
+++ b/src/adapters/settings/AgentSettings.cpp
@@ -26,7 +26,8 @@
         Row { "link_idle_limit", &AgentSettings::linkIdleLimit, Need::Optional,
             "a link on which nothing came for so long is closed" },
         Row { "engine_streams", &AgentSettings::engineStreams, Need::Optional, "connections to the engine at once" },
-        Row { "queue_capacity", &AgentSettings::queueCapacity, Need::Optional, "generations that wait at most" },
+        Row { "queue_capacity", &AgentSettings::queueCapacity, Need::Optional,
+            "generations of one priority class that wait at most" },
         Row { "flow_window", &AgentSettings::flowWindow, Need::Optional,
             "tokens sent ahead of the entry's acknowledgement" },
     };
