--- a/src/core/agent/FairQueue.cpp
+++ b/src/core/agent/FairQueue.cpp
@@ -1,7 +1,6 @@
 #include "core/agent/FairQueue.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace teaselfold {
 
@@ -58,11 +57,9 @@
 
 std::optional<QueueItem> FairQueue::overdue()
 {
-    for (Class& lane : std::ranges::reverse_view(this->classes)) {
-        if (lane.items > 0 && lane.passedOver >= mostPassedOver)
-            return frontOf(lane, this->quantum);
-    }
-    return std::nullopt;
+    const auto isDue = [](const Class& lane) { return lane.items > 0 && lane.passedOver >= mostPassedOver; };
+    const auto due = std::find_if(this->classes.rbegin(), this->classes.rend(), isDue);
+    return due == this->classes.rend() ? std::nullopt : frontOf(*due, this->quantum);
 }
 
 void FairQueue::pop()
