Return what a caller sent as a value

Cause: the callers' handlers read identity and body through two out-parameters and a bool, three times over; read as a newcomer, the failure's answer was hard to see.

Change: readInput returns both, or nothing when it has sent the refusal.

No behaviour changes.

--- a/src/adapters/http/CallerHandlers.cpp
+++ b/src/adapters/http/CallerHandlers.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <string_view>
 
 namespace teaselfold {
@@ -52,22 +53,26 @@
         CallerContext& context;
     };
 
-    /** Reads caller and body. @return false when the refusal was sent. */
-    bool readRequest(CallerExchange& exchange, CallerIdentity& identity, std::string& body)
+    /** Who calls, and what was sent. */
+    struct CallerInput {
+        CallerIdentity identity;
+        std::string body;
+    };
+
+    /** Reads caller and body. @return nothing when either was refused; the refusal is sent then. */
+    std::optional<CallerInput> readInput(CallerExchange& exchange)
     {
         const auto who = exchange.identify();
         if (const auto* failure = std::get_if<Failure>(&who)) {
             exchange.sendFailure(*failure);
-            return false;
+            return std::nullopt;
         }
-        const auto read = exchange.readBody();
+        auto read = exchange.readBody();
         if (const auto* failure = std::get_if<Failure>(&read)) {
             exchange.sendFailure(*failure);
-            return false;
+            return std::nullopt;
         }
-        identity = std::get<CallerIdentity>(who);
-        body = std::get<std::string>(read);
-        return true;
+        return CallerInput { std::get<CallerIdentity>(who), std::get<std::string>(std::move(read)) };
     }
 
     class CompletionHandler final : public CallerHandler {
@@ -77,16 +82,15 @@
     private:
         void serve(CallerExchange& exchange) override
         {
-            CallerIdentity identity;
-            std::string body;
-            if (!readRequest(exchange, identity, body))
+            const auto input = readInput(exchange);
+            if (!input)
                 return;
-            auto decoded = decodeCompletionRequest(body);
+            auto decoded = decodeCompletionRequest(input->body);
             if (const auto* failure = std::get_if<Failure>(&decoded)) {
                 exchange.sendFailure(*failure);
                 return;
             }
-            this->run(exchange, identity, std::get<CompletionRequest>(std::move(decoded)));
+            this->run(exchange, input->identity, std::get<CompletionRequest>(std::move(decoded)));
         }
 
         static void run(CallerExchange& exchange, const CallerIdentity& identity, CompletionRequest request)
@@ -126,17 +130,16 @@
     private:
         void serve(CallerExchange& exchange) override
         {
-            CallerIdentity identity;
-            std::string body;
-            if (!readRequest(exchange, identity, body))
+            const auto input = readInput(exchange);
+            if (!input)
                 return;
             const auto position = decodeEventId(exchange.request.get("Last-Event-ID", ""));
             if (!position) {
                 exchange.sendFailure({ ErrorCode::BadRequest, "the header Last-Event-ID is malformed", Run::No });
                 return;
             }
-            StreamResumeRequest request { exchange.open(streamCapacity), identity.team, position->token,
-                position->nextIndex, identity.budget };
+            StreamResumeRequest request { exchange.open(streamCapacity), input->identity.team, position->token,
+                position->nextIndex, input->identity.budget };
             if (exchange.post(std::move(request)))
                 StreamWriter(exchange).run();
             else
@@ -164,16 +167,17 @@
     private:
         void serve(CallerExchange& exchange) override
         {
-            CallerIdentity identity;
-            ServiceCallRequest call;
-            if (!readRequest(exchange, identity, call.work.body))
+            auto input = readInput(exchange);
+            if (!input)
                 return;
+            ServiceCallRequest call;
+            call.work.body = std::move(input->body);
             if (!splitServicePath(exchange.request.getURI(), call.work)) {
                 exchange.sendFailure({ ErrorCode::NotFound, "the path names no service", Run::No });
                 return;
             }
-            call.budget = identity.budget;
-            call.work.team = identity.team;
+            call.budget = input->identity.budget;
+            call.work.team = input->identity.team;
             call.work.method = exchange.request.getMethod();
             call.work.headers = forwardedHeaders(exchange.request);
             call.work.key = IdempotencyKey(exchange.request.get("Idempotency-Key", ""));
