Write numbers as hexadecimal text in one place of the core

Cause: the ids of operators' acts and the fingerprints of quarantined requests were formatted by two copies of the same lines. Change: hexText in core/common serves both. The texts are the same: no golden file changed.

--- a/src/core/control/ControlContext.cpp
+++ b/src/core/control/ControlContext.cpp
@@ -1,7 +1,6 @@
 #include "core/control/ControlContext.h"
 
-#include <array>
-#include <cstdio>
+#include "core/common/HexText.h"
 
 namespace teaselfold {
 
@@ -44,12 +43,7 @@
     this->actions.emplace_back(ToAdmin { admin, std::move(message) });
 }
 
-OrderId ControlContext::drawId()
-{
-    std::array<char, 20> text {};
-    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(this->randomness.next()));
-    return OrderId(this->entry.get() + "-" + text.data());
-}
+OrderId ControlContext::drawId() { return OrderId(this->entry.get() + "-" + hexText(this->randomness.next())); }
 
 void ControlContext::log(std::string name, std::vector<LogField> fields)
 {
--- a/src/core/control/ReleaseKeys.cpp
+++ b/src/core/control/ReleaseKeys.cpp
@@ -1,8 +1,8 @@
 #include "core/control/ReleaseKeys.h"
 
-#include <array>
+#include "core/common/HexText.h"
+
 #include <charconv>
-#include <cstdio>
 #include <string_view>
 
 namespace teaselfold {
@@ -32,12 +32,7 @@
     return actPrefix + padded(time) + "-" + act.id.get();
 }
 
-std::string fingerprintText(Fingerprint fingerprint)
-{
-    std::array<char, fingerprintDigits + 1> text {};
-    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(fingerprint.get()));
-    return text.data();
-}
+std::string fingerprintText(Fingerprint fingerprint) { return hexText(fingerprint.get()); }
 
 std::optional<Fingerprint> parseFingerprint(const std::string& text)
 {
