--- /dev/null
+++ b/apps/teaselfold-gateway/Main.cpp
@@ -0,0 +1,129 @@
+#include "adapters/logging/GlogLog.h"
+#include "adapters/metrics/TelemetryHub.h"
+#include "adapters/settings/CommandLine.h"
+#include "adapters/traffic/TrafficServer.h"
+#include "platform/PlatformTrafficCodec.h"
+#include "platform/StoreFollower.h"
+#include "runtime/BootClock.h"
+
+#include <csignal>
+#include <future>
+#include <random>
+
+using namespace teaselfold;
+
+namespace {
+
+class SystemRandomness final : public Randomness {
+public:
+    std::uint64_t next() override { return this->engine(); }
+
+private:
+    std::mt19937_64 engine { std::random_device {}() };
+};
+
+sigset_t blockSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+TrafficOptions trafficOptions(const GatewaySettings& settings)
+{
+    TrafficOptions options;
+    options.callers = settings.callers;
+    options.readiness = settings.readiness;
+    options.metrics = settings.metrics;
+    options.connectTimeout = settings.connectTimeout;
+    // The rest of the time is for the process to end.
+    constexpr Milliseconds exitTime(500);
+    options.stopLimit = std::max(settings.stopLimit - exitTime, options.stopLinger);
+    return options;
+}
+
+/** All parts of a gateway; members are destroyed in the reverse order of their use of each other. */
+class GatewayProcess {
+public:
+    explicit GatewayProcess(const GatewaySettings& settings);
+
+    /** Serves until a stop signal came and its work is done. @return the reason when an address is taken. */
+    std::optional<Failure> run(const sigset_t& signals);
+
+private:
+    std::unique_ptr<StoreFollower> follow(std::unique_ptr<TableTranslator> translator);
+
+    GatewaySettings settings;
+    SystemRandomness randomness;
+    PlatformTrafficCodec codec;
+    std::unique_ptr<TelemetryHub> telemetry;
+    Gateway gateway;
+    std::promise<void> stopped;
+    std::unique_ptr<TrafficServer> traffic;
+    std::vector<std::unique_ptr<StoreFollower>> followers;
+};
+
+GatewayProcess::GatewayProcess(const GatewaySettings& gatewaySettings)
+    : settings(gatewaySettings)
+    , telemetry(TelemetryHubBuilder().withLogSink(writeLog).build())
+    , gateway(gatewayLimits(this->settings), this->settings.zone, this->randomness)
+    , traffic(std::make_unique<TrafficServer>(trafficOptions(this->settings),
+          TrafficServer::Parts { this->gateway, this->codec, *this->telemetry,
+              [this] { return this->telemetry->renderPrometheus(); }, &bootTimeNow,
+              [this] { this->stopped.set_value(); } }))
+{
+    this->followers.push_back(this->follow(std::make_unique<OperatorTable>()));
+    this->followers.push_back(this->follow(std::make_unique<EndpointTableRows>()));
+}
+
+std::unique_ptr<StoreFollower> GatewayProcess::follow(std::unique_ptr<TableTranslator> translator)
+{
+    StoreFollower::Options options;
+    options.store = this->settings.store;
+    options.timeout = this->settings.storeTimeout;
+    return std::make_unique<StoreFollower>(options, std::move(translator),
+        [this](GatewayEvent event) { this->traffic->ring().push(std::move(event)); }, &bootTimeNow);
+}
+
+std::optional<Failure> GatewayProcess::run(const sigset_t& signals)
+{
+    this->telemetry->start();
+    this->telemetry->log({ "started", { { "instance", this->settings.instance }, { "zone", this->settings.zone.get() } } });
+    if (auto failure = this->traffic->start())
+        return failure;
+    for (const auto& follower : this->followers)
+        follower->start();
+    int signal = 0;
+    while (sigwait(&signals, &signal) == 0 && signal == SIGHUP)
+        this->telemetry->log({ "reload", { { "outcome", "unchanged" } } });
+    this->traffic->ring().push(GatewayStopRequested {});
+    this->stopped.get_future().wait();
+    for (const auto& follower : this->followers)
+        follower->stop();
+    this->traffic->stop();
+    this->telemetry->log({ "stopped", { { "instance", this->settings.instance } } });
+    this->telemetry->stop();
+    return std::nullopt;
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    const sigset_t signals = blockSignals();
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    const auto read = readGatewayCommandLine({ "teaselfold-gateway", TEASELFOLD_VERSION }, arguments);
+    if (const auto* exit = std::get_if<ProcessExit>(&read))
+        return finishProcess(*exit);
+    startLogging(argv[0]);
+    GatewayProcess process(*std::get_if<GatewaySettings>(&read));
+    const auto failure = process.run(signals);
+    if (failure)
+        writeLog({ "start_failed", { { "reason", failure->message } } });
+    return static_cast<int>(failure ? ExitCode::Failed : ExitCode::Done);
+}
--- a/src/adapters/link/AgentLinkServer.cpp
+++ b/src/adapters/link/AgentLinkServer.cpp
@@ -169,7 +169,7 @@
     }
     link.entry = hello->entry;
     this->connectionOf[hello->entry] = connection;
-    this->loop.setMaximumFrame(connection, maximumFrameBytes);
+    this->loop.setMaximumPiece(connection, maximumFrameBytes);
     this->logLink("link_up", link.entry, older == this->connectionOf.end() ? "new" : "replaced");
     this->deliverBoth(EntryLinked { link.entry });
     return true;
--- a/src/adapters/link/AgentLinkServer.h
+++ b/src/adapters/link/AgentLinkServer.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "adapters/link/EventOutlet.h"
-#include "adapters/link/SocketLoop.h"
+#include "adapters/link/FrameSplitter.h"
+#include "adapters/net/SocketLoop.h"
 #include "ports/AgentInterfaces.h"
 #include "ports/EntryInterfaces.h"
 
@@ -74,7 +75,7 @@
     std::set<EntryId> overflowed;
     std::map<ConnectionId, Link> links;
     std::map<EntryId, ConnectionId> connectionOf;
-    SocketLoop loop;
+    SocketLoop loop { linkLoopOptions() };
 };
 
 /** Builds an AgentLinkServer. Codec and telemetry are required; a ring that is not set gets nothing. */
--- a/src/adapters/link/EntryLinkClient.cpp
+++ b/src/adapters/link/EntryLinkClient.cpp
@@ -159,7 +159,7 @@
     if (hello->endpoint != endpoint)
         return false;
     link.up = true;
-    this->loop.setMaximumFrame(link.connection, maximumFrameBytes);
+    this->loop.setMaximumPiece(link.connection, maximumFrameBytes);
     this->telemetry.log({ "link_up", { { "endpoint", endpoint.get() } } });
     this->outlet.push(LinkUp { endpoint });
     return true;
--- a/src/adapters/link/EntryLinkClient.h
+++ b/src/adapters/link/EntryLinkClient.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "adapters/link/EventOutlet.h"
-#include "adapters/link/SocketLoop.h"
+#include "adapters/link/FrameSplitter.h"
+#include "adapters/net/SocketLoop.h"
 #include "core/common/HandlerTable.h"
 #include "ports/EntryInterfaces.h"
 
@@ -76,7 +77,7 @@
     std::set<EndpointId> overflowed;
     std::map<EndpointId, Link> links;
     std::map<ConnectionId, EndpointId> endpoints;
-    SocketLoop loop;
+    SocketLoop loop { linkLoopOptions() };
 };
 
 /** Builds an EntryLinkClient; self, ring, codec and telemetry are required and must outlive it. */
--- /dev/null
+++ b/src/adapters/link/FrameSplitter.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "adapters/link/FrameBuffer.h"
+#include "adapters/net/SocketLoop.h"
+
+namespace teaselfold {
+
+/** Cuts a link's bytes into frames. */
+class FrameSplitter final : public StreamSplitter {
+public:
+    void append(std::string_view bytes) override { this->frames.append(bytes); }
+    std::variant<std::string, PieceIncomplete, PieceTooLarge> next() override
+    {
+        auto frame = this->frames.next();
+        if (std::holds_alternative<FrameIncomplete>(frame))
+            return PieceIncomplete {};
+        if (std::holds_alternative<FrameError>(frame))
+            return PieceTooLarge {};
+        return std::move(*std::get_if<std::string>(&frame));
+    }
+    void setMaximum(std::size_t bytes) override { this->frames.setMaximum(bytes); }
+
+private:
+    FrameBuffer frames { maximumHelloBytes };
+};
+
+/** @return the options of a loop that carries links. */
+SocketLoopOptions linkLoopOptions();
+
+}
--- a/src/adapters/link/SocketLoop.cpp
+++ b/src/adapters/net/SocketLoop.cpp
@@ -1,4 +1,4 @@
-#include "adapters/link/SocketLoop.h"
+#include "adapters/net/SocketLoop.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
@@ -12,19 +12,19 @@
 
 namespace {
 
-    constexpr Milliseconds tickPeriod(100);
     /** Wait before a full ring is tried again. */
     constexpr Milliseconds retryPeriod(5);
     constexpr std::size_t readChunkBytes = 65536;
-    /** Bytes that may wait for a slow peer; room for one largest frame. */
-    constexpr std::size_t maximumOutboundBytes = maximumFrameBytes + std::size_t { 4 } * 1024 * 1024;
-    constexpr std::size_t maximumConnections = 4096;
+    constexpr std::size_t largestWrite = std::size_t { 1 } << 20;
+    /** How long a connection that is being closed in order may wait for its peer. */
+    constexpr Milliseconds finishTimeout(1000);
 
     Poco::Net::SocketAddress socketAddress(const Address& address) { return { address.host, address.port }; }
 
 }
 
-SocketLoop::SocketLoop()
+SocketLoop::SocketLoop(SocketLoopOptions loopOptions)
+    : options(std::move(loopOptions))
 {
     const Poco::Net::SocketAddress anyPort("127.0.0.1", 0);
     this->wakeReceiver.bind(anyPort);
@@ -39,13 +39,13 @@
 bool SocketLoop::listen(const Address& address)
 {
     try {
-        this->listener.emplace();
-        this->listener->bind(socketAddress(address), true);
-        this->listener->listen();
-        this->listener->setBlocking(false);
-        this->listeningPort = this->listener->address().port();
+        Poco::Net::ServerSocket listener;
+        listener.bind(socketAddress(address), true);
+        listener.listen();
+        listener.setBlocking(false);
+        this->listeningPort = listener.address().port();
+        this->listeners.push_back(listener);
     } catch (const Poco::Exception&) {
-        this->listener.reset();
         return false;
     }
     return true;
@@ -80,14 +80,14 @@
 
 void SocketLoop::run()
 {
-    Instant nextTick = std::chrono::steady_clock::now() + tickPeriod;
+    Instant nextTick = std::chrono::steady_clock::now() + this->options.tickPeriod;
     while (!this->stopping)
         this->iterate(nextTick);
     this->handler->woken();
     this->flushDirty();
     this->connections.clear();
     this->bySocket.clear();
-    this->listener.reset();
+    this->listeners.clear();
 }
 
 void SocketLoop::iterate(Instant& nextTick)
@@ -99,7 +99,7 @@
     const Instant now = std::chrono::steady_clock::now();
     if (now >= nextTick) {
         this->handleTick(now);
-        nextTick = now + tickPeriod;
+        nextTick = now + this->options.tickPeriod;
     }
     this->flushDirty();
 }
@@ -107,7 +107,7 @@
 Milliseconds SocketLoop::pollWait(Instant nextTick) const
 {
     const auto untilTick = std::chrono::ceil<Milliseconds>(nextTick - std::chrono::steady_clock::now());
-    const Milliseconds longest = this->handler->ready() ? tickPeriod : retryPeriod;
+    const Milliseconds longest = this->handler->ready() ? this->options.tickPeriod : retryPeriod;
     return std::clamp(untilTick, Milliseconds(1), longest);
 }
 
@@ -115,8 +115,9 @@
 {
     if (socket == this->wakeReceiver)
         return this->handleWake();
-    if (this->listener && socket == *this->listener)
-        return this->handleAccept();
+    const auto listener = std::find(this->listeners.begin(), this->listeners.end(), socket);
+    if (listener != this->listeners.end())
+        return this->handleAccept(*listener);
     const auto found = this->bySocket.find(socket);
     if (found == this->bySocket.end())
         return;
@@ -142,37 +143,57 @@
     this->handler->woken();
 }
 
-void SocketLoop::handleAccept()
+void SocketLoop::handleAccept(Poco::Net::ServerSocket& listener)
 {
     try {
-        Poco::Net::StreamSocket socket = this->listener->acceptConnection();
-        if (this->connections.size() >= maximumConnections)
+        Poco::Net::StreamSocket socket = listener.acceptConnection();
+        if (this->connections.size() >= this->options.maximumConnections)
             return;
-        this->establish(this->adopt(socket, false));
+        const ConnectionId id = this->adopt(socket, false);
+        this->find(id)->listener = static_cast<std::size_t>(&listener - this->listeners.data()) + 1;
+        this->establish(id);
     } catch (const Poco::Exception&) {
         // Out of descriptors, or the peer is gone already: the next tick accepts again.
-        this->pollSet.remove(*this->listener);
+        for (const auto& each : this->listeners)
+            this->pollSet.remove(each);
         this->accepting = false;
     }
 }
 
-void SocketLoop::handleTick(Instant now)
+void SocketLoop::closeLate(Instant now)
 {
-    if (this->listener && !this->accepting) {
-        this->pollSet.add(*this->listener, Poco::Net::PollSet::POLL_READ);
-        this->accepting = true;
-    }
-    std::vector<ConnectionId> late;
+    std::vector<ConnectionId> unconnected;
+    std::vector<ConnectionId> unfinished;
     for (const auto& [id, connection] : this->connections) {
         if (!connection.established && now >= connection.connectBy)
-            late.push_back(id);
+            unconnected.push_back(id);
+        else if (connection.finishing && now >= connection.finishBy)
+            unfinished.push_back(id);
     }
-    for (const ConnectionId id : late)
+    for (const ConnectionId id : unconnected)
         this->fail(id, "not_connected");
+    for (const ConnectionId id : unfinished)
+        this->fail(id, "finished");
+}
+
+void SocketLoop::handleTick(Instant now)
+{
+    if (!this->listeners.empty() && !this->accepting) {
+        for (const auto& listener : this->listeners)
+            this->pollSet.add(listener, Poco::Net::PollSet::POLL_READ);
+        this->accepting = true;
+    }
+    this->closeLate(now);
     this->handler->woken();
     this->handler->tick(now);
 }
 
+const SocketLoop::Connection* SocketLoop::find(ConnectionId id) const
+{
+    const auto found = this->connections.find(id);
+    return found == this->connections.end() ? nullptr : &found->second;
+}
+
 SocketLoop::Connection* SocketLoop::find(ConnectionId id)
 {
     const auto found = this->connections.find(id);
@@ -184,6 +205,7 @@
     const ConnectionId id(++this->lastConnection);
     Connection& connection = this->connections[id];
     connection.socket = socket;
+    connection.inbound = this->options.makeSplitter();
     connection.established = established;
     connection.connectBy = Instant::min();
     this->bySocket[socket] = id;
@@ -233,7 +255,7 @@
 void SocketLoop::updateMode(Connection& connection)
 {
     int wanted = 0;
-    if (connection.established && !connection.paused)
+    if (connection.established && !connection.paused && !connection.held)
         wanted |= Poco::Net::PollSet::POLL_READ;
     if (!connection.established || connection.written < connection.outbound.size())
         wanted |= Poco::Net::PollSet::POLL_WRITE;
@@ -264,23 +286,27 @@
     if (count < 0)
         return;
     this->bytesReceived.fetch_add(static_cast<std::uint64_t>(count), std::memory_order_relaxed);
-    connection.inbound.append({ chunk.data(), static_cast<std::size_t>(count) });
-    this->pumpFrames(id);
+    if (connection.finishing)
+        return;
+    connection.inbound->append({ chunk.data(), static_cast<std::size_t>(count) });
+    this->pumpPieces(id);
 }
 
-bool SocketLoop::pumpFrames(ConnectionId id)
+bool SocketLoop::pumpPieces(ConnectionId id)
 {
     while (Connection* connection = this->find(id)) {
+        if (connection->finishing || connection->held)
+            return true;
         if (!this->handler->ready()) {
             connection->paused = true;
             this->paused.insert(id);
             this->updateMode(*connection);
             return false;
         }
-        const auto next = connection->inbound.next();
-        if (std::holds_alternative<FrameIncomplete>(next))
+        const auto next = connection->inbound->next();
+        if (std::holds_alternative<PieceIncomplete>(next))
             return true;
-        if (std::holds_alternative<FrameError>(next)) {
+        if (std::holds_alternative<PieceTooLarge>(next)) {
             this->fail(id, "frame_too_large");
             return true;
         }
@@ -299,7 +325,7 @@
         if (!connection)
             continue;
         connection->paused = false;
-        if (!this->pumpFrames(id))
+        if (!this->pumpPieces(id))
             return;
         if ((connection = this->find(id)))
             this->updateMode(*connection);
@@ -312,7 +338,7 @@
     if (!connection)
         return;
     this->dirty.insert(id);
-    if (connection->outbound.size() - connection->written + bytes.size() > maximumOutboundBytes)
+    if (connection->outbound.size() - connection->written + bytes.size() > this->options.maximumOutboundBytes)
         connection->overflowed = true;
     else
         connection->outbound.append(bytes);
@@ -343,7 +369,7 @@
         while (connection->written < connection->outbound.size()) {
             const std::size_t left = connection->outbound.size() - connection->written;
             const int count = connection->socket.sendBytes(connection->outbound.data() + connection->written,
-                static_cast<int>(std::min(left, maximumOutboundBytes)), MSG_NOSIGNAL);
+                static_cast<int>(std::min(left, largestWrite)), MSG_NOSIGNAL);
             if (count <= 0)
                 break;
             connection->written += static_cast<std::size_t>(count);
@@ -357,6 +383,60 @@
         connection->written = 0;
     }
     this->updateMode(*connection);
+    if (!connection->outbound.empty())
+        return;
+    if (connection->finishing)
+        this->shutDownWriting(*connection);
+    else
+        this->handler->drained(id);
+}
+
+void SocketLoop::shutDownWriting(Connection& connection)
+{
+    try {
+        connection.socket.shutdownSend();
+    } catch (const Poco::Exception&) {
+        // The peer closed first: the next tick ends the connection.
+        connection.finishBy = Instant::min();
+    }
+}
+
+std::size_t SocketLoop::queuedBytes(ConnectionId id) const
+{
+    const Connection* connection = this->find(id);
+    return connection ? connection->outbound.size() - connection->written : 0;
+}
+
+std::size_t SocketLoop::listenerOf(ConnectionId id) const
+{
+    const Connection* connection = this->find(id);
+    return connection ? connection->listener : 0;
+}
+
+void SocketLoop::setReading(ConnectionId id, bool reading)
+{
+    Connection* connection = this->find(id);
+    if (!connection || connection->held == !reading)
+        return;
+    connection->held = !reading;
+    if (reading) {
+        // What was received before is handed on by the loop, never from within the owner's call.
+        connection->paused = true;
+        this->paused.insert(id);
+    }
+    this->updateMode(*connection);
+}
+
+void SocketLoop::finish(ConnectionId id)
+{
+    Connection* connection = this->find(id);
+    if (!connection || connection->finishing)
+        return;
+    connection->finishing = true;
+    connection->held = false;
+    connection->finishBy = std::chrono::steady_clock::now() + finishTimeout;
+    this->updateMode(*connection);
+    this->dirty.insert(id);
 }
 
 void SocketLoop::close(ConnectionId id)
@@ -380,10 +460,10 @@
     this->handler->closed(id, reason);
 }
 
-void SocketLoop::setMaximumFrame(ConnectionId id, std::size_t bytes)
+void SocketLoop::setMaximumPiece(ConnectionId id, std::size_t bytes)
 {
     if (Connection* connection = this->find(id))
-        connection->inbound.setMaximum(bytes);
+        connection->inbound->setMaximum(bytes);
 }
 
 }
--- a/src/adapters/settings/CommandLine.cpp
+++ b/src/adapters/settings/CommandLine.cpp
@@ -150,6 +150,13 @@
     return readCommandLine(program, arguments, kind);
 }
 
+std::variant<GatewaySettings, ProcessExit> readGatewayCommandLine(
+    const ProgramName& program, const std::vector<std::string>& arguments)
+{
+    const SettingsKind<GatewaySettings> kind { &loadGatewaySettings, &printGatewaySettings, &describeGatewaySettings };
+    return readCommandLine(program, arguments, kind);
+}
+
 int finishProcess(const ProcessExit& exit)
 {
     std::cout << exit.output << std::flush;
--- a/src/adapters/settings/CommandLine.h
+++ b/src/adapters/settings/CommandLine.h
@@ -2,6 +2,7 @@
 
 #include "adapters/settings/AgentSettings.h"
 #include "adapters/settings/EntrySettings.h"
+#include "adapters/settings/GatewaySettings.h"
 
 #include <string>
 #include <variant>
@@ -40,6 +41,10 @@
 std::variant<AgentSettings, ProcessExit> readAgentCommandLine(
     const ProgramName& program, const std::vector<std::string>& arguments);
 
+/** Reads a gateway's command line and settings file. @param arguments without argv[0]. */
+std::variant<GatewaySettings, ProcessExit> readGatewayCommandLine(
+    const ProgramName& program, const std::vector<std::string>& arguments);
+
 /** Prints both texts. @return the code as a process ends with it. */
 int finishProcess(const ProcessExit& exit);
 
--- /dev/null
+++ b/src/adapters/settings/GatewaySettings.cpp
@@ -0,0 +1,80 @@
+#include "adapters/settings/GatewaySettings.h"
+
+#include "adapters/settings/SettingTable.h"
+
+namespace teaselfold {
+
+namespace {
+
+    using Internal::Need;
+    using Row = Internal::Setting<GatewaySettings>;
+
+    const std::array rows {
+        Row { "instance", &GatewaySettings::instance, Need::Required, "name of this instance" },
+        Row { "zone", &GatewaySettings::zone, Need::Required, "availability zone of this instance" },
+        Row { "callers", &GatewaySettings::callers, Need::Required, "where callers connect" },
+        Row { "readiness", &GatewaySettings::readiness, Need::Required, "where the balancer asks for readiness" },
+        Row { "metrics", &GatewaySettings::metrics, Need::Optional, "where collectors connect" },
+        Row { "store", &GatewaySettings::store, Need::Required, "the platform's store" },
+        Row { "store_timeout", &GatewaySettings::storeTimeout, Need::Optional, "wait for an answer of the store" },
+        Row { "connect_timeout", &GatewaySettings::connectTimeout, Need::Optional,
+            "wait for a connection to an endpoint" },
+        Row { "stop_limit", &GatewaySettings::stopLimit, Need::Optional,
+            "time between the order to stop and the kill" },
+        Row { "revocation_limit", &GatewaySettings::revocationLimit, Need::Optional,
+            "time after which a key that was taken away must not be accepted anywhere" },
+        Row { "retry_ratio", &GatewaySettings::retryRatio, Need::Optional,
+            "retries per request that all instances together may send" },
+        Row { "retry_headroom", &GatewaySettings::retryHeadroom, Need::Optional,
+            "retries beyond the ratio in each window, of all instances together" },
+        Row { "retry_window", &GatewaySettings::retryWindow, Need::Optional, "window of the retry bound" },
+        Row { "cold_factor", &GatewaySettings::coldFactor, Need::Optional,
+            "multiple of its stated rate that a cold endpoint bears" },
+        Row { "cold_headroom", &GatewaySettings::coldHeadroom, Need::Optional,
+            "requests a second that a cold endpoint bears beyond the multiple" },
+    };
+
+    const Internal::SettingTable<GatewaySettings, rows.size()> table(rows);
+
+    /** Time for a request to pass from the check of its key to the endpoint. */
+    constexpr Milliseconds revocationMargin(500);
+    /** Part of the common headroom that one instance uses, since instances do not know how many they are. */
+    constexpr double headroomShare = 0.1;
+    /** Part of the common ratio that is used; the rest covers requests that are counted in another window. */
+    constexpr double ratioShare = 0.75;
+
+    void checkTogether(const GatewaySettings& settings, std::vector<SettingProblem>& problems)
+    {
+        if (settings.revocationLimit <= revocationMargin)
+            problems.push_back({ "revocation_limit", 0, "more than 500ms" });
+    }
+
+}
+
+std::variant<GatewaySettings, std::vector<SettingProblem>> loadGatewaySettings(
+    const std::string& text, const std::vector<SettingOverride>& overrides)
+{
+    auto draft = table.load(text, overrides);
+    checkTogether(draft.settings, draft.problems);
+    if (!draft.problems.empty())
+        return draft.problems;
+    return draft.settings;
+}
+
+std::string printGatewaySettings(const GatewaySettings& settings) { return table.print(settings); }
+
+std::string describeGatewaySettings() { return table.describe(); }
+
+GatewayLimits gatewayLimits(const GatewaySettings& settings)
+{
+    GatewayLimits limits;
+    limits.keyFreshness = settings.revocationLimit - revocationMargin;
+    limits.retryShare = settings.retryRatio * ratioShare;
+    limits.retryFloor = settings.retryHeadroom * headroomShare;
+    limits.retryWindow = settings.retryWindow;
+    limits.coldFactor = settings.coldFactor;
+    limits.coldHeadroom = settings.coldHeadroom;
+    return limits;
+}
+
+}
--- a/src/adapters/settings/SettingTable.h
+++ b/src/adapters/settings/SettingTable.h
@@ -20,7 +20,7 @@
 template <typename Settings> struct Setting {
     using Member = std::variant<EntryId Settings::*, EndpointId Settings::*, ZoneId Settings::*,
         std::string Settings::*, Address Settings::*, std::optional<Address> Settings::*, Milliseconds Settings::*,
-        std::uint32_t Settings::*, bool Settings::*, std::vector<AdminToken> Settings::*,
+        std::uint32_t Settings::*, double Settings::*, bool Settings::*, std::vector<AdminToken> Settings::*,
         std::vector<SeedAgent> Settings::*>;
 
     std::string_view key;
--- a/src/adapters/settings/SettingValue.cpp
+++ b/src/adapters/settings/SettingValue.cpp
@@ -103,6 +103,16 @@
     return true;
 }
 
+bool parseValue(const std::string& text, double& value)
+{
+    double parsed = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), parsed);
+    if (text.empty() || error != std::errc() || end != text.data() + text.size() || !(parsed >= 0))
+        return false;
+    value = parsed;
+    return true;
+}
+
 bool parseValue(const std::string& text, bool& value)
 {
     if (text != "true" && text != "false")
@@ -127,6 +137,8 @@
 
 std::string expectedValue(const std::uint32_t&) { return "a whole number from 1 to 2147483647"; }
 
+std::string expectedValue(const double&) { return "a number from 0"; }
+
 std::string expectedValue(const bool&) { return "true or false"; }
 
 std::string expectedValue(const AdminRole&) { return "operator or viewer"; }
@@ -152,6 +164,13 @@
 
 std::string printValue(const std::uint32_t& value) { return std::to_string(value); }
 
+std::string printValue(const double& value)
+{
+    std::array<char, 32> text {};
+    const auto [end, error] = std::to_chars(text.data(), text.data() + text.size(), value);
+    return { text.data(), end };
+}
+
 std::string printValue(const bool& value) { return value ? "true" : "false"; }
 
 std::string printValue(const AdminRole& value) { return value == AdminRole::Viewer ? "viewer" : "operator"; }
--- a/src/adapters/settings/SettingValue.h
+++ b/src/adapters/settings/SettingValue.h
@@ -15,6 +15,7 @@
 bool parseValue(const std::string& text, Address& value);
 bool parseValue(const std::string& text, Milliseconds& value);
 bool parseValue(const std::string& text, std::uint32_t& value);
+bool parseValue(const std::string& text, double& value);
 bool parseValue(const std::string& text, bool& value);
 bool parseValue(const std::string& text, AdminRole& value);
 
@@ -22,6 +23,7 @@
 std::string expectedValue(const Address& value);
 std::string expectedValue(const Milliseconds& value);
 std::string expectedValue(const std::uint32_t& value);
+std::string expectedValue(const double& value);
 std::string expectedValue(const bool& value);
 std::string expectedValue(const AdminRole& value);
 std::string expectedValue(const std::vector<AdminToken>& value);
@@ -31,6 +33,7 @@
 std::string printValue(const Address& value);
 std::string printValue(const Milliseconds& value);
 std::string printValue(const std::uint32_t& value);
+std::string printValue(const double& value);
 std::string printValue(const bool& value);
 std::string printValue(const AdminRole& value);
 
--- /dev/null
+++ b/src/adapters/traffic/HttpHeads.cpp
@@ -0,0 +1,251 @@
+#include "adapters/traffic/HttpHeads.h"
+
+#include <Poco/Exception.h>
+#include <Poco/MemoryStream.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/String.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace teaselfold {
+
+namespace {
+
+    constexpr std::string_view headEnd = "\r\n\r\n";
+    constexpr std::string_view lineEnd = "\r\n";
+    constexpr int maximumFields = 128;
+    constexpr std::array<std::string_view, 9> hopFields { "connection", "keep-alive", "proxy-connection",
+        "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade" };
+
+    bool isTokenCharacter(char character)
+    {
+        constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+        return std::isalnum(static_cast<unsigned char>(character)) != 0 || marks.find(character) != std::string_view::npos;
+    }
+
+    bool isToken(std::string_view text)
+    {
+        return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
+    }
+
+    bool hasControl(std::string_view text)
+    {
+        return std::any_of(text.begin(), text.end(), [](char character) {
+            const auto code = static_cast<unsigned char>(character);
+            return (code < 0x20 && character != '\t') || code == 0x7f;
+        });
+    }
+
+    /** A name right before a colon, and a value without control characters; folded lines are refused. */
+    bool isFieldLine(std::string_view line)
+    {
+        const std::size_t colon = line.find(':');
+        return colon != std::string_view::npos && isToken(line.substr(0, colon)) && !hasControl(line.substr(colon + 1));
+    }
+
+    std::string_view nextLine(std::string_view& text)
+    {
+        const std::size_t end = text.find(lineEnd);
+        const std::string_view line = text.substr(0, end);
+        text.remove_prefix(end == std::string_view::npos ? text.size() : end + lineEnd.size());
+        return line;
+    }
+
+    /** @return what is wrong with the field lines, or nothing. */
+    std::optional<HeadFault> checkFields(std::string_view lines)
+    {
+        int count = 0;
+        while (!lines.empty()) {
+            if (!isFieldLine(nextLine(lines)))
+                return HeadFault { 400, "malformed field" };
+            if (++count > maximumFields)
+                return HeadFault { 431, "too many fields" };
+        }
+        return std::nullopt;
+    }
+
+    bool isRequestLine(std::string_view line)
+    {
+        const std::size_t first = line.find(' ');
+        const std::size_t last = line.rfind(' ');
+        if (first == std::string_view::npos || first == last)
+            return false;
+        const std::string_view target = line.substr(first + 1, last - first - 1);
+        const std::string_view version = line.substr(last + 1);
+        const bool plainTarget = !target.empty() && target.find(' ') == std::string_view::npos && !hasControl(target);
+        return isToken(line.substr(0, first)) && plainTarget && target.front() == '/'
+            && (version == "HTTP/1.1" || version == "HTTP/1.0");
+    }
+
+    bool isStatusLine(std::string_view line)
+    {
+        return (line.starts_with("HTTP/1.1 ") || line.starts_with("HTTP/1.0 ")) && !hasControl(line);
+    }
+
+    struct WholeHead {
+        std::string_view text;
+        std::size_t bytes { 0 };
+    };
+
+    std::variant<WholeHead, HeadIncomplete, HeadFault> cutHead(std::string_view bytes, std::size_t maximumBytes)
+    {
+        const std::size_t end = bytes.find(headEnd);
+        const std::size_t size = end == std::string_view::npos ? bytes.size() : end + headEnd.size();
+        if (size > maximumBytes)
+            return HeadFault { 431, "head too large" };
+        if (end == std::string_view::npos)
+            return HeadIncomplete {};
+        return WholeHead { bytes.substr(0, end + lineEnd.size()), size };
+    }
+
+    /** Checks a whole head, then has POCO read it. */
+    template <typename Message>
+    std::variant<ParsedHead<Message>, HeadIncomplete, HeadFault> readMessage(
+        std::string_view bytes, std::size_t maximumBytes, bool (*isStartLine)(std::string_view))
+    {
+        const auto cut = cutHead(bytes, maximumBytes);
+        if (std::holds_alternative<HeadIncomplete>(cut))
+            return HeadIncomplete {};
+        if (const auto* fault = std::get_if<HeadFault>(&cut))
+            return *fault;
+        const WholeHead& whole = *std::get_if<WholeHead>(&cut);
+        std::string_view lines = whole.text;
+        if (!isStartLine(nextLine(lines)))
+            return HeadFault { 400, "malformed start line" };
+        if (const auto fault = checkFields(lines))
+            return *fault;
+        try {
+            ParsedHead<Message> parsed;
+            parsed.bytes = whole.bytes;
+            Poco::MemoryInputStream stream(bytes.data(), static_cast<std::streamsize>(whole.bytes));
+            parsed.head.setFieldLimit(maximumFields);
+            parsed.head.read(stream);
+            return parsed;
+        } catch (const Poco::Exception& error) {
+            return HeadFault { 400, error.displayText() };
+        }
+    }
+
+    std::vector<HeaderField> fieldsOf(const Poco::Net::MessageHeader& message)
+    {
+        std::vector<HeaderField> fields;
+        for (const auto& [name, value] : message)
+            fields.push_back({ name, value });
+        return fields;
+    }
+
+    std::string printFields(const std::vector<HeaderField>& fields)
+    {
+        std::string text;
+        for (const HeaderField& field : fields) {
+            text += field.name;
+            text += ": ";
+            text += field.value;
+            text += lineEnd;
+        }
+        text += lineEnd;
+        return text;
+    }
+
+    std::string_view trimmed(std::string_view text)
+    {
+        const std::size_t first = text.find_first_not_of(" \t");
+        if (first == std::string_view::npos)
+            return {};
+        return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+    }
+
+    /** Calls a function with each entry of a comma-separated list. */
+    template <typename Function> void forEachToken(std::string_view list, const Function& function)
+    {
+        while (!list.empty()) {
+            const std::size_t comma = list.find(',');
+            function(trimmed(list.substr(0, comma)));
+            list.remove_prefix(comma == std::string_view::npos ? list.size() : comma + 1);
+        }
+    }
+
+}
+
+bool equalsIgnoringCase(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() && std::equal(left.begin(), left.end(), right.begin(), [](char one, char other) {
+        return std::tolower(static_cast<unsigned char>(one)) == std::tolower(static_cast<unsigned char>(other));
+    });
+}
+
+std::variant<ParsedHead<RequestHead>, HeadIncomplete, HeadFault> parseRequestHead(
+    std::string_view bytes, std::size_t maximumBytes)
+{
+    auto read = readMessage<Poco::Net::HTTPRequest>(bytes, maximumBytes, &isRequestLine);
+    if (std::holds_alternative<HeadIncomplete>(read))
+        return HeadIncomplete {};
+    if (const auto* fault = std::get_if<HeadFault>(&read))
+        return *fault;
+    const auto& parsed = *std::get_if<ParsedHead<Poco::Net::HTTPRequest>>(&read);
+    RequestHead head { parsed.head.getMethod(), parsed.head.getURI(),
+        parsed.head.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0, fieldsOf(parsed.head) };
+    return ParsedHead<RequestHead> { std::move(head), parsed.bytes };
+}
+
+std::variant<ParsedHead<AnswerHead>, HeadIncomplete, HeadFault> parseAnswerHead(
+    std::string_view bytes, std::size_t maximumBytes)
+{
+    auto read = readMessage<Poco::Net::HTTPResponse>(bytes, maximumBytes, &isStatusLine);
+    if (std::holds_alternative<HeadIncomplete>(read))
+        return HeadIncomplete {};
+    if (const auto* fault = std::get_if<HeadFault>(&read))
+        return *fault;
+    const auto& parsed = *std::get_if<ParsedHead<Poco::Net::HTTPResponse>>(&read);
+    AnswerHead head { static_cast<std::uint16_t>(parsed.head.getStatus()), parsed.head.getReason(),
+        fieldsOf(parsed.head) };
+    return ParsedHead<AnswerHead> { std::move(head), parsed.bytes };
+}
+
+std::string printHead(const RequestHead& head)
+{
+    return head.method + " " + head.target + " HTTP/1.1\r\n" + printFields(head.fields);
+}
+
+std::string printHead(const AnswerHead& head)
+{
+    return "HTTP/1.1 " + std::to_string(head.status) + " " + head.reason + "\r\n" + printFields(head.fields);
+}
+
+const std::string* findField(const std::vector<HeaderField>& fields, std::string_view name)
+{
+    const auto found = std::find_if(
+        fields.begin(), fields.end(), [&](const HeaderField& field) { return equalsIgnoringCase(field.name, name); });
+    return found == fields.end() ? nullptr : &found->value;
+}
+
+void removeField(std::vector<HeaderField>& fields, std::string_view name)
+{
+    std::erase_if(fields, [&](const HeaderField& field) { return equalsIgnoringCase(field.name, name); });
+}
+
+void removeHopFields(std::vector<HeaderField>& fields)
+{
+    std::vector<std::string> named;
+    for (const HeaderField& field : fields) {
+        if (equalsIgnoringCase(field.name, "connection"))
+            forEachToken(field.value, [&](std::string_view token) { named.emplace_back(token); });
+    }
+    for (const std::string& name : named)
+        removeField(fields, name);
+    for (const std::string_view name : hopFields)
+        removeField(fields, name);
+    removeField(fields, "content-length");
+}
+
+bool listHasToken(std::string_view list, std::string_view token)
+{
+    bool found = false;
+    forEachToken(list, [&](std::string_view entry) { found = found || equalsIgnoringCase(entry, token); });
+    return found;
+}
+
+}
--- a/src/core/entry/RequestFingerprint.cpp
+++ b/src/core/entry/RequestFingerprint.cpp
@@ -33,4 +33,9 @@
     return hashParts({ work.team.get(), work.service.get(), work.method, work.path, work.body });
 }
 
+Fingerprint fingerprintOf(const GatewayRequest& request, std::string_view body)
+{
+    return hashParts({ request.path, request.key, body });
+}
+
 }
--- /dev/null
+++ b/src/core/gateway/EndpointDirectory.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "core/gateway/GatewayLimits.h"
+#include "ports/GatewayMessages.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace teaselfold {
+
+/** One endpoint as this instance knows it. */
+struct GatewayEndpoint {
+    EndpointRecord record;
+    Instant coldUntil;
+    /** The record is gone, but its endpoint may only have lost contact with the store. */
+    std::optional<Instant> removedAt;
+    /** Exchanges of this instance. */
+    std::uint32_t inFlight { 0 };
+    /** Tokens that this instance's requests are expected to hold at their end. */
+    std::uint64_t tokensInFlight { 0 };
+    /** Work of other instances at the last report. */
+    std::uint32_t foreignWork { 0 };
+    Instant reportedAt;
+    std::uint32_t failuresInRow { 0 };
+    Instant ejectedUntil;
+    /** Times of the requests sent within the last second while cold. */
+    std::deque<Instant> sentWhileCold;
+};
+
+/** The endpoints of all services, and which of them may get work. */
+class EndpointDirectory {
+public:
+    explicit EndpointDirectory(const GatewayLimits& limits)
+        : limits(limits)
+    {
+    }
+
+    /** Replaces all. @param graceUntil missing endpoints are kept until then. @return those that newly leave. */
+    std::vector<EndpointId> list(
+        const std::vector<EndpointRecord>& records, std::optional<Instant> graceUntil, Instant now);
+    /** Applies changes. @return the endpoints that newly leave. */
+    std::vector<EndpointId> change(const EndpointsChanged& changes, std::optional<Instant> graceUntil, Instant now);
+    /** Forgets endpoints whose grace is over. @return them. */
+    std::vector<EndpointId> expire(Instant now);
+    void setZonesOut(std::set<ZoneId> zones) { this->zonesOut = std::move(zones); }
+
+    GatewayEndpoint* find(const EndpointId& endpoint);
+    /** @return true when the endpoint may get new work. */
+    bool mayWork(const EndpointId& endpoint) const;
+    /** @return the endpoints of a service that may get one more request now. */
+    std::vector<GatewayEndpoint*> candidates(const GatewayService& service, Instant now);
+    /** @return true when endpoints of the service exist that may get work, whatever they have to do. */
+    bool hasEndpoints(const ServiceId& service) const;
+
+    void begin(const EndpointId& endpoint, std::uint64_t tokens, Instant now);
+    void finish(const EndpointId& endpoint, std::uint64_t tokens);
+    void report(const EndpointId& endpoint, const ReportedLoad& load, Instant now);
+    void succeed(const EndpointId& endpoint);
+    /** @return true when the endpoint is ejected from now on. */
+    bool fail(const EndpointId& endpoint, Instant now);
+
+private:
+    bool isUsable(const GatewayEndpoint& endpoint) const;
+    bool bearsMore(GatewayEndpoint& endpoint, const GatewayService& service, Instant now) const;
+    /** @return true when the endpoint newly leaves. */
+    bool apply(const EndpointRecord& record, Instant now);
+
+    GatewayLimits limits;
+    std::map<EndpointId, GatewayEndpoint> endpoints;
+    std::set<ZoneId> zonesOut;
+};
+
+}
--- /dev/null
+++ b/src/core/gateway/ExchangeKeeper.cpp
@@ -0,0 +1,334 @@
+#include "core/gateway/ExchangeKeeper.h"
+
+#include "core/common/Check.h"
+#include "core/gateway/GatewayLog.h"
+
+#include <algorithm>
+
+namespace teaselfold {
+
+namespace {
+
+    constexpr std::uint16_t firstServerError = 500;
+    constexpr std::uint16_t firstRedirection = 300;
+    constexpr std::uint16_t firstSuccess = 200;
+
+    bool isSuccess(const AnswerSummary& answer)
+    {
+        return answer.status >= firstSuccess && answer.status < firstRedirection;
+    }
+
+    /** @return true for statuses that promise the caller that its request has not run. */
+    bool promisesNotRun(std::uint16_t status)
+    {
+        return status == 408 || status == 421 || status == 429 || status == 503;
+    }
+
+    Milliseconds timeLeft(const ActiveRequest& active, Instant now)
+    {
+        return std::chrono::duration_cast<Milliseconds>(active.answerBy - now);
+    }
+
+    bool isRepeatable(const ActiveRequest& active) { return active.route->kind == RequestKind::Idempotent; }
+
+    bool isStream(const ActiveRequest& active) { return active.route->kind == RequestKind::Stream; }
+
+    /** Urgency at the engines: the configured priorities start at 0 and leave room for others below. */
+    std::uint32_t enginePriority(const ActiveRequest& active)
+    {
+        constexpr std::uint32_t least = 9;
+        return std::min(active.priority, least);
+    }
+
+}
+
+ActiveRequest* ExchangeKeeper::find(RequestId request)
+{
+    const auto found = this->state.requests.find(request);
+    return found == this->state.requests.end() ? nullptr : &found->second;
+}
+
+GatewayEndpoint* ExchangeKeeper::pick(
+    const ActiveRequest& active, const std::set<EndpointId>& excluded, Instant now) const
+{
+    auto candidates = this->state.endpoints.candidates(*active.service, now);
+    std::erase_if(candidates, [&](const auto* endpoint) { return excluded.contains(endpoint->record.id); });
+    const PickContext context { this->state.zone, now, active.tokens, this->state.limits, this->state.randomness };
+    return pickerFor(*active.service).pick(candidates, *active.service, context);
+}
+
+void ExchangeKeeper::dispatch(ActiveRequest& active, Instant now, GatewayActions& actions)
+{
+    if (GatewayEndpoint* endpoint = this->pick(active, active.tried, now)) {
+        this->state.waiting.erase(active.request.id);
+        return this->start(active, *endpoint, std::nullopt, now, actions);
+    }
+    this->state.waiting.insert(active.request.id);
+}
+
+std::optional<Address> ExchangeKeeper::placeReplica(
+    ActiveRequest& active, const GatewayEndpoint& endpoint, Instant now)
+{
+    active.replicaAt.reset();
+    if (!active.service->engine || !active.service->engine->canReplicate || !isStream(active))
+        return std::nullopt;
+    auto candidates = this->state.endpoints.candidates(*active.service, now);
+    std::erase_if(candidates, [&](const auto* candidate) {
+        return candidate->record.id == endpoint.record.id || candidate->record.zone != endpoint.record.zone;
+    });
+    const PickContext context { endpoint.record.zone, now, active.tokens, this->state.limits, this->state.randomness };
+    const GatewayEndpoint* chosen = pickerFor(*active.service).pick(candidates, *active.service, context);
+    if (!chosen)
+        return std::nullopt;
+    active.replicaAt = chosen->record.id;
+    return chosen->record.address;
+}
+
+void ExchangeKeeper::start(ActiveRequest& active, GatewayEndpoint& endpoint, std::optional<ResumePoint> resume,
+    Instant now, GatewayActions& actions)
+{
+    const ExchangeId id(++this->state.lastExchange);
+    ExchangeOrder order;
+    order.exchange = id;
+    order.request = active.request.id;
+    order.endpoint = endpoint.record.id;
+    order.address = endpoint.record.address;
+    order.timeLeft = timeLeft(active, now);
+    order.team = active.team;
+    if (active.service->engine)
+        order.enginePriority = enginePriority(active);
+    order.replicaAt = this->placeReplica(active, endpoint, now);
+    order.resume = std::move(resume);
+
+    if (!order.resume) {
+        ++active.attempts;
+        active.tried.insert(endpoint.record.id);
+    }
+    active.exchange = id;
+    this->state.exchanges[id]
+        = { active.request.id, endpoint.record.id, endpoint.record.address, active.tokens, now, MovePhase::Idle, {},
+              false };
+    auto line = Internal::requestLine(order.resume ? "resumed" : "sent", active, now);
+    line.fields.push_back({ "endpoint", endpoint.record.id.get() });
+    line.fields.push_back({ "attempt", std::to_string(active.attempts) });
+    line.fields.push_back({ "in_flight", std::to_string(endpoint.inFlight) });
+    line.fields.push_back({ "foreign", std::to_string(endpoint.foreignWork) });
+    this->state.endpoints.begin(endpoint.record.id, active.tokens, now);
+    actions.emplace_back(StartExchange { std::move(order) });
+    actions.emplace_back(std::move(line));
+}
+
+std::optional<Exchange> ExchangeKeeper::takeExchange(ExchangeId id)
+{
+    const auto found = this->state.exchanges.find(id);
+    if (found == this->state.exchanges.end())
+        return std::nullopt;
+    Exchange exchange = found->second;
+    this->state.exchanges.erase(found);
+    this->state.endpoints.finish(exchange.endpoint, exchange.tokens);
+    return exchange;
+}
+
+bool ExchangeKeeper::mayRepeat(const ActiveRequest& active, bool hasRun, Instant now)
+{
+    if (active.attempts >= active.route->maxAttempts || (hasRun && !isRepeatable(active)))
+        return false;
+    if (timeLeft(active, now) < this->state.limits.shortestDeadline)
+        return false;
+    if (!this->pick(active, active.tried, now))
+        return false;
+    return this->state.retriesOf(active.service->name).withdraw(now);
+}
+
+void ExchangeKeeper::refuse(ActiveRequest& active, Failure failure, GatewayActions& actions)
+{
+    const RequestId request = active.request.id;
+    if (active.isAnswering)
+        actions.emplace_back(CutAnswer { request });
+    else
+        actions.emplace_back(RefuseRequest { request, std::move(failure) });
+    this->state.waiting.erase(request);
+    this->state.requests.erase(request);
+}
+
+void ExchangeKeeper::retryOrFail(ActiveRequest& active, Failure failure, Instant now, GatewayActions& actions)
+{
+    if (this->mayRepeat(active, failure.run != Run::No, now)) {
+        auto line = Internal::requestLine("retried", active, now);
+        line.fields.push_back({ "reason", failure.message });
+        actions.emplace_back(std::move(line));
+        return this->dispatch(active, now, actions);
+    }
+    auto line = Internal::requestLine("failed", active, now);
+    line.fields.push_back({ "reason", failure.message });
+    line.fields.push_back({ "run", std::string(runName(failure.run)) });
+    actions.emplace_back(std::move(line));
+    this->refuse(active, std::move(failure), actions);
+}
+
+void ExchangeKeeper::answered(const ExchangeAnswered& event, Instant now, GatewayActions& actions)
+{
+    const auto found = this->state.exchanges.find(event.exchange);
+    if (found == this->state.exchanges.end())
+        return;
+    const Exchange exchange = found->second;
+    ActiveRequest* active = this->find(exchange.request);
+    internalCheck(active, "an exchange belongs to an active request");
+    const AnswerSummary& answer = event.answer;
+    if (answer.load)
+        this->state.endpoints.report(exchange.endpoint, *answer.load, now);
+    const bool isOwnAnswer = answer.isSigned && !answer.notRun && !promisesNotRun(answer.status);
+    if (isOwnAnswer && (answer.status < firstServerError || !this->mayRepeat(*active, true, now))) {
+        if (isSuccess(answer))
+            this->state.endpoints.succeed(exchange.endpoint);
+        active->isAnswering = true;
+        actions.emplace_back(RelayAnswer { event.exchange });
+        return;
+    }
+    this->takeExchange(event.exchange);
+    actions.emplace_back(CancelExchange { event.exchange });
+    active->exchange.reset();
+    if (isOwnAnswer) {
+        // The retry was paid for by mayRepeat above.
+        auto line = Internal::requestLine("retried", *active, now);
+        line.fields.push_back({ "reason", "status " + std::to_string(answer.status) });
+        actions.emplace_back(std::move(line));
+        return this->dispatch(*active, now, actions);
+    }
+    if (active->isAnswering)
+        return this->breakOff(*active, exchange, now, actions);
+    if (!answer.notRun)
+        this->state.endpoints.fail(exchange.endpoint, now);
+    const Run run = answer.notRun ? Run::No : Run::Unknown;
+    this->retryOrFail(*active,
+        { run == Run::No ? ErrorCode::NoCapacity : ErrorCode::EndpointLost,
+            "endpoint answered " + std::to_string(answer.status), run, this->state.limits.retryAfter },
+        now, actions);
+}
+
+void ExchangeKeeper::ended(const ExchangeEnded& event, Instant now, GatewayActions& actions)
+{
+    const auto exchange = this->takeExchange(event.exchange);
+    if (!exchange)
+        return;
+    ActiveRequest* active = this->find(exchange->request);
+    internalCheck(active, "an exchange belongs to an active request");
+    active->exchange.reset();
+    if (event.end == ExchangeEnd::Complete) {
+        actions.emplace_back(Internal::requestLine("completed", *active, now));
+        this->state.requests.erase(exchange->request);
+        return;
+    }
+    if (exchange->isStopping)
+        return;
+    this->state.endpoints.fail(exchange->endpoint, now);
+    this->breakOff(*active, *exchange, now, actions);
+}
+
+void ExchangeKeeper::breakOff(
+    ActiveRequest& active, const Exchange& exchange, Instant now, GatewayActions& actions)
+{
+    if (isStream(active) && this->continueElsewhere(active, exchange, now, actions))
+        return;
+    const bool sent = active.attempts > 0;
+    this->retryOrFail(active,
+        { ErrorCode::EndpointLost, "connection to the endpoint broke", sent ? Run::Unknown : Run::No,
+            this->state.limits.retryAfter },
+        now, actions);
+}
+
+bool ExchangeKeeper::continueElsewhere(
+    ActiveRequest& active, const Exchange&, Instant now, GatewayActions& actions)
+{
+    if (!active.replicaAt)
+        return false;
+    const EndpointId holder = *active.replicaAt;
+    active.replicaAt.reset();
+    if (!this->state.endpoints.mayWork(holder))
+        return false;
+    const Address address = this->state.endpoints.find(holder)->record.address;
+    this->resume(active, holder, { address, MemoryHandle(active.request.callerId), active.lastEventId }, now, actions);
+    return true;
+}
+
+void ExchangeKeeper::resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now,
+    GatewayActions& actions)
+{
+    GatewayEndpoint* found = this->state.endpoints.find(endpoint);
+    internalCheck(found, "a stream goes on at a known endpoint");
+    this->start(active, *found, point, now, actions);
+}
+
+void ExchangeKeeper::relayed(const EventsRelayed& event)
+{
+    const auto exchange = this->state.exchanges.find(event.exchange);
+    if (exchange == this->state.exchanges.end())
+        return;
+    if (ActiveRequest* active = this->find(exchange->second.request))
+        active->lastEventId = event.lastEventId;
+}
+
+void ExchangeKeeper::abandon(RequestId request, GatewayActions& actions)
+{
+    const ActiveRequest* active = this->find(request);
+    if (!active)
+        return;
+    if (active->exchange) {
+        this->takeExchange(*active->exchange);
+        actions.emplace_back(CancelExchange { *active->exchange });
+    }
+    actions.emplace_back(LogEvent { "abandoned", { { "request", active->request.callerId } } });
+    this->state.waiting.erase(request);
+    this->state.requests.erase(request);
+}
+
+void ExchangeKeeper::expire(ActiveRequest& active, Instant now, GatewayActions& actions)
+{
+    const bool wasSent = active.attempts > 0;
+    if (active.exchange) {
+        this->takeExchange(*active.exchange);
+        actions.emplace_back(CancelExchange { *active.exchange });
+    }
+    auto line = Internal::requestLine("timed_out", active, now);
+    line.fields.push_back({ "run", wasSent ? "unknown" : "no" });
+    actions.emplace_back(std::move(line));
+    if (wasSent)
+        return this->refuse(active, { ErrorCode::DeadlineExceeded, "no answer in time", Run::Unknown, {} }, actions);
+    this->refuse(active,
+        { ErrorCode::NoCapacity, "no endpoint had room in time", Run::No, this->state.limits.retryAfter }, actions);
+}
+
+void ExchangeKeeper::serveWaiting(Instant now, GatewayActions& actions)
+{
+    const std::vector<RequestId> waiting(this->state.waiting.begin(), this->state.waiting.end());
+    for (const RequestId id : waiting) {
+        ActiveRequest& active = *this->find(id);
+        this->dispatch(active, now, actions);
+        const auto patience = std::chrono::duration_cast<Duration>(
+            active.route->latencyObjective * this->state.limits.waitShare);
+        if (!this->state.waiting.contains(id) || now - active.arrivedAt < patience)
+            continue;
+        const bool wasSent = active.attempts > 0;
+        auto line = Internal::requestLine("refused", active, now);
+        line.fields.push_back({ "reason", "no endpoint" });
+        actions.emplace_back(std::move(line));
+        this->refuse(active,
+            { wasSent ? ErrorCode::EndpointLost : ErrorCode::NoCapacity, "no endpoint has room",
+                wasSent ? Run::Unknown : Run::No, this->state.limits.retryAfter },
+            actions);
+    }
+}
+
+void ExchangeKeeper::tick(Instant now, GatewayActions& actions)
+{
+    std::vector<RequestId> late;
+    for (const auto& [id, active] : this->state.requests) {
+        if (active.answerBy <= now)
+            late.push_back(id);
+    }
+    for (const RequestId id : late)
+        this->expire(*this->find(id), now, actions);
+    this->serveWaiting(now, actions);
+}
+
+}
--- /dev/null
+++ b/src/core/gateway/ExchangeKeeper.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "core/gateway/EndpointPicker.h"
+#include "core/gateway/GatewayState.h"
+
+namespace teaselfold {
+
+/** Sends requests to endpoints, and decides what an endpoint's answer or silence means for the caller. */
+class ExchangeKeeper {
+public:
+    explicit ExchangeKeeper(GatewayState& state)
+        : state(state)
+    {
+    }
+
+    /** Sends a request to an endpoint, or lets it wait for one. */
+    void dispatch(ActiveRequest& active, Instant now, GatewayActions& actions);
+    void answered(const ExchangeAnswered& event, Instant now, GatewayActions& actions);
+    void ended(const ExchangeEnded& event, Instant now, GatewayActions& actions);
+    void relayed(const EventsRelayed& event);
+    void abandon(RequestId request, GatewayActions& actions);
+    /** Goes on with a stream at the engine that holds its memory. */
+    void resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now,
+        GatewayActions& actions);
+    /** Ends requests whose time is up, and sends or refuses those that wait. */
+    void tick(Instant now, GatewayActions& actions);
+
+private:
+    void start(ActiveRequest& active, GatewayEndpoint& endpoint, std::optional<ResumePoint> resume, Instant now,
+        GatewayActions& actions);
+    std::optional<Address> placeReplica(ActiveRequest& active, const GatewayEndpoint& endpoint, Instant now);
+    GatewayEndpoint* pick(const ActiveRequest& active, const std::set<EndpointId>& excluded, Instant now) const;
+    bool mayRepeat(const ActiveRequest& active, bool hasRun, Instant now);
+    void retryOrFail(ActiveRequest& active, Failure failure, Instant now, GatewayActions& actions);
+    void breakOff(ActiveRequest& active, const Exchange& exchange, Instant now, GatewayActions& actions);
+    bool continueElsewhere(ActiveRequest& active, const Exchange& exchange, Instant now, GatewayActions& actions);
+    void refuse(ActiveRequest& active, Failure failure, GatewayActions& actions);
+    void expire(ActiveRequest& active, Instant now, GatewayActions& actions);
+    void serveWaiting(Instant now, GatewayActions& actions);
+    std::optional<Exchange> takeExchange(ExchangeId exchange);
+    ActiveRequest* find(RequestId request);
+
+    GatewayState& state;
+};
+
+}
--- /dev/null
+++ b/src/core/gateway/Gateway.cpp
@@ -0,0 +1,157 @@
+#include "core/gateway/Gateway.h"
+
+#include "core/common/HandlerTable.h"
+#include "core/gateway/GatewayLog.h"
+
+namespace teaselfold {
+
+namespace {
+
+    RouterLimits sharedLimitsOf(const GatewayLimits& limits)
+    {
+        RouterLimits shared;
+        shared.retryShare = limits.retryShare;
+        shared.retryFloor = limits.retryFloor;
+        shared.retryFloorTime = limits.retryWindow;
+        shared.retryCeiling = limits.retryFloor;
+        return shared;
+    }
+
+}
+
+struct Gateway::Handlers {
+    static const HandlerTable<Gateway, void, GatewayEvent, Instant, GatewayActions&>& events()
+    {
+        static const HandlerTable<Gateway, void, GatewayEvent, Instant, GatewayActions&> table(&Gateway::arrived,
+            &Gateway::abandoned, &Gateway::answered, &Gateway::ended, &Gateway::relayed, &Gateway::moveAnswered,
+            &Gateway::configurationRead, &Gateway::endpointsListed, &Gateway::endpointsChanged, &Gateway::zonesOutRead,
+            &Gateway::storeAnswered, &Gateway::storeFailed, &Gateway::stopRequested);
+        return table;
+    }
+};
+
+Gateway::Gateway(const GatewayLimits& limits, ZoneId zone, Randomness& randomness)
+    : state(limits, sharedLimitsOf(limits), std::move(zone), randomness)
+    , gate(this->state)
+    , exchanges(this->state)
+{
+}
+
+GatewayActions Gateway::handle(const GatewayEvent& event, Instant now)
+{
+    GatewayActions actions;
+    Handlers::events().dispatch(*this, event, now, actions);
+    return actions;
+}
+
+GatewayActions Gateway::tick(Instant now)
+{
+    GatewayActions actions;
+    this->endpointsLeave(this->state.endpoints.expire(now), now, actions);
+    this->state.quarantine.expire(now);
+    this->exchanges.tick(now, actions);
+    return actions;
+}
+
+const GatewayConfiguration* Gateway::configuration() const
+{
+    return this->state.routes ? this->state.routes->configuration().get() : nullptr;
+}
+
+void Gateway::arrived(const RequestArrived& event, Instant now, GatewayActions& actions)
+{
+    auto admitted = this->gate.admit(event.request, now);
+    if (auto* failure = std::get_if<Failure>(&admitted)) {
+        actions.emplace_back(LogEvent { "denied",
+            { { "request", event.request.callerId }, { "code", std::string(codeName(failure->code)) },
+                { "reason", failure->message } } });
+        actions.emplace_back(RefuseRequest { event.request.id, std::move(*failure) });
+        return;
+    }
+    ActiveRequest& active
+        = this->state.requests[event.request.id] = std::move(*std::get_if<ActiveRequest>(&admitted));
+    this->state.retriesOf(active.service->name).deposit();
+    this->exchanges.dispatch(active, now, actions);
+}
+
+void Gateway::abandoned(const RequestAbandoned& event, Instant, GatewayActions& actions)
+{
+    this->exchanges.abandon(event.request, actions);
+}
+
+void Gateway::answered(const ExchangeAnswered& event, Instant now, GatewayActions& actions)
+{
+    this->exchanges.answered(event, now, actions);
+}
+
+void Gateway::ended(const ExchangeEnded& event, Instant now, GatewayActions& actions)
+{
+    this->exchanges.ended(event, now, actions);
+}
+
+void Gateway::relayed(const EventsRelayed& event, Instant, GatewayActions&) { this->exchanges.relayed(event); }
+
+void Gateway::moveAnswered(const MoveAnswered&, Instant, GatewayActions&) { }
+
+void Gateway::configurationRead(const ConfigurationRead& event, Instant, GatewayActions& actions)
+{
+    const GatewayConfiguration* current = this->configuration();
+    if (current && event.configuration->version <= current->version)
+        return;
+    const std::string before = std::to_string(current ? current->version : 0);
+    this->state.routes.emplace(event.configuration);
+    actions.emplace_back(LogEvent { "configuration_in_force",
+        { { "version", std::to_string(event.configuration->version) }, { "before", before },
+            { "routes", std::to_string(event.configuration->routes.size()) } } });
+}
+
+void Gateway::endpointsLeave(const std::vector<EndpointId>& leaving, Instant, GatewayActions& actions)
+{
+    for (const EndpointId& endpoint : leaving)
+        actions.emplace_back(LogEvent { "endpoint_leaves", { { "endpoint", endpoint.get() } } });
+}
+
+void Gateway::endpointsListed(const EndpointsListed& event, Instant now, GatewayActions& actions)
+{
+    const auto grace = this->state.freshness.lapseGraceUntil(Followed::Endpoints, now);
+    this->endpointsLeave(this->state.endpoints.list(event.endpoints, grace, now), now, actions);
+}
+
+void Gateway::endpointsChanged(const EndpointsChanged& event, Instant now, GatewayActions& actions)
+{
+    const auto grace = this->state.freshness.lapseGraceUntil(Followed::Endpoints, now);
+    this->endpointsLeave(this->state.endpoints.change(event, grace, now), now, actions);
+}
+
+void Gateway::zonesOutRead(const ZonesOutRead& event, Instant, GatewayActions& actions)
+{
+    LogEvent line { "zones_out", {} };
+    for (const ZoneId& zone : event.zones)
+        line.fields.push_back({ "zone", zone.get() });
+    this->state.endpoints.setZonesOut(event.zones);
+    actions.emplace_back(std::move(line));
+}
+
+void Gateway::storeAnswered(const StoreAnswered& event, Instant now, GatewayActions&)
+{
+    this->state.freshness.answered(event.part, event.askedAt, now);
+}
+
+void Gateway::storeFailed(const StoreFailed& event, Instant now, GatewayActions& actions)
+{
+    this->state.freshness.failed(event.part, now);
+    const auto age = this->state.freshness.age(event.part, now);
+    actions.emplace_back(LogEvent { "store_failed",
+        { { "part", event.part == Followed::Configuration ? "configuration" : "endpoints" },
+            { "reason", event.reason },
+            { "known_since_ms", age ? Internal::millisecondsText(*age) : std::string("never") } } });
+}
+
+void Gateway::stopRequested(const GatewayStopRequested&, Instant, GatewayActions& actions)
+{
+    this->state.isStopping = true;
+    actions.emplace_back(
+        LogEvent { "stopping", { { "in_progress", std::to_string(this->state.requests.size()) } } });
+}
+
+}
--- /dev/null
+++ b/src/core/gateway/GatewayLimits.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "ports/Time.h"
+
+#include <cstdint>
+
+namespace teaselfold {
+
+/** Bounds of a gateway's decisions. The deployment's settings give those that its platform promises. */
+struct GatewayLimits {
+    /** Longest age of the last reading of the configuration with which a key may be accepted. From the settings. */
+    Milliseconds keyFreshness { 4500 };
+    /** Age of the last reading beyond which a missing route or key may just be news that is late. */
+    Milliseconds denialFreshness { 1800 };
+    /** After an outage of the store, time for endpoints whose records lapsed to write them again. Platform's promise. */
+    Milliseconds lapseGrace { 2000 };
+    /** Readings that fail for so long are an outage of the store; one lost answer is not. */
+    Milliseconds outageAfter { 500 };
+    /** Retries per new request. The platform's ratio, less a margin for requests that are counted elsewhere. */
+    double retryShare { 0.15 };
+    /** Retries that one instance may send in each window whatever its traffic. Its share of the platform's headroom. */
+    double retryFloor { 5 };
+    Milliseconds retryWindow { 10000 };
+    /** Share of a cold endpoint's bound that one instance uses; the bound holds for all instances together. */
+    double coldShare { 0.15 };
+    /** What a cold endpoint bears, as a multiple of its stated rate, and beyond it. From the settings. */
+    double coldFactor { 1.5 };
+    double coldHeadroom { 5 };
+    /** Requests that wait for an endpoint are refused after this part of their latency objective. */
+    double waitShare { 0.125 };
+    /** Suggested to callers whose request found no endpoint; about the time in which new endpoints appear. */
+    Milliseconds retryAfter { 300 };
+    /** Time for which an endpoint that failed several requests in a row gets none but trials. */
+    Milliseconds ejectionTime { 2000 };
+    /** Failures in a row after which an endpoint is ejected. */
+    std::uint32_t ejectionFailures { 3 };
+    /** A report of load counts for so long after its arrival. */
+    Milliseconds loadReportAge { 1500 };
+    /** Shortest deadline with which a request is still sent; less is no use to an endpoint. */
+    Milliseconds shortestDeadline { 20 };
+};
+
+}
--- /dev/null
+++ b/src/core/gateway/GatewayState.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "core/entry/Quarantine.h"
+#include "core/entry/RetryBudget.h"
+#include "core/gateway/EndpointDirectory.h"
+#include "core/gateway/RouteTable.h"
+#include "core/gateway/StoreFreshness.h"
+#include "ports/Randomness.h"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace teaselfold {
+
+/** How far a running stream is handed over to another engine. */
+enum class MovePhase : std::uint8_t {
+    Idle,
+    /** The memory is copied while the run goes on. */
+    Copying,
+    /** The run is stopped and the rest of its memory copied. */
+    Finishing,
+};
+
+/** One request that has no final answer yet. */
+struct ActiveRequest {
+    GatewayRequest request;
+    /** Keeps the route alive. */
+    std::shared_ptr<const GatewayConfiguration> configuration;
+    const GatewayRoute* route { nullptr };
+    const GatewayService* service { nullptr };
+    std::optional<TeamId> team;
+    std::uint32_t priority { 0 };
+    Instant arrivedAt;
+    /** The caller's patience or the route's timeout, whichever ends first. */
+    Instant answerBy;
+    /** Expected tokens of prompt and output together. */
+    std::uint64_t tokens { 0 };
+    std::uint32_t attempts { 0 };
+    std::set<EndpointId> tried;
+    std::optional<ExchangeId> exchange;
+    /** Parts of an answer went to the caller. */
+    bool isAnswering { false };
+    std::uint64_t lastEventId { 0 };
+    /** Engine that keeps a copy of the run's memory. */
+    std::optional<EndpointId> replicaAt;
+};
+
+/** One request at one endpoint. */
+struct Exchange {
+    RequestId request;
+    EndpointId endpoint;
+    Address address;
+    std::uint64_t tokens { 0 };
+    Instant startedAt;
+    MovePhase move { MovePhase::Idle };
+    EndpointId moveTarget;
+    /** The run was told to stop; its stream ends without being complete. */
+    bool isStopping { false };
+};
+
+/** What the parts of a gateway's decisions share. */
+struct GatewayState {
+    GatewayState(const GatewayLimits& gatewayLimits, const RouterLimits& sharedLimits, ZoneId ownZone,
+        Randomness& random)
+        : limits(gatewayLimits)
+        , zone(std::move(ownZone))
+        , randomness(random)
+        , freshness(gatewayLimits)
+        , endpoints(gatewayLimits)
+        , quarantine(sharedLimits)
+        , sharedLimits(sharedLimits)
+    {
+    }
+
+    /** @return the budget of a service's retries. */
+    RetryBudget& retriesOf(const ServiceId& service)
+    {
+        return this->retries.try_emplace(service, this->sharedLimits).first->second;
+    }
+
+    GatewayLimits limits;
+    ZoneId zone;
+    Randomness& randomness;
+    StoreFreshness freshness;
+    EndpointDirectory endpoints;
+    Quarantine quarantine;
+    RouterLimits sharedLimits;
+    std::map<ServiceId, RetryBudget> retries;
+    std::optional<RouteTable> routes;
+    std::map<RequestId, ActiveRequest> requests;
+    std::map<ExchangeId, Exchange> exchanges;
+    /** Requests that wait for an endpoint, the longest first. */
+    std::set<RequestId> waiting;
+    std::uint64_t lastExchange { 0 };
+    bool isStopping { false };
+};
+
+}
--- /dev/null
+++ b/src/core/gateway/RequestGate.cpp
@@ -0,0 +1,98 @@
+#include "core/gateway/RequestGate.h"
+
+#include <algorithm>
+
+namespace teaselfold {
+
+namespace {
+
+    /** Deadline of a request whose caller and route name none. */
+    constexpr Milliseconds defaultPatience(60000);
+
+    Failure notRun(ErrorCode code, std::string message, Milliseconds retryAfter)
+    {
+        return { code, std::move(message), Run::No, retryAfter };
+    }
+
+    std::uint64_t expectedTokens(const GatewayRequest& request)
+    {
+        const std::uint64_t output
+            = request.expectedOutputTokens > 0 ? request.expectedOutputTokens : request.maxOutputTokens / 2;
+        return request.promptTokens + output;
+    }
+
+    Milliseconds patienceOf(const GatewayRequest& request, const GatewayRoute& route)
+    {
+        const Milliseconds patience = request.patience.value_or(defaultPatience);
+        return route.timeout > Milliseconds(0) ? std::min(patience, route.timeout) : patience;
+    }
+
+}
+
+bool RequestGate::isFresh(Milliseconds bound, Instant now) const
+{
+    const auto age = this->state.freshness.age(Followed::Configuration, now);
+    return age && *age < bound;
+}
+
+bool RequestGate::isReady(Instant now) const
+{
+    return !this->state.isStopping && this->state.routes
+        && this->state.freshness.age(Followed::Endpoints, now).has_value()
+        && this->isFresh(this->state.limits.keyFreshness, now);
+}
+
+Failure RequestGate::denial(ErrorCode code, std::string message, Instant now) const
+{
+    if (this->isFresh(this->state.limits.denialFreshness, now))
+        return notRun(code, std::move(message), Milliseconds(0));
+    return notRun(ErrorCode::NotReady, "the configuration may be out of date", this->state.limits.retryAfter);
+}
+
+Outcome<const GatewayTeam*> RequestGate::teamOf(
+    const GatewayRequest& request, const GatewayRoute& route, Instant now) const
+{
+    const bool needsKey = this->state.routes->configuration()->teams.has_value() && !route.isPublic;
+    if (!needsKey)
+        return nullptr;
+    if (!this->isFresh(this->state.limits.keyFreshness, now))
+        return notRun(ErrorCode::StoreUnavailable, "keys cannot be checked now", this->state.limits.retryAfter);
+    if (const GatewayTeam* team = this->state.routes->findTeam(request.key))
+        return team;
+    return this->denial(ErrorCode::Unauthorized, "unknown key", now);
+}
+
+Outcome<ActiveRequest> RequestGate::admit(const GatewayRequest& request, Instant now) const
+{
+    if (!this->state.routes)
+        return notRun(ErrorCode::NotReady, "no configuration is known yet", this->state.limits.retryAfter);
+    const GatewayRoute* route = this->state.routes->findRoute(request.host, request.path);
+    if (!route)
+        return this->denial(ErrorCode::NotFound, "no route", now);
+    const auto team = this->teamOf(request, *route, now);
+    if (const auto* failure = std::get_if<Failure>(&team))
+        return *failure;
+    const Milliseconds refused = this->state.quarantine.refusedFor(request.fingerprint, now);
+    if (refused > Milliseconds(0))
+        return notRun(ErrorCode::Quarantined, "endpoints died while they ran this request", refused);
+    const ServiceId* service = RouteTable::chooseService(*route, this->state.randomness.next());
+    const GatewayService* found = service ? this->state.routes->findService(*service) : nullptr;
+    if (!found)
+        return notRun(ErrorCode::NoCapacity, "the route has no service", this->state.limits.retryAfter);
+
+    ActiveRequest active;
+    active.request = request;
+    active.configuration = this->state.routes->configuration();
+    active.route = route;
+    active.service = found;
+    const GatewayTeam* holder = *std::get_if<const GatewayTeam*>(&team);
+    active.priority = holder && holder->priority ? *holder->priority : route->priority;
+    if (holder)
+        active.team = holder->name;
+    active.arrivedAt = now;
+    active.answerBy = now + patienceOf(request, *route);
+    active.tokens = found->engine ? expectedTokens(request) : 0;
+    return active;
+}
+
+}
--- /dev/null
+++ b/src/ports/GatewayMessages.h
@@ -0,0 +1,221 @@
+#pragma once
+
+#include "ports/GatewayConfiguration.h"
+#include "ports/Outcome.h"
+#include "ports/Telemetry.h"
+
+#include <memory>
+#include <variant>
+
+namespace teaselfold {
+
+/** One request sent to one endpoint. Unique within a process. */
+using ExchangeId = Id<struct ExchangeTag, std::uint64_t>;
+/** Names a copy of a running request's memory at an engine. */
+using MemoryHandle = Id<struct MemoryHandleTag, std::string>;
+
+/** What a caller asks for, without its body. */
+struct GatewayRequest {
+    RequestId id;
+    /** The caller's own name for this request. Empty when it gave none. */
+    std::string callerId;
+    std::string method;
+    std::string host;
+    /** Path without the query. */
+    std::string path;
+    std::string key;
+    /** Time that the caller will wait, counted from its arrival. */
+    std::optional<Milliseconds> patience;
+    std::uint64_t promptTokens { 0 };
+    std::uint64_t maxOutputTokens { 0 };
+    /** The caller's guess of the output's length; zero when it gave none. */
+    std::uint64_t expectedOutputTokens { 0 };
+    Fingerprint fingerprint;
+};
+
+/** A whole request came in. */
+struct RequestArrived {
+    GatewayRequest request;
+};
+
+/** The caller closed its connection before its answer was complete. */
+struct RequestAbandoned {
+    RequestId request;
+};
+
+/** Work that an endpoint reports beside an answer. */
+struct ReportedLoad {
+    std::uint32_t running { 0 };
+    std::uint32_t waiting { 0 };
+    std::uint32_t slots { 0 };
+};
+
+/** What an answer's head says. */
+struct AnswerSummary {
+    std::uint16_t status { 0 };
+    /** The endpoint states that it has not run the request and never will. */
+    bool notRun { false };
+    /** The endpoint signed the answer: it is the endpoint's own. */
+    bool isSigned { false };
+    bool isStream { false };
+    std::optional<ReportedLoad> load;
+};
+
+/** A stream's head came, or any other answer came whole. */
+struct ExchangeAnswered {
+    ExchangeId exchange;
+    AnswerSummary answer;
+};
+
+/** How an exchange came to its end. */
+enum class ExchangeEnd : std::uint8_t {
+    Complete,
+    /** No connection could be made, so nothing was sent. */
+    NotConnected,
+    /** The connection broke or carried something that is no answer. */
+    Broken,
+};
+
+/** Nothing more comes of an exchange. Sent after ExchangeAnswered when there was an answer. */
+struct ExchangeEnded {
+    ExchangeId exchange;
+    ExchangeEnd end { ExchangeEnd::Broken };
+};
+
+/** Events of a stream went on to the caller. */
+struct EventsRelayed {
+    ExchangeId exchange;
+    /** Identifier of the newest event that went on. */
+    std::uint64_t lastEventId { 0 };
+};
+
+/** What became of the order to hand a running request over. */
+enum class MoveOutcome : std::uint8_t {
+    Copied,
+    NoSuchRun,
+    InProgress,
+    NoRoom,
+    Failed,
+};
+
+/** An engine answered a move. */
+struct MoveAnswered {
+    ExchangeId exchange;
+    MoveOutcome outcome { MoveOutcome::Failed };
+    MemoryHandle handle;
+};
+
+/** A newer configuration was read. */
+struct ConfigurationRead {
+    std::shared_ptr<const GatewayConfiguration> configuration;
+};
+
+/** All endpoints were read at once. */
+struct EndpointsListed {
+    std::vector<EndpointRecord> endpoints;
+};
+
+/** Endpoints changed since the last reading. */
+struct EndpointsChanged {
+    std::vector<EndpointRecord> changed;
+    /** Left, or cannot be used: the record is gone or unreadable. */
+    std::vector<EndpointId> removed;
+};
+
+/** All zones out of service were read. */
+struct ZonesOutRead {
+    std::set<ZoneId> zones;
+};
+
+/** A part of the platform's store that is followed on its own. */
+enum class Followed : std::uint8_t {
+    Configuration,
+    Endpoints,
+};
+
+/** The store answered a reading: what was read holds as of the reading's start. */
+struct StoreAnswered {
+    Followed part { Followed::Configuration };
+    Instant askedAt;
+};
+
+/** A reading of the store failed. */
+struct StoreFailed {
+    Followed part { Followed::Configuration };
+    std::string reason;
+};
+
+/** The process is to stop once its work is done. */
+struct GatewayStopRequested { };
+
+using GatewayEvent = std::variant<RequestArrived, RequestAbandoned, ExchangeAnswered, ExchangeEnded, EventsRelayed,
+    MoveAnswered, ConfigurationRead, EndpointsListed, EndpointsChanged, ZonesOutRead, StoreAnswered, StoreFailed,
+    GatewayStopRequested>;
+
+/** Where a stream goes on that was begun elsewhere. */
+struct ResumePoint {
+    /** Engine that holds the memory. */
+    Address holder;
+    MemoryHandle handle;
+    /** Newest event that the caller has. */
+    std::uint64_t lastEventId { 0 };
+};
+
+/** What is sent along with a request to an endpoint. */
+struct ExchangeOrder {
+    ExchangeId exchange;
+    RequestId request;
+    EndpointId endpoint;
+    Address address;
+    /** Time that the endpoint may use. */
+    Milliseconds timeLeft { 0 };
+    /** Nothing for a public route. */
+    std::optional<TeamId> team;
+    /** Urgency at the engine, 0 first; nothing leaves the engine's own. */
+    std::optional<std::uint32_t> enginePriority;
+    /** Engine that is to keep a copy of the run's memory. */
+    std::optional<Address> replicaAt;
+    std::optional<ResumePoint> resume;
+};
+
+/** Sends a request to an endpoint. */
+struct StartExchange {
+    ExchangeOrder order;
+};
+
+/** Ends an exchange: closes its connection, so that the endpoint drops the work. No event follows. */
+struct CancelExchange {
+    ExchangeId exchange;
+};
+
+/** Passes the exchange's answer on to the caller. Once for each request, but for resumed streams. */
+struct RelayAnswer {
+    ExchangeId exchange;
+};
+
+/** Gives the caller an answer of our own. */
+struct RefuseRequest {
+    RequestId request;
+    Failure failure;
+};
+
+/** Closes the caller's connection so that its answer is visibly incomplete. */
+struct CutAnswer {
+    RequestId request;
+};
+
+/** Orders an engine to copy a running request's memory to another engine. */
+struct StartMove {
+    ExchangeId exchange;
+    Address source;
+    std::string callerId;
+    Address target;
+    /** The run stops at the source. Otherwise it goes on while it is copied. */
+    bool stopsRun { false };
+};
+
+using GatewayAction = std::variant<StartExchange, CancelExchange, RelayAnswer, RefuseRequest, CutAnswer, StartMove,
+    LogEvent, Observation>;
+using GatewayActions = std::vector<GatewayAction>;
+
+}
