Never call a request not run once an endpoint may have begun it

Change: a request remembers that it may have run; every refusal takes its promise from there. A request whose connection was never made goes elsewhere without using an attempt, and keys are checked again before a later send. Ruled out: a worker's own wrong word, since its refusal was true for itself.

--- a/apps/teaselfold-gateway/Main.cpp
+++ b/apps/teaselfold-gateway/Main.cpp
@@ -86,14 +86,16 @@
     StoreFollower::Options options;
     options.store = this->settings.store;
     options.timeout = this->settings.storeTimeout;
-    return std::make_unique<StoreFollower>(options, std::move(translator),
-        [this](GatewayEvent event) { this->traffic->ring().push(std::move(event)); }, &bootTimeNow);
+    return std::make_unique<StoreFollower>(
+        options, std::move(translator), [this](GatewayEvent event) { this->traffic->ring().push(std::move(event)); },
+        &bootTimeNow);
 }
 
 std::optional<Failure> GatewayProcess::run(const sigset_t& signals)
 {
     this->telemetry->start();
-    this->telemetry->log({ "started", { { "instance", this->settings.instance }, { "zone", this->settings.zone.get() } } });
+    this->telemetry->log(
+        { "started", { { "instance", this->settings.instance }, { "zone", this->settings.zone.get() } } });
     if (auto failure = this->traffic->start())
         return failure;
     for (const auto& follower : this->followers)
--- a/src/adapters/settings/GatewaySettings.cpp
+++ b/src/adapters/settings/GatewaySettings.cpp
@@ -19,8 +19,8 @@
         Row { "store_timeout", &GatewaySettings::storeTimeout, Need::Optional, "wait for an answer of the store" },
         Row { "connect_timeout", &GatewaySettings::connectTimeout, Need::Optional,
             "wait for a connection to an endpoint" },
-        Row { "stop_limit", &GatewaySettings::stopLimit, Need::Optional,
-            "time between the order to stop and the kill" },
+        Row {
+            "stop_limit", &GatewaySettings::stopLimit, Need::Optional, "time between the order to stop and the kill" },
         Row { "revocation_limit", &GatewaySettings::revocationLimit, Need::Optional,
             "time after which a key that was taken away must not be accepted anywhere" },
         Row { "retry_ratio", &GatewaySettings::retryRatio, Need::Optional,
--- a/src/adapters/traffic/HttpHeads.cpp
+++ b/src/adapters/traffic/HttpHeads.cpp
@@ -23,7 +23,8 @@
     bool isTokenCharacter(char character)
     {
         constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
-        return std::isalnum(static_cast<unsigned char>(character)) != 0 || marks.find(character) != std::string_view::npos;
+        return std::isalnum(static_cast<unsigned char>(character)) != 0
+            || marks.find(character) != std::string_view::npos;
     }
 
     bool isToken(std::string_view text)
--- a/src/adapters/traffic/TrafficServer.cpp
+++ b/src/adapters/traffic/TrafficServer.cpp
@@ -165,10 +165,7 @@
 
 void TrafficServer::relayAnswer(const RelayAnswer& action) { this->endpoints.relay(action.exchange); }
 
-void TrafficServer::refuseRequest(const RefuseRequest& action)
-{
-    this->callers.refuse(action.request, action.failure);
-}
+void TrafficServer::refuseRequest(const RefuseRequest& action) { this->callers.refuse(action.request, action.failure); }
 
 void TrafficServer::cutAnswer(const CutAnswer& action) { this->callers.cut(action.request); }
 
--- a/src/adapters/traffic/TrafficServer.h
+++ b/src/adapters/traffic/TrafficServer.h
@@ -20,7 +20,8 @@
     Milliseconds connectTimeout { 400 };
     /** A stop ends the process by then, whatever is still in progress. */
     Milliseconds stopLimit { 7500 };
-    /** After a stop is asked for, new requests are still served for so long: the balancer needs it to look elsewhere. */
+    /** After a stop is asked for, new requests are still served for so long: the balancer needs it to look elsewhere.
+     */
     Milliseconds stopLinger { 3000 };
 };
 
--- a/src/core/gateway/EndpointPicker.cpp
+++ b/src/core/gateway/EndpointPicker.cpp
@@ -61,9 +61,8 @@
 {
     const double memory = std::max<std::uint64_t>(service.engine ? service.engine->memoryTokens : 0, 1);
     return lowest(candidates, [&](const GatewayEndpoint& endpoint) {
-        const double own = endpoint.inFlight == 0
-            ? static_cast<double>(context.tokens)
-            : static_cast<double>(endpoint.tokensInFlight) / endpoint.inFlight;
+        const double own = endpoint.inFlight == 0 ? static_cast<double>(context.tokens)
+                                                  : static_cast<double>(endpoint.tokensInFlight) / endpoint.inFlight;
         const double foreign = foreignWork(endpoint, context) * own;
         const double used = (static_cast<double>(endpoint.tokensInFlight) + foreign) / memory;
         return used + zonePenalty(endpoint, context) + jitter(context.randomness);
--- a/src/core/gateway/ExchangeKeeper.cpp
+++ b/src/core/gateway/ExchangeKeeper.cpp
@@ -29,6 +29,9 @@
         return std::chrono::duration_cast<Milliseconds>(active.answerBy - now);
     }
 
+    /** @return what can be promised of a request whose exchanges have all ended. */
+    Run runOf(const ActiveRequest& active) { return active.mayHaveRun ? Run::Unknown : Run::No; }
+
     bool isRepeatable(const ActiveRequest& active) { return active.route->kind == RequestKind::Idempotent; }
 
     bool isStream(const ActiveRequest& active) { return active.route->kind == RequestKind::Stream; }
@@ -59,6 +62,12 @@
 
 void ExchangeKeeper::dispatch(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
+    // The key was good when the request came in; while it waited, the proof of that may have grown too old.
+    if (active.team && !this->state.freshness.isFresh(Followed::Configuration, this->state.limits.keyFreshness, now)) {
+        const Milliseconds retryAfter = this->state.limits.retryAfter;
+        return this->refuse(
+            active, { ErrorCode::StoreUnavailable, "keys cannot be checked now", runOf(active), retryAfter }, actions);
+    }
     if (GatewayEndpoint* endpoint = this->pick(active, active.tried, now)) {
         this->state.waiting.erase(active.request.id);
         return this->start(active, *endpoint, std::nullopt, now, actions);
@@ -66,8 +75,7 @@
     this->state.waiting.insert(active.request.id);
 }
 
-std::optional<Address> ExchangeKeeper::placeReplica(
-    ActiveRequest& active, const GatewayEndpoint& endpoint, Instant now)
+std::optional<Address> ExchangeKeeper::placeReplica(ActiveRequest& active, const GatewayEndpoint& endpoint, Instant now)
 {
     active.replicaAt.reset();
     if (!active.service->engine || !active.service->engine->canReplicate || !isStream(active))
@@ -105,9 +113,8 @@
         active.tried.insert(endpoint.record.id);
     }
     active.exchange = id;
-    this->state.exchanges[id]
-        = { active.request.id, endpoint.record.id, endpoint.record.address, active.tokens, now, MovePhase::Idle, {},
-              false };
+    this->state.exchanges[id] = { active.request.id, endpoint.record.id, endpoint.record.address, active.tokens, now,
+        MovePhase::Idle, {}, false };
     auto line = Internal::requestLine(order.resume ? "resumed" : "sent", active, now);
     line.fields.push_back({ "endpoint", endpoint.record.id.get() });
     line.fields.push_back({ "attempt", std::to_string(active.attempts) });
@@ -129,9 +136,9 @@
     return exchange;
 }
 
-bool ExchangeKeeper::mayRepeat(const ActiveRequest& active, bool hasRun, Instant now)
+bool ExchangeKeeper::mayRepeat(const ActiveRequest& active, Instant now)
 {
-    if (active.attempts >= active.route->maxAttempts || (hasRun && !isRepeatable(active)))
+    if (active.attempts >= active.route->maxAttempts || (active.mayHaveRun && !isRepeatable(active)))
         return false;
     if (timeLeft(active, now) < this->state.limits.shortestDeadline)
         return false;
@@ -153,7 +160,7 @@
 
 void ExchangeKeeper::retryOrFail(ActiveRequest& active, Failure failure, Instant now, GatewayActions& actions)
 {
-    if (this->mayRepeat(active, failure.run != Run::No, now)) {
+    if (this->mayRepeat(active, now)) {
         auto line = Internal::requestLine("retried", active, now);
         line.fields.push_back({ "reason", failure.message });
         actions.emplace_back(std::move(line));
@@ -177,8 +184,9 @@
     const AnswerSummary& answer = event.answer;
     if (answer.load)
         this->state.endpoints.report(exchange.endpoint, *answer.load, now);
+    active->mayHaveRun = active->mayHaveRun || !answer.notRun;
     const bool isOwnAnswer = answer.isSigned && !answer.notRun && !promisesNotRun(answer.status);
-    if (isOwnAnswer && (answer.status < firstServerError || !this->mayRepeat(*active, true, now))) {
+    if (isOwnAnswer && (answer.status < firstServerError || !this->mayRepeat(*active, now))) {
         if (isSuccess(answer))
             this->state.endpoints.succeed(exchange.endpoint);
         active->isAnswering = true;
@@ -195,11 +203,13 @@
         actions.emplace_back(std::move(line));
         return this->dispatch(*active, now, actions);
     }
+    // The run that the copy was to be made of never began, so there is none.
+    active->replicaAt.reset();
     if (active->isAnswering)
         return this->breakOff(*active, exchange, now, actions);
     if (!answer.notRun)
         this->state.endpoints.fail(exchange.endpoint, now);
-    const Run run = answer.notRun ? Run::No : Run::Unknown;
+    const Run run = runOf(*active);
     this->retryOrFail(*active,
         { run == Run::No ? ErrorCode::NoCapacity : ErrorCode::EndpointLost,
             "endpoint answered " + std::to_string(answer.status), run, this->state.limits.retryAfter },
@@ -219,26 +229,30 @@
         this->state.requests.erase(exchange->request);
         return;
     }
-    if (exchange->isStopping)
-        return;
     this->state.endpoints.fail(exchange->endpoint, now);
+    if (event.end == ExchangeEnd::NotConnected && !active->isAnswering)
+        return this->sendElsewhere(*active, now, actions);
+    active->mayHaveRun = true;
     this->breakOff(*active, *exchange, now, actions);
 }
 
-void ExchangeKeeper::breakOff(
-    ActiveRequest& active, const Exchange& exchange, Instant now, GatewayActions& actions)
+void ExchangeKeeper::sendElsewhere(ActiveRequest& active, Instant now, GatewayActions& actions)
+{
+    active.replicaAt.reset();
+    active.attempts -= std::min<std::uint32_t>(active.attempts, 1);
+    this->dispatch(active, now, actions);
+}
+
+void ExchangeKeeper::breakOff(ActiveRequest& active, const Exchange& exchange, Instant now, GatewayActions& actions)
 {
     if (isStream(active) && this->continueElsewhere(active, exchange, now, actions))
         return;
-    const bool sent = active.attempts > 0;
     this->retryOrFail(active,
-        { ErrorCode::EndpointLost, "connection to the endpoint broke", sent ? Run::Unknown : Run::No,
-            this->state.limits.retryAfter },
+        { ErrorCode::EndpointLost, "connection to the endpoint broke", runOf(active), this->state.limits.retryAfter },
         now, actions);
 }
 
-bool ExchangeKeeper::continueElsewhere(
-    ActiveRequest& active, const Exchange&, Instant now, GatewayActions& actions)
+bool ExchangeKeeper::continueElsewhere(ActiveRequest& active, const Exchange&, Instant now, GatewayActions& actions)
 {
     if (!active.replicaAt)
         return false;
@@ -251,8 +265,8 @@
     return true;
 }
 
-void ExchangeKeeper::resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now,
-    GatewayActions& actions)
+void ExchangeKeeper::resume(
+    ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now, GatewayActions& actions)
 {
     GatewayEndpoint* found = this->state.endpoints.find(endpoint);
     internalCheck(found, "a stream goes on at a known endpoint");
@@ -284,38 +298,38 @@
 
 void ExchangeKeeper::expire(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
-    const bool wasSent = active.attempts > 0;
     if (active.exchange) {
+        active.mayHaveRun = true;
         this->takeExchange(*active.exchange);
         actions.emplace_back(CancelExchange { *active.exchange });
     }
     auto line = Internal::requestLine("timed_out", active, now);
-    line.fields.push_back({ "run", wasSent ? "unknown" : "no" });
+    line.fields.push_back({ "run", std::string(runName(runOf(active))) });
     actions.emplace_back(std::move(line));
-    if (wasSent)
+    if (active.mayHaveRun)
         return this->refuse(active, { ErrorCode::DeadlineExceeded, "no answer in time", Run::Unknown, {} }, actions);
     this->refuse(active,
         { ErrorCode::NoCapacity, "no endpoint had room in time", Run::No, this->state.limits.retryAfter }, actions);
 }
 
+Duration ExchangeKeeper::waitLimit(const ActiveRequest& active) const
+{
+    return std::chrono::duration_cast<Duration>(active.route->latencyObjective * this->state.limits.waitShare);
+}
+
 void ExchangeKeeper::serveWaiting(Instant now, GatewayActions& actions)
 {
     const std::vector<RequestId> waiting(this->state.waiting.begin(), this->state.waiting.end());
     for (const RequestId id : waiting) {
         ActiveRequest& active = *this->find(id);
         this->dispatch(active, now, actions);
-        const auto patience = std::chrono::duration_cast<Duration>(
-            active.route->latencyObjective * this->state.limits.waitShare);
-        if (!this->state.waiting.contains(id) || now - active.arrivedAt < patience)
+        if (!this->state.waiting.contains(id) || now - active.arrivedAt < this->waitLimit(active))
             continue;
-        const bool wasSent = active.attempts > 0;
         auto line = Internal::requestLine("refused", active, now);
         line.fields.push_back({ "reason", "no endpoint" });
         actions.emplace_back(std::move(line));
         this->refuse(active,
-            { wasSent ? ErrorCode::EndpointLost : ErrorCode::NoCapacity, "no endpoint has room",
-                wasSent ? Run::Unknown : Run::No, this->state.limits.retryAfter },
-            actions);
+            { ErrorCode::NoCapacity, "no endpoint has room", runOf(active), this->state.limits.retryAfter }, actions);
     }
 }
 
--- a/src/core/gateway/ExchangeKeeper.h
+++ b/src/core/gateway/ExchangeKeeper.h
@@ -30,12 +30,16 @@
         GatewayActions& actions);
     std::optional<Address> placeReplica(ActiveRequest& active, const GatewayEndpoint& endpoint, Instant now);
     GatewayEndpoint* pick(const ActiveRequest& active, const std::set<EndpointId>& excluded, Instant now) const;
-    bool mayRepeat(const ActiveRequest& active, bool hasRun, Instant now);
+    bool mayRepeat(const ActiveRequest& active, Instant now);
     void retryOrFail(ActiveRequest& active, Failure failure, Instant now, GatewayActions& actions);
+    /** Nothing was sent: the request goes to another endpoint without using up an attempt. */
+    void sendElsewhere(ActiveRequest& active, Instant now, GatewayActions& actions);
     void breakOff(ActiveRequest& active, const Exchange& exchange, Instant now, GatewayActions& actions);
     bool continueElsewhere(ActiveRequest& active, const Exchange& exchange, Instant now, GatewayActions& actions);
     void refuse(ActiveRequest& active, Failure failure, GatewayActions& actions);
     void expire(ActiveRequest& active, Instant now, GatewayActions& actions);
+    /** @return how long a request may wait for an endpoint. */
+    Duration waitLimit(const ActiveRequest& active) const;
     void serveWaiting(Instant now, GatewayActions& actions);
     std::optional<Exchange> takeExchange(ExchangeId exchange);
     ActiveRequest* find(RequestId request);
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -68,8 +68,7 @@
         actions.emplace_back(RefuseRequest { event.request.id, std::move(*failure) });
         return;
     }
-    ActiveRequest& active
-        = this->state.requests[event.request.id] = std::move(*std::get_if<ActiveRequest>(&admitted));
+    ActiveRequest& active = this->state.requests[event.request.id] = std::move(*std::get_if<ActiveRequest>(&admitted));
     this->state.retriesOf(active.service->name).deposit();
     this->exchanges.dispatch(active, now, actions);
 }
@@ -142,16 +141,14 @@
     this->state.freshness.failed(event.part, now);
     const auto age = this->state.freshness.age(event.part, now);
     actions.emplace_back(LogEvent { "store_failed",
-        { { "part", event.part == Followed::Configuration ? "configuration" : "endpoints" },
-            { "reason", event.reason },
+        { { "part", event.part == Followed::Configuration ? "configuration" : "endpoints" }, { "reason", event.reason },
             { "known_since_ms", age ? Internal::millisecondsText(*age) : std::string("never") } } });
 }
 
 void Gateway::stopRequested(const GatewayStopRequested&, Instant, GatewayActions& actions)
 {
     this->state.isStopping = true;
-    actions.emplace_back(
-        LogEvent { "stopping", { { "in_progress", std::to_string(this->state.requests.size()) } } });
+    actions.emplace_back(LogEvent { "stopping", { { "in_progress", std::to_string(this->state.requests.size()) } } });
 }
 
 }
--- a/src/core/gateway/GatewayLimits.h
+++ b/src/core/gateway/GatewayLimits.h
@@ -12,7 +12,8 @@
     Milliseconds keyFreshness { 4500 };
     /** Age of the last reading beyond which a missing route or key may just be news that is late. */
     Milliseconds denialFreshness { 1800 };
-    /** After an outage of the store, time for endpoints whose records lapsed to write them again. Platform's promise. */
+    /** After an outage of the store, time for endpoints whose records lapsed to write them again. Platform's promise.
+     */
     Milliseconds lapseGrace { 2000 };
     /** Readings that fail for so long are an outage of the store; one lost answer is not. */
     Milliseconds outageAfter { 500 };
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -39,6 +39,8 @@
     std::uint32_t attempts { 0 };
     std::set<EndpointId> tried;
     std::optional<ExchangeId> exchange;
+    /** An endpoint may have begun to work on it: "not run" can never be said again. */
+    bool mayHaveRun { false };
     /** Parts of an answer went to the caller. */
     bool isAnswering { false };
     std::uint64_t lastEventId { 0 };
@@ -61,8 +63,8 @@
 
 /** What the parts of a gateway's decisions share. */
 struct GatewayState {
-    GatewayState(const GatewayLimits& gatewayLimits, const RouterLimits& sharedLimits, ZoneId ownZone,
-        Randomness& random)
+    GatewayState(
+        const GatewayLimits& gatewayLimits, const RouterLimits& sharedLimits, ZoneId ownZone, Randomness& random)
         : limits(gatewayLimits)
         , zone(std::move(ownZone))
         , randomness(random)
--- a/src/core/gateway/RequestGate.cpp
+++ b/src/core/gateway/RequestGate.cpp
@@ -29,22 +29,16 @@
 
 }
 
-bool RequestGate::isFresh(Milliseconds bound, Instant now) const
-{
-    const auto age = this->state.freshness.age(Followed::Configuration, now);
-    return age && *age < bound;
-}
-
 bool RequestGate::isReady(Instant now) const
 {
     return !this->state.isStopping && this->state.routes
         && this->state.freshness.age(Followed::Endpoints, now).has_value()
-        && this->isFresh(this->state.limits.keyFreshness, now);
+        && this->state.freshness.isFresh(Followed::Configuration, this->state.limits.keyFreshness, now);
 }
 
 Failure RequestGate::denial(ErrorCode code, std::string message, Instant now) const
 {
-    if (this->isFresh(this->state.limits.denialFreshness, now))
+    if (this->state.freshness.isFresh(Followed::Configuration, this->state.limits.denialFreshness, now))
         return notRun(code, std::move(message), Milliseconds(0));
     return notRun(ErrorCode::NotReady, "the configuration may be out of date", this->state.limits.retryAfter);
 }
@@ -55,7 +49,7 @@
     const bool needsKey = this->state.routes->configuration()->teams.has_value() && !route.isPublic;
     if (!needsKey)
         return nullptr;
-    if (!this->isFresh(this->state.limits.keyFreshness, now))
+    if (!this->state.freshness.isFresh(Followed::Configuration, this->state.limits.keyFreshness, now))
         return notRun(ErrorCode::StoreUnavailable, "keys cannot be checked now", this->state.limits.retryAfter);
     if (const GatewayTeam* team = this->state.routes->findTeam(request.key))
         return team;
--- a/src/core/gateway/RequestGate.h
+++ b/src/core/gateway/RequestGate.h
@@ -20,7 +20,6 @@
 private:
     Outcome<const GatewayTeam*> teamOf(const GatewayRequest& request, const GatewayRoute& route, Instant now) const;
     Failure denial(ErrorCode code, std::string message, Instant now) const;
-    bool isFresh(Milliseconds bound, Instant now) const;
 
     GatewayState& state;
 };
--- a/src/core/gateway/StoreFreshness.cpp
+++ b/src/core/gateway/StoreFreshness.cpp
@@ -27,6 +27,12 @@
     return now - *followed.asOf;
 }
 
+bool StoreFreshness::isFresh(Followed part, Milliseconds bound, Instant now) const
+{
+    const auto known = this->age(part, now);
+    return known && *known < bound;
+}
+
 std::optional<Instant> StoreFreshness::lapseGraceUntil(Followed part, Instant now) const
 {
     const Part& followed = this->at(part);
--- a/src/core/gateway/StoreFreshness.h
+++ b/src/core/gateway/StoreFreshness.h
@@ -21,6 +21,8 @@
     void failed(Followed part, Instant now);
     /** @return the age of what is known; nothing before the first reading. */
     std::optional<Duration> age(Followed part, Instant now) const;
+    /** @return true when what is known is younger than the bound. */
+    bool isFresh(Followed part, Milliseconds bound, Instant now) const;
     /** @return until when records that are missing may still come back after an outage; nothing without one. */
     std::optional<Instant> lapseGraceUntil(Followed part, Instant now) const;
 
--- /dev/null
+++ b/test/support/GatewayScenario.cpp
@@ -0,0 +1,166 @@
+#include "support/GatewayScenario.h"
+
+namespace teaselfold {
+
+namespace {
+
+    GatewayRoute route(const std::string& name, RequestKind kind, const std::string& service)
+    {
+        GatewayRoute made;
+        made.name = name;
+        made.host = "host.example";
+        made.prefix = "/" + name + "/";
+        made.kind = kind;
+        made.timeout = Milliseconds(6000);
+        made.latencyObjective = Milliseconds(1200);
+        made.services.push_back({ ServiceId(service), 1 });
+        made.maxAttempts = kind == RequestKind::Idempotent ? 2 : 1;
+        return made;
+    }
+
+    GatewayTeam team(const std::string& name, const std::string& key)
+    {
+        GatewayTeam made;
+        made.name = TeamId(name);
+        made.keys.push_back(key);
+        return made;
+    }
+
+    EndpointRecord endpoint(const std::string& id, const std::string& service, const std::string& zone)
+    {
+        EndpointRecord record;
+        record.id = EndpointId(id);
+        record.service = ServiceId(service);
+        record.address = { "10.0.0." + std::to_string(id.back() - '0' + 1), 80 };
+        record.zone = ZoneId(zone);
+        record.slots = 4;
+        return record;
+    }
+
+}
+
+GatewayConfiguration GatewayScenario::configuration(std::uint64_t version)
+{
+    GatewayConfiguration made;
+    made.version = version;
+    made.routes.push_back(route("read", RequestKind::Idempotent, "plain"));
+    made.routes.push_back(route("write", RequestKind::NonIdempotent, "plain"));
+    made.routes.push_back(route("draft", RequestKind::Stream, "engines"));
+    GatewayService plainService;
+    plainService.name = ServiceId("plain");
+    GatewayService engines;
+    engines.name = ServiceId("engines");
+    engines.engine = EngineTraits { 8, 30000, true, true, 4 };
+    made.services = { plainService, engines };
+    made.teams = std::vector { team("team-a", "key-a"), team("team-b", "key-b") };
+    return made;
+}
+
+EndpointRecord GatewayScenario::engine(const std::string& id, const std::string& zone)
+{
+    return endpoint(id, "engines", zone);
+}
+
+EndpointRecord GatewayScenario::plain(const std::string& id, const std::string& zone)
+{
+    return endpoint(id, "plain", zone);
+}
+
+GatewayScenario::GatewayScenario(GatewayLimits limits)
+    : gateway(limits, ZoneId("north"), this->randomness)
+{
+}
+
+GatewayScenario& GatewayScenario::start()
+{
+    this->give(ConfigurationRead { std::make_shared<const GatewayConfiguration>(configuration()) });
+    this->give(EndpointsListed { { engine("e1"), engine("e2"), engine("e3"), plain("p4"), plain("p5"), plain("p6") } });
+    return this->storeAnswers();
+}
+
+GatewayScenario& GatewayScenario::storeAnswers()
+{
+    this->give(StoreAnswered { Followed::Configuration, this->time });
+    return this->give(StoreAnswered { Followed::Endpoints, this->time });
+}
+
+GatewayScenario& GatewayScenario::pass(Milliseconds left)
+{
+    constexpr Milliseconds period(50);
+    while (left > Milliseconds(0)) {
+        const Milliseconds step = std::min(left, period);
+        this->time += step;
+        left -= step;
+        this->collect(this->gateway.tick(this->time));
+    }
+    return *this;
+}
+
+GatewayScenario& GatewayScenario::give(const GatewayEvent& event)
+{
+    this->collect(this->gateway.handle(event, this->time));
+    return *this;
+}
+
+RequestId GatewayScenario::arrive(const std::string& path, const std::string& key)
+{
+    GatewayRequest request;
+    request.id = RequestId(++this->lastRequest);
+    request.callerId = "caller-" + std::to_string(this->lastRequest);
+    request.method = "POST";
+    request.host = "host.example";
+    request.path = path;
+    request.key = key;
+    request.patience = Milliseconds(5000);
+    request.promptTokens = 1000;
+    request.maxOutputTokens = 400;
+    request.fingerprint = Fingerprint(this->lastRequest);
+    this->give(RequestArrived { request });
+    return request.id;
+}
+
+void GatewayScenario::answer(AnswerSummary summary) { this->give(ExchangeAnswered { this->order->exchange, summary }); }
+
+void GatewayScenario::end(ExchangeEnd how) { this->give(ExchangeEnded { this->order->exchange, how }); }
+
+void GatewayScenario::collect(GatewayActions taken)
+{
+    for (GatewayAction& action : taken) {
+        if (const auto* started = std::get_if<StartExchange>(&action))
+            this->order = started->order;
+        this->actions.push_back(std::move(action));
+    }
+}
+
+AnswerSummary GatewayScenario::success()
+{
+    AnswerSummary summary;
+    summary.status = 200;
+    summary.isSigned = true;
+    return summary;
+}
+
+AnswerSummary GatewayScenario::stream()
+{
+    AnswerSummary summary = success();
+    summary.isStream = true;
+    return summary;
+}
+
+AnswerSummary GatewayScenario::full()
+{
+    AnswerSummary summary;
+    summary.status = 503;
+    summary.notRun = true;
+    return summary;
+}
+
+AnswerSummary GatewayScenario::failure(std::uint16_t status)
+{
+    AnswerSummary summary;
+    summary.status = status;
+    summary.isSigned = true;
+    return summary;
+}
+
+}
