Hand running streams over from engines that leave

Cause: a third of the drafts lose their engine in mid-stream; those without a usable replica ended there. Change: MoveKeeper copies the memory while the run goes on, stops it, copies the rest and goes on at the target; one run of an engine at a time, the longest remainder first, within the zone. Streams with a usable replica wait for it instead.

--- /dev/null
+++ b/src/core/gateway/CopyPlacement.cpp
@@ -0,0 +1,16 @@
+#include "core/gateway/CopyPlacement.h"
+
+namespace teaselfold {
+
+const GatewayEndpoint* placeCopy(GatewayState& state, const ActiveRequest& active, const ZoneId& zone,
+    const std::set<EndpointId>& excluded, Instant now)
+{
+    auto candidates = state.endpoints.candidates(*active.service, now);
+    std::erase_if(candidates, [&](const GatewayEndpoint* candidate) {
+        return excluded.contains(candidate->record.id) || candidate->record.zone != zone;
+    });
+    const PickContext context { zone, now, active.tokens, state.limits, state.randomness };
+    return pickerFor(*active.service).pick(candidates, *active.service, context);
+}
+
+}
--- a/src/core/gateway/ExchangeKeeper.cpp
+++ b/src/core/gateway/ExchangeKeeper.cpp
@@ -1,6 +1,7 @@
 #include "core/gateway/ExchangeKeeper.h"
 
 #include "core/common/Check.h"
+#include "core/gateway/CopyPlacement.h"
 #include "core/gateway/GatewayLog.h"
 
 #include <algorithm>
@@ -66,7 +67,7 @@
     if (active.team && !this->state.freshness.isFresh(Followed::Configuration, this->state.limits.keyFreshness, now)) {
         const Milliseconds retryAfter = this->state.limits.retryAfter;
         return this->refuse(
-            active, { ErrorCode::StoreUnavailable, "keys cannot be checked now", runOf(active), retryAfter }, actions);
+            active, { ErrorCode::StoreUnavailable, "keys cannot be checked now", runOf(active), retryAfter }, now, actions);
     }
     if (GatewayEndpoint* endpoint = this->pick(active, active.tried, now)) {
         this->state.waiting.erase(active.request.id);
@@ -80,12 +81,8 @@
     active.replicaAt.reset();
     if (!active.service->engine || !active.service->engine->canReplicate || !isStream(active))
         return std::nullopt;
-    auto candidates = this->state.endpoints.candidates(*active.service, now);
-    std::erase_if(candidates, [&](const auto* candidate) {
-        return candidate->record.id == endpoint.record.id || candidate->record.zone != endpoint.record.zone;
-    });
-    const PickContext context { endpoint.record.zone, now, active.tokens, this->state.limits, this->state.randomness };
-    const GatewayEndpoint* chosen = pickerFor(*active.service).pick(candidates, *active.service, context);
+    const GatewayEndpoint* chosen
+        = placeCopy(this->state, active, endpoint.record.zone, { endpoint.record.id }, now);
     if (!chosen)
         return std::nullopt;
     active.replicaAt = chosen->record.id;
@@ -113,8 +110,8 @@
         active.tried.insert(endpoint.record.id);
     }
     active.exchange = id;
-    this->state.exchanges[id] = { active.request.id, endpoint.record.id, endpoint.record.address, active.tokens, now,
-        MovePhase::Idle, {}, false };
+    this->state.exchanges[id] = { active.request.id, endpoint.record.id, endpoint.record.address, endpoint.record.zone,
+        active.tokens, now };
     auto line = Internal::requestLine(order.resume ? "resumed" : "sent", active, now);
     line.fields.push_back({ "endpoint", endpoint.record.id.get() });
     line.fields.push_back({ "attempt", std::to_string(active.attempts) });
@@ -147,17 +144,23 @@
     return this->state.retriesOf(active.service->name).withdraw(now);
 }
 
-void ExchangeKeeper::refuse(ActiveRequest& active, Failure failure, GatewayActions& actions)
+void ExchangeKeeper::finish(const ActiveRequest& active, Instant now, GatewayActions& actions)
 {
     const RequestId request = active.request.id;
-    if (active.isAnswering)
-        actions.emplace_back(CutAnswer { request });
-    else
-        actions.emplace_back(RefuseRequest { request, std::move(failure) });
+    this->moves.forget(active, now, actions);
     this->state.waiting.erase(request);
     this->state.requests.erase(request);
 }
 
+void ExchangeKeeper::refuse(ActiveRequest& active, Failure failure, Instant now, GatewayActions& actions)
+{
+    if (active.isAnswering)
+        actions.emplace_back(CutAnswer { active.request.id });
+    else
+        actions.emplace_back(RefuseRequest { active.request.id, std::move(failure) });
+    this->finish(active, now, actions);
+}
+
 void ExchangeKeeper::retryOrFail(ActiveRequest& active, Failure failure, Instant now, GatewayActions& actions)
 {
     if (this->mayRepeat(active, now)) {
@@ -170,7 +173,7 @@
     line.fields.push_back({ "reason", failure.message });
     line.fields.push_back({ "run", std::string(runName(failure.run)) });
     actions.emplace_back(std::move(line));
-    this->refuse(active, std::move(failure), actions);
+    this->refuse(active, std::move(failure), now, actions);
 }
 
 void ExchangeKeeper::answered(const ExchangeAnswered& event, Instant now, GatewayActions& actions)
@@ -206,7 +209,7 @@
     // The run that the copy was to be made of never began, so there is none.
     active->replicaAt.reset();
     if (active->isAnswering)
-        return this->breakOff(*active, exchange, now, actions);
+        return this->breakOff(*active, now, actions);
     if (!answer.notRun)
         this->state.endpoints.fail(exchange.endpoint, now);
     const Run run = runOf(*active);
@@ -226,14 +229,13 @@
     active->exchange.reset();
     if (event.end == ExchangeEnd::Complete) {
         actions.emplace_back(Internal::requestLine("completed", *active, now));
-        this->state.requests.erase(exchange->request);
-        return;
+        return this->finish(*active, now, actions);
     }
     this->state.endpoints.fail(exchange->endpoint, now);
     if (event.end == ExchangeEnd::NotConnected && !active->isAnswering)
         return this->sendElsewhere(*active, now, actions);
     active->mayHaveRun = true;
-    this->breakOff(*active, *exchange, now, actions);
+    this->breakOff(*active, now, actions);
 }
 
 void ExchangeKeeper::sendElsewhere(ActiveRequest& active, Instant now, GatewayActions& actions)
@@ -243,34 +245,48 @@
     this->dispatch(active, now, actions);
 }
 
-void ExchangeKeeper::breakOff(ActiveRequest& active, const Exchange& exchange, Instant now, GatewayActions& actions)
+void ExchangeKeeper::breakOff(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
-    if (isStream(active) && this->continueElsewhere(active, exchange, now, actions))
+    if (isStream(active) && this->continueElsewhere(active, now, actions))
         return;
     this->retryOrFail(active,
         { ErrorCode::EndpointLost, "connection to the endpoint broke", runOf(active), this->state.limits.retryAfter },
         now, actions);
 }
 
-bool ExchangeKeeper::continueElsewhere(ActiveRequest& active, const Exchange&, Instant now, GatewayActions& actions)
+bool ExchangeKeeper::continueElsewhere(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
+    const EndpointId target = active.move ? active.move->target : EndpointId();
+    if (const auto point = this->moves.streamEnded(active))
+        return this->resume(active, target, *point, now, actions);
+    if (MoveKeeper::isWaiting(active))
+        return true;
     if (!active.replicaAt)
         return false;
     const EndpointId holder = *active.replicaAt;
     active.replicaAt.reset();
-    if (!this->state.endpoints.mayWork(holder))
+    const GatewayEndpoint* endpoint = this->state.endpoints.find(holder);
+    if (!endpoint)
+        return false;
+    const ResumePoint point { endpoint->record.address, MemoryHandle(active.request.callerId), active.lastEventId };
+    return this->resume(active, holder, point, now, actions);
+}
+
+bool ExchangeKeeper::resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now,
+    GatewayActions& actions)
+{
+    if (!this->state.endpoints.mayWork(endpoint))
         return false;
-    const Address address = this->state.endpoints.find(holder)->record.address;
-    this->resume(active, holder, { address, MemoryHandle(active.request.callerId), active.lastEventId }, now, actions);
+    this->start(active, *this->state.endpoints.find(endpoint), point, now, actions);
     return true;
 }
 
-void ExchangeKeeper::resume(
-    ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now, GatewayActions& actions)
+void ExchangeKeeper::moveAnswered(const MoveAnswered& event, Instant now, GatewayActions& actions)
 {
-    GatewayEndpoint* found = this->state.endpoints.find(endpoint);
-    internalCheck(found, "a stream goes on at a known endpoint");
-    this->start(active, *found, point, now, actions);
+    const auto ready = this->moves.answered(event, now, actions);
+    if (!ready)
+        return;
+    this->breakOff(*this->find(*ready), now, actions);
 }
 
 void ExchangeKeeper::relayed(const EventsRelayed& event)
@@ -282,7 +298,7 @@
         active->lastEventId = event.lastEventId;
 }
 
-void ExchangeKeeper::abandon(RequestId request, GatewayActions& actions)
+void ExchangeKeeper::abandon(RequestId request, Instant now, GatewayActions& actions)
 {
     const ActiveRequest* active = this->find(request);
     if (!active)
@@ -292,8 +308,7 @@
         actions.emplace_back(CancelExchange { *active->exchange });
     }
     actions.emplace_back(LogEvent { "abandoned", { { "request", active->request.callerId } } });
-    this->state.waiting.erase(request);
-    this->state.requests.erase(request);
+    this->finish(*active, now, actions);
 }
 
 void ExchangeKeeper::expire(ActiveRequest& active, Instant now, GatewayActions& actions)
@@ -307,9 +322,9 @@
     line.fields.push_back({ "run", std::string(runName(runOf(active))) });
     actions.emplace_back(std::move(line));
     if (active.mayHaveRun)
-        return this->refuse(active, { ErrorCode::DeadlineExceeded, "no answer in time", Run::Unknown, {} }, actions);
+        return this->refuse(active, { ErrorCode::DeadlineExceeded, "no answer in time", Run::Unknown, {} }, now, actions);
     this->refuse(active,
-        { ErrorCode::NoCapacity, "no endpoint had room in time", Run::No, this->state.limits.retryAfter }, actions);
+        { ErrorCode::NoCapacity, "no endpoint had room in time", Run::No, this->state.limits.retryAfter }, now, actions);
 }
 
 Duration ExchangeKeeper::waitLimit(const ActiveRequest& active) const
@@ -329,7 +344,7 @@
         line.fields.push_back({ "reason", "no endpoint" });
         actions.emplace_back(std::move(line));
         this->refuse(active,
-            { ErrorCode::NoCapacity, "no endpoint has room", runOf(active), this->state.limits.retryAfter }, actions);
+            { ErrorCode::NoCapacity, "no endpoint has room", runOf(active), this->state.limits.retryAfter }, now, actions);
     }
 }
 
--- a/src/core/gateway/ExchangeKeeper.h
+++ b/src/core/gateway/ExchangeKeeper.h
@@ -2,14 +2,16 @@
 
 #include "core/gateway/EndpointPicker.h"
 #include "core/gateway/GatewayState.h"
+#include "core/gateway/MoveKeeper.h"
 
 namespace teaselfold {
 
 /** Sends requests to endpoints, and decides what an endpoint's answer or silence means for the caller. */
 class ExchangeKeeper {
 public:
-    explicit ExchangeKeeper(GatewayState& state)
+    ExchangeKeeper(GatewayState& state, MoveKeeper& moves)
         : state(state)
+        , moves(moves)
     {
     }
 
@@ -18,10 +20,8 @@
     void answered(const ExchangeAnswered& event, Instant now, GatewayActions& actions);
     void ended(const ExchangeEnded& event, Instant now, GatewayActions& actions);
     void relayed(const EventsRelayed& event);
-    void abandon(RequestId request, GatewayActions& actions);
-    /** Goes on with a stream at the engine that holds its memory. */
-    void resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now,
-        GatewayActions& actions);
+    void abandon(RequestId request, Instant now, GatewayActions& actions);
+    void moveAnswered(const MoveAnswered& event, Instant now, GatewayActions& actions);
     /** Ends requests whose time is up, and sends or refuses those that wait. */
     void tick(Instant now, GatewayActions& actions);
 
@@ -29,14 +29,18 @@
     void start(ActiveRequest& active, GatewayEndpoint& endpoint, std::optional<ResumePoint> resume, Instant now,
         GatewayActions& actions);
     std::optional<Address> placeReplica(ActiveRequest& active, const GatewayEndpoint& endpoint, Instant now);
+    /** Goes on with a stream at the engine that holds its memory. @return false when that engine is gone. */
+    bool resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now,
+        GatewayActions& actions);
     GatewayEndpoint* pick(const ActiveRequest& active, const std::set<EndpointId>& excluded, Instant now) const;
     bool mayRepeat(const ActiveRequest& active, Instant now);
     void retryOrFail(ActiveRequest& active, Failure failure, Instant now, GatewayActions& actions);
     /** Nothing was sent: the request goes to another endpoint without using up an attempt. */
     void sendElsewhere(ActiveRequest& active, Instant now, GatewayActions& actions);
-    void breakOff(ActiveRequest& active, const Exchange& exchange, Instant now, GatewayActions& actions);
-    bool continueElsewhere(ActiveRequest& active, const Exchange& exchange, Instant now, GatewayActions& actions);
-    void refuse(ActiveRequest& active, Failure failure, GatewayActions& actions);
+    void breakOff(ActiveRequest& active, Instant now, GatewayActions& actions);
+    bool continueElsewhere(ActiveRequest& active, Instant now, GatewayActions& actions);
+    void refuse(ActiveRequest& active, Failure failure, Instant now, GatewayActions& actions);
+    void finish(const ActiveRequest& active, Instant now, GatewayActions& actions);
     void expire(ActiveRequest& active, Instant now, GatewayActions& actions);
     /** @return how long a request may wait for an endpoint. */
     Duration waitLimit(const ActiveRequest& active) const;
@@ -45,6 +49,7 @@
     ActiveRequest* find(RequestId request);
 
     GatewayState& state;
+    MoveKeeper& moves;
 };
 
 }
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -33,7 +33,8 @@
 Gateway::Gateway(const GatewayLimits& limits, ZoneId zone, Randomness& randomness)
     : state(limits, sharedLimitsOf(limits), std::move(zone), randomness)
     , gate(this->state)
-    , exchanges(this->state)
+    , moves(this->state)
+    , exchanges(this->state, this->moves)
 {
 }
 
@@ -73,9 +74,9 @@
     this->exchanges.dispatch(active, now, actions);
 }
 
-void Gateway::abandoned(const RequestAbandoned& event, Instant, GatewayActions& actions)
+void Gateway::abandoned(const RequestAbandoned& event, Instant now, GatewayActions& actions)
 {
-    this->exchanges.abandon(event.request, actions);
+    this->exchanges.abandon(event.request, now, actions);
 }
 
 void Gateway::answered(const ExchangeAnswered& event, Instant now, GatewayActions& actions)
@@ -90,7 +91,10 @@
 
 void Gateway::relayed(const EventsRelayed& event, Instant, GatewayActions&) { this->exchanges.relayed(event); }
 
-void Gateway::moveAnswered(const MoveAnswered&, Instant, GatewayActions&) { }
+void Gateway::moveAnswered(const MoveAnswered& event, Instant now, GatewayActions& actions)
+{
+    this->exchanges.moveAnswered(event, now, actions);
+}
 
 void Gateway::configurationRead(const ConfigurationRead& event, Instant, GatewayActions& actions)
 {
@@ -104,10 +108,12 @@
             { "routes", std::to_string(event.configuration->routes.size()) } } });
 }
 
-void Gateway::endpointsLeave(const std::vector<EndpointId>& leaving, Instant, GatewayActions& actions)
+void Gateway::endpointsLeave(const std::vector<EndpointId>& leaving, Instant now, GatewayActions& actions)
 {
-    for (const EndpointId& endpoint : leaving)
+    for (const EndpointId& endpoint : leaving) {
         actions.emplace_back(LogEvent { "endpoint_leaves", { { "endpoint", endpoint.get() } } });
+        this->moves.endpointLeaves(endpoint, now, actions);
+    }
 }
 
 void Gateway::endpointsListed(const EndpointsListed& event, Instant now, GatewayActions& actions)
--- a/src/core/gateway/Gateway.h
+++ b/src/core/gateway/Gateway.h
@@ -48,6 +48,7 @@
 
     GatewayState state;
     RequestGate gate;
+    MoveKeeper moves;
     ExchangeKeeper exchanges;
 };
 
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -15,11 +15,26 @@
 
 /** How far a running stream is handed over to another engine. */
 enum class MovePhase : std::uint8_t {
-    Idle,
     /** The memory is copied while the run goes on. */
     Copying,
     /** The run is stopped and the rest of its memory copied. */
     Finishing,
+    /** No call is under way; the copy, if there is one, is used when the stream ends. */
+    Done,
+};
+
+/** The handing over of one running stream. */
+struct RunMove {
+    MovePhase phase { MovePhase::Copying };
+    ExchangeId exchange;
+    EndpointId source;
+    Address sourceAddress;
+    EndpointId target;
+    Address targetAddress;
+    /** The newest copy at the target. */
+    std::optional<MemoryHandle> copy;
+    /** The source's stream is over, so that the caller has all that came of it. */
+    bool streamEnded { false };
 };
 
 /** One request that has no final answer yet. */
@@ -46,6 +61,7 @@
     std::uint64_t lastEventId { 0 };
     /** Engine that keeps a copy of the run's memory. */
     std::optional<EndpointId> replicaAt;
+    std::optional<RunMove> move;
 };
 
 /** One request at one endpoint. */
@@ -53,12 +69,9 @@
     RequestId request;
     EndpointId endpoint;
     Address address;
+    ZoneId zone;
     std::uint64_t tokens { 0 };
     Instant startedAt;
-    MovePhase move { MovePhase::Idle };
-    EndpointId moveTarget;
-    /** The run was told to stop; its stream ends without being complete. */
-    bool isStopping { false };
 };
 
 /** What the parts of a gateway's decisions share. */
