--- a/apps/teaselfold-gateway/Main.cpp
+++ b/apps/teaselfold-gateway/Main.cpp
@@ -41,9 +41,7 @@
     options.readiness = settings.readiness;
     options.metrics = settings.metrics;
     options.connectTimeout = settings.connectTimeout;
-    // The rest of the time is for the process to end.
-    constexpr Milliseconds exitTime(500);
-    options.stopLimit = std::max(settings.stopLimit - exitTime, options.stopLinger);
+    options.stopLimit = gatewayLimits(settings).stopLimit;
     return options;
 }
 
--- a/src/adapters/settings/GatewaySettings.cpp
+++ b/src/adapters/settings/GatewaySettings.cpp
@@ -43,10 +43,15 @@
     /** Part of the common ratio that is used; the rest covers requests that are counted in another window. */
     constexpr double ratioShare = 0.75;
 
+    /** Left of the time to stop for the process to end by itself. */
+    constexpr Milliseconds exitTime(500);
+
     void checkTogether(const GatewaySettings& settings, std::vector<SettingProblem>& problems)
     {
         if (settings.revocationLimit <= revocationMargin)
             problems.push_back({ "revocation_limit", 0, "more than 500ms" });
+        if (settings.stopLimit <= exitTime)
+            problems.push_back({ "stop_limit", 0, "more than 500ms" });
     }
 
 }
@@ -72,6 +77,7 @@
     limits.retryShare = settings.retryRatio * ratioShare;
     limits.retryFloor = settings.retryHeadroom * headroomShare;
     limits.retryWindow = settings.retryWindow;
+    limits.stopLimit = settings.stopLimit - exitTime;
     limits.coldFactor = settings.coldFactor;
     limits.coldHeadroom = settings.coldHeadroom;
     return limits;
--- a/src/adapters/traffic/TrafficServer.cpp
+++ b/src/adapters/traffic/TrafficServer.cpp
@@ -137,13 +137,13 @@
 
 void TrafficServer::followStop()
 {
-    if (!this->parts.gateway.isStopping() || this->stopReported)
+    const auto requestedAt = this->parts.gateway.stopRequestedAt();
+    if (!requestedAt || this->stopReported)
         return;
-    if (!this->stopAskedAt) {
-        this->stopAskedAt = this->now;
+    if (!this->stopBegun)
         this->callers.beginStop();
-    }
-    const Duration stoppingFor = this->now - *this->stopAskedAt;
+    this->stopBegun = true;
+    const Duration stoppingFor = this->now - *requestedAt;
     if (stoppingFor < this->options.stopLinger)
         return;
     this->callers.closeIdle();
--- a/src/adapters/traffic/TrafficServer.h
+++ b/src/adapters/traffic/TrafficServer.h
@@ -20,8 +20,7 @@
     Milliseconds connectTimeout { 400 };
     /** A stop ends the process by then, whatever is still in progress. */
     Milliseconds stopLimit { 7500 };
-    /** After a stop is asked for, new requests are still served for so long: the balancer needs it to look elsewhere.
-     */
+    /** Kept connections stay open for so long after the order to stop; then the idle ones close. */
     Milliseconds stopLinger { 3000 };
 };
 
@@ -84,7 +83,7 @@
     CallerSide callers;
     EndpointSide endpoints;
     StatusSide status;
-    std::optional<Instant> stopAskedAt;
+    bool stopBegun { false };
     bool stopReported { false };
 };
 
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -151,9 +151,11 @@
             { "known_since_ms", age ? Internal::millisecondsText(*age) : std::string("never") } } });
 }
 
-void Gateway::stopRequested(const GatewayStopRequested&, Instant, GatewayActions& actions)
+void Gateway::stopRequested(const GatewayStopRequested&, Instant now, GatewayActions& actions)
 {
-    this->state.isStopping = true;
+    if (this->state.stopRequestedAt)
+        return;
+    this->state.stopRequestedAt = now;
     actions.emplace_back(LogEvent { "stopping", { { "in_progress", std::to_string(this->state.requests.size()) } } });
 }
 
--- a/src/core/gateway/Gateway.h
+++ b/src/core/gateway/Gateway.h
@@ -23,8 +23,9 @@
     /** @return true when new callers are welcome. */
     bool isReady(Instant now) const { return this->gate.isReady(now); }
     /** @return true when a stop was asked for and nothing is in progress. */
-    bool isDrained() const { return this->state.isStopping && this->state.requests.empty(); }
-    bool isStopping() const { return this->state.isStopping; }
+    bool isDrained() const { return this->state.stopRequestedAt && this->state.requests.empty(); }
+    /** @return when the order to stop came. */
+    std::optional<Instant> stopRequestedAt() const { return this->state.stopRequestedAt; }
     /** @return the configuration in force, or null. */
     const GatewayConfiguration* configuration() const;
 
--- a/src/core/gateway/GatewayLimits.h
+++ b/src/core/gateway/GatewayLimits.h
@@ -37,6 +37,10 @@
     std::uint32_t ejectionFailures { 3 };
     /** A report of load counts for so long after its arrival. */
     Milliseconds loadReportAge { 1500 };
+    /** After an order to stop, new requests are served for so long: a balancer takes two probes to look elsewhere. */
+    Milliseconds stopLinger { 2600 };
+    /** The process ends so long after an order to stop, whatever is in progress. From the settings. */
+    Milliseconds stopLimit { 7500 };
     /** Shortest deadline with which a request is still sent; less is no use to an endpoint. */
     Milliseconds shortestDeadline { 20 };
 };
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -108,7 +108,7 @@
     /** Requests that wait for an endpoint, the longest first. */
     std::set<RequestId> waiting;
     std::uint64_t lastExchange { 0 };
-    bool isStopping { false };
+    std::optional<Instant> stopRequestedAt;
 };
 
 }
--- a/src/core/gateway/RequestGate.cpp
+++ b/src/core/gateway/RequestGate.cpp
@@ -31,11 +31,19 @@
 
 bool RequestGate::isReady(Instant now) const
 {
-    return !this->state.isStopping && this->state.routes
+    return !this->state.stopRequestedAt && this->state.routes
         && this->state.freshness.age(Followed::Endpoints, now).has_value()
         && this->state.freshness.isFresh(Followed::Configuration, this->state.limits.keyFreshness, now);
 }
 
+bool RequestGate::endsBeforeTheStop(const GatewayRequest& request, const GatewayRoute& route, Instant now) const
+{
+    const auto& stopAt = this->state.stopRequestedAt;
+    if (!stopAt || now - *stopAt < this->state.limits.stopLinger)
+        return true;
+    return now + patienceOf(request, route) < *stopAt + this->state.limits.stopLimit;
+}
+
 Failure RequestGate::denial(ErrorCode code, std::string message, Instant now) const
 {
     if (this->state.freshness.isFresh(Followed::Configuration, this->state.limits.denialFreshness, now))
@@ -63,6 +71,8 @@
     const GatewayRoute* route = this->state.routes->findRoute(request.host, request.path);
     if (!route)
         return this->denial(ErrorCode::NotFound, "no route", now);
+    if (!this->endsBeforeTheStop(request, *route, now))
+        return notRun(ErrorCode::Stopping, "this instance is being stopped", this->state.limits.retryAfter);
     const auto team = this->teamOf(request, *route, now);
     if (const auto* failure = std::get_if<Failure>(&team))
         return *failure;
--- a/src/core/gateway/RequestGate.h
+++ b/src/core/gateway/RequestGate.h
@@ -19,6 +19,7 @@
 
 private:
     Outcome<const GatewayTeam*> teamOf(const GatewayRequest& request, const GatewayRoute& route, Instant now) const;
+    bool endsBeforeTheStop(const GatewayRequest& request, const GatewayRoute& route, Instant now) const;
     Failure denial(ErrorCode code, std::string message, Instant now) const;
 
     GatewayState& state;
