Prefer engines that are expected to be done first

Change: the time between a stream's events is learned for each engine, and the memory that copies hold counts at their engine. A request goes where its events are expected soonest, set back where the memory is overbooked. Ruled out: spreading by memory alone (before).

--- a/src/core/gateway/CopyPlacement.cpp
+++ b/src/core/gateway/CopyPlacement.cpp
@@ -9,7 +9,7 @@
     std::erase_if(candidates, [&](const GatewayEndpoint* candidate) {
         return excluded.contains(candidate->record.id) || candidate->record.zone != zone;
     });
-    const PickContext context { zone, now, active.tokens, state.limits, state.randomness };
+    const PickContext context { zone, now, active.tokens, 0, state.limits, state.randomness };
     return pickerFor(*active.service).pick(candidates, *active.service, context);
 }
 
--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -5,6 +5,14 @@
 
 namespace teaselfold {
 
+namespace {
+
+    /** Events over which a learned time forgets what was before. */
+    constexpr int learningSteps = 16;
+    constexpr int outlierFactor = 3;
+
+}
+
 bool EndpointDirectory::apply(const EndpointRecord& record, Instant now)
 {
     const auto [entry, isNew] = this->endpoints.try_emplace(record.id);
@@ -14,6 +22,8 @@
     if (restarted) {
         endpoint.failuresInRow = 0;
         endpoint.foreignWork = 0;
+        endpoint.copyTokens = 0;
+        endpoint.eventTime.reset();
     }
     endpoint.record = record;
     endpoint.removedAt.reset();
@@ -140,6 +150,32 @@
     }
 }
 
+void EndpointDirectory::addCopy(const EndpointId& endpoint, std::uint64_t tokens)
+{
+    if (GatewayEndpoint* found = this->find(endpoint))
+        found->copyTokens += tokens;
+}
+
+void EndpointDirectory::removeCopy(const EndpointId& endpoint, std::uint64_t tokens)
+{
+    if (GatewayEndpoint* found = this->find(endpoint))
+        found->copyTokens -= std::min(found->copyTokens, tokens);
+}
+
+void EndpointDirectory::learnEventTime(const EndpointId& endpoint, Duration time)
+{
+    GatewayEndpoint* found = this->find(endpoint);
+    if (!found)
+        return;
+    if (!found->eventTime) {
+        found->eventTime = time;
+        return;
+    }
+    // A single long pause is a preemption or a prefill and says little of the speed.
+    const Duration bounded = std::min(time, *found->eventTime * outlierFactor);
+    *found->eventTime += (bounded - *found->eventTime) / learningSteps;
+}
+
 void EndpointDirectory::report(const EndpointId& endpoint, const ReportedLoad& load, Instant now)
 {
     if (GatewayEndpoint* found = this->find(endpoint)) {
--- a/src/core/gateway/EndpointDirectory.h
+++ b/src/core/gateway/EndpointDirectory.h
@@ -21,6 +21,10 @@
     std::uint32_t inFlight { 0 };
     /** Tokens that this instance's requests are expected to hold at their end. */
     std::uint64_t tokensInFlight { 0 };
+    /** Tokens of copies that this instance's runs elsewhere keep here. */
+    std::uint64_t copyTokens { 0 };
+    /** Learned time between two events of a stream; nothing before the first stream. */
+    std::optional<Duration> eventTime;
     /** Work of other instances at the last report. */
     std::uint32_t foreignWork { 0 };
     Instant reportedAt;
@@ -57,6 +61,11 @@
 
     void begin(const EndpointId& endpoint, std::uint64_t tokens, Instant now);
     void finish(const EndpointId& endpoint, std::uint64_t tokens);
+    /** A copy of a run's memory is kept at the endpoint from now on, or no longer. */
+    void addCopy(const EndpointId& endpoint, std::uint64_t tokens);
+    void removeCopy(const EndpointId& endpoint, std::uint64_t tokens);
+    /** Learns from the time between events of one stream. */
+    void learnEventTime(const EndpointId& endpoint, Duration time);
     void report(const EndpointId& endpoint, const ReportedLoad& load, Instant now);
     void succeed(const EndpointId& endpoint);
     /** @return true when the endpoint is ejected from now on. */
--- a/src/core/gateway/EndpointPicker.cpp
+++ b/src/core/gateway/EndpointPicker.cpp
@@ -12,6 +12,15 @@
     /** Random part of a score, so that instances with the same view do not all choose the same endpoint. */
     constexpr double scoreJitter = 0.02;
 
+    /** Share of an engine's memory beyond which requests may be preempted. */
+    constexpr double crowdedShare = 0.8;
+    /** Seconds by which a request is set back at an engine whose memory is overbooked once. */
+    constexpr double crowdedSeconds = 60;
+    /** Seconds by which a full engine slows a request down, since its steps take longer. */
+    constexpr double usedSeconds = 1;
+    /** Other instances keep copies of their runs as well. */
+    constexpr double foreignCopies = 1.7;
+
     double jitter(Randomness& randomness)
     {
         constexpr double range = 18446744073709551616.0;
@@ -29,6 +38,33 @@
         return endpoint.record.zone == context.zone ? 0 : otherZonePenalty;
     }
 
+    double secondsOf(Duration time) { return std::chrono::duration<double>(time).count(); }
+
+    /** @return the time between events that is expected of an engine that has not been seen at work, in seconds. */
+    double usualTime(const std::vector<GatewayEndpoint*>& candidates)
+    {
+        constexpr double assumed = 0.035;
+        double sum = assumed;
+        double count = 1;
+        for (const GatewayEndpoint* candidate : candidates) {
+            if (!candidate->eventTime)
+                continue;
+            sum += secondsOf(*candidate->eventTime);
+            count += 1;
+        }
+        return sum / count;
+    }
+
+    /** @return the tokens that the engine is expected to hold with one more request. */
+    double tokensHeld(const GatewayEndpoint& endpoint, const PickContext& context)
+    {
+        const auto request = static_cast<double>(context.tokens);
+        const double own = endpoint.inFlight == 0 ? request
+                                                  : static_cast<double>(endpoint.tokensInFlight) / endpoint.inFlight;
+        const double foreign = foreignWork(endpoint, context) * own * foreignCopies;
+        return static_cast<double>(endpoint.tokensInFlight + endpoint.copyTokens) + foreign + request;
+    }
+
     template <typename Score>
     GatewayEndpoint* lowest(const std::vector<GatewayEndpoint*>& candidates, const Score& scoreOf)
     {
@@ -56,25 +92,27 @@
     });
 }
 
-GatewayEndpoint* MostMemoryPicker::pick(
+GatewayEndpoint* SoonestDonePicker::pick(
     const std::vector<GatewayEndpoint*>& candidates, const GatewayService& service, const PickContext& context) const
 {
     const double memory = std::max<std::uint64_t>(service.engine ? service.engine->memoryTokens : 0, 1);
+    const double usualEventTime = usualTime(candidates);
+    const auto events = static_cast<double>(context.events);
     return lowest(candidates, [&](const GatewayEndpoint& endpoint) {
-        const double own = endpoint.inFlight == 0 ? static_cast<double>(context.tokens)
-                                                  : static_cast<double>(endpoint.tokensInFlight) / endpoint.inFlight;
-        const double foreign = foreignWork(endpoint, context) * own;
-        const double used = (static_cast<double>(endpoint.tokensInFlight) + foreign) / memory;
-        return used + zonePenalty(endpoint, context) + jitter(context.randomness);
+        const double used = tokensHeld(endpoint, context) / memory;
+        const double time = endpoint.eventTime ? secondsOf(*endpoint.eventTime) : usualEventTime;
+        const double crowded = std::max(0.0, used - crowdedShare) * crowdedSeconds;
+        return events * time + used * usedSeconds + crowded + zonePenalty(endpoint, context)
+            + jitter(context.randomness);
     });
 }
 
 const EndpointPicker& pickerFor(const GatewayService& service)
 {
     static const LeastBusyPicker leastBusy;
-    static const MostMemoryPicker mostMemory;
+    static const SoonestDonePicker soonestDone;
     if (service.engine)
-        return mostMemory;
+        return soonestDone;
     return leastBusy;
 }
 
--- a/src/core/gateway/EndpointPicker.h
+++ b/src/core/gateway/EndpointPicker.h
@@ -11,6 +11,8 @@
     Instant now;
     /** Tokens that the request is expected to hold at its end; zero at a plain service. */
     std::uint64_t tokens { 0 };
+    /** Events that the request is expected to take; zero where only memory counts. */
+    std::uint64_t events { 0 };
     const GatewayLimits& limits;
     Randomness& randomness;
 };
@@ -31,8 +33,8 @@
         const PickContext& context) const override;
 };
 
-/** The engine with the most memory left after the request. */
-class MostMemoryPicker final : public EndpointPicker {
+/** The engine that is expected to be done first: by its learned speed, as long as its memory has room. */
+class SoonestDonePicker final : public EndpointPicker {
 public:
     GatewayEndpoint* pick(const std::vector<GatewayEndpoint*>& candidates, const GatewayService& service,
         const PickContext& context) const override;
--- a/src/core/gateway/ExchangeKeeper.cpp
+++ b/src/core/gateway/ExchangeKeeper.cpp
@@ -57,7 +57,7 @@
 {
     auto candidates = this->state.endpoints.candidates(*active.service, now);
     std::erase_if(candidates, [&](const auto* endpoint) { return excluded.contains(endpoint->record.id); });
-    const PickContext context { this->state.zone, now, active.tokens, this->state.limits, this->state.randomness };
+    const PickContext context { this->state.zone, now, active.tokens, active.events, this->state.limits, this->state.randomness };
     return pickerFor(*active.service).pick(candidates, *active.service, context);
 }
 
@@ -111,7 +111,9 @@
     }
     active.exchange = id;
     this->state.exchanges[id] = { active.request.id, endpoint.record.id, endpoint.record.address, endpoint.record.zone,
-        active.tokens, now };
+        active.tokens, now, active.replicaAt, active.lastEventId, std::nullopt };
+    if (active.replicaAt)
+        this->state.endpoints.addCopy(*active.replicaAt, active.tokens);
     auto line = Internal::requestLine(order.resume ? "resumed" : "sent", active, now);
     line.fields.push_back({ "endpoint", endpoint.record.id.get() });
     line.fields.push_back({ "attempt", std::to_string(active.attempts) });
@@ -130,6 +132,8 @@
     Exchange exchange = found->second;
     this->state.exchanges.erase(found);
     this->state.endpoints.finish(exchange.endpoint, exchange.tokens);
+    if (exchange.replicaAt)
+        this->state.endpoints.removeCopy(*exchange.replicaAt, exchange.tokens);
     return exchange;
 }
 
@@ -289,11 +293,18 @@
     this->breakOff(*this->find(*ready), now, actions);
 }
 
-void ExchangeKeeper::relayed(const EventsRelayed& event)
+void ExchangeKeeper::relayed(const EventsRelayed& event, Instant now)
 {
     const auto exchange = this->state.exchanges.find(event.exchange);
     if (exchange == this->state.exchanges.end())
         return;
+    Exchange& running = exchange->second;
+    if (running.lastEventAt && event.lastEventId > running.lastEventId) {
+        const auto events = static_cast<Duration::rep>(event.lastEventId - running.lastEventId);
+        this->state.endpoints.learnEventTime(running.endpoint, (now - *running.lastEventAt) / events);
+    }
+    running.lastEventId = event.lastEventId;
+    running.lastEventAt = now;
     if (ActiveRequest* active = this->find(exchange->second.request))
         active->lastEventId = event.lastEventId;
 }
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -89,7 +89,10 @@
     this->exchanges.ended(event, now, actions);
 }
 
-void Gateway::relayed(const EventsRelayed& event, Instant, GatewayActions&) { this->exchanges.relayed(event); }
+void Gateway::relayed(const EventsRelayed& event, Instant now, GatewayActions&)
+{
+    this->exchanges.relayed(event, now);
+}
 
 void Gateway::moveAnswered(const MoveAnswered& event, Instant now, GatewayActions& actions)
 {
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -51,6 +51,8 @@
     Instant answerBy;
     /** Expected tokens of prompt and output together. */
     std::uint64_t tokens { 0 };
+    /** Expected events of a stream. */
+    std::uint64_t events { 0 };
     std::uint32_t attempts { 0 };
     std::set<EndpointId> tried;
     std::optional<ExchangeId> exchange;
@@ -72,6 +74,11 @@
     ZoneId zone;
     std::uint64_t tokens { 0 };
     Instant startedAt;
+    /** Engine that keeps a copy of the run's memory while the exchange lasts. */
+    std::optional<EndpointId> replicaAt;
+    /** Newest event that went on, and when. */
+    std::uint64_t lastEventId { 0 };
+    std::optional<Instant> lastEventAt;
 };
 
 /** What the parts of a gateway's decisions share. */
--- a/src/core/gateway/RequestGate.cpp
+++ b/src/core/gateway/RequestGate.cpp
@@ -14,11 +14,9 @@
         return { code, std::move(message), Run::No, retryAfter };
     }
 
-    std::uint64_t expectedTokens(const GatewayRequest& request)
+    std::uint64_t expectedOutput(const GatewayRequest& request)
     {
-        const std::uint64_t output
-            = request.expectedOutputTokens > 0 ? request.expectedOutputTokens : request.maxOutputTokens / 2;
-        return request.promptTokens + output;
+        return request.expectedOutputTokens > 0 ? request.expectedOutputTokens : request.maxOutputTokens / 2;
     }
 
     Milliseconds patienceOf(const GatewayRequest& request, const GatewayRoute& route)
@@ -95,7 +93,10 @@
         active.team = holder->name;
     active.arrivedAt = now;
     active.answerBy = now + patienceOf(request, *route);
-    active.tokens = found->engine ? expectedTokens(request) : 0;
+    if (found->engine) {
+        active.tokens = request.promptTokens + expectedOutput(request);
+        active.events = expectedOutput(request) / found->engine->tokensPerEvent + 1;
+    }
     return active;
 }
 
