Let gateways tell each other their work and share the common allowances

Cause: each gateway guessed the others' work from load headers, and the bounds of retries and cold endpoints, which hold for all together, were divided by a guess. Change: a row of the store's table for each gateway, news by UDP several times a second (work at each endpoint, requests that killed endpoints), allowances divided by the gateways listed or heard.

--- a/apps/teaselfold-gateway/Main.cpp
+++ b/apps/teaselfold-gateway/Main.cpp
@@ -1,5 +1,6 @@
 #include "adapters/logging/GlogLog.h"
 #include "adapters/metrics/TelemetryHub.h"
+#include "adapters/peers/PeerChannel.h"
 #include "adapters/settings/CommandLine.h"
 #include "adapters/traffic/TrafficServer.h"
 #include "platform/PlatformTrafficCodec.h"
@@ -34,6 +35,11 @@
     return signals;
 }
 
+/** How long the store may hold a call: an answer, even an empty one, proves how fresh the configuration is. */
+constexpr Milliseconds freshnessHold(1000);
+/** Gateways come and go rarely, and their table proves nothing. */
+constexpr Milliseconds memberHold(10000);
+
 TrafficOptions trafficOptions(const GatewaySettings& settings)
 {
     TrafficOptions options;
@@ -54,7 +60,7 @@
     std::optional<Failure> run(const sigset_t& signals);
 
 private:
-    std::unique_ptr<StoreFollower> follow(std::unique_ptr<TableTranslator> translator);
+    std::unique_ptr<StoreFollower> follow(std::unique_ptr<TableTranslator> translator, Milliseconds hold);
 
     GatewaySettings settings;
     SystemRandomness randomness;
@@ -62,6 +68,7 @@
     std::unique_ptr<TelemetryHub> telemetry;
     Gateway gateway;
     std::promise<void> stopped;
+    PeerChannel peers;
     std::unique_ptr<TrafficServer> traffic;
     std::vector<std::unique_ptr<StoreFollower>> followers;
 };
@@ -69,21 +76,27 @@
 GatewayProcess::GatewayProcess(const GatewaySettings& gatewaySettings)
     : settings(gatewaySettings)
     , telemetry(TelemetryHubBuilder().withLogSink(writeLog).build())
-    , gateway(gatewayLimits(this->settings), this->settings.zone, this->randomness)
+    , gateway(
+          gatewayLimits(this->settings), { GatewayId(this->settings.instance), this->settings.zone }, this->randomness)
+    , peers(
+          this->settings.peers, [this](PeerNews news) { this->traffic->ring().tryPush(PeerHeard { std::move(news) }); })
     , traffic(std::make_unique<TrafficServer>(trafficOptions(this->settings),
-          TrafficServer::Parts { this->gateway, this->codec, *this->telemetry,
+          TrafficServer::Parts { this->gateway, this->codec, *this->telemetry, this->peers,
               [this] { return this->telemetry->renderPrometheus(); }, &bootTimeNow,
               [this] { this->stopped.set_value(); } }))
 {
-    this->followers.push_back(this->follow(std::make_unique<OperatorTable>()));
-    this->followers.push_back(this->follow(std::make_unique<EndpointTableRows>()));
+    const GatewayMember self { GatewayId(this->settings.instance), this->settings.peers };
+    this->followers.push_back(this->follow(std::make_unique<OperatorTable>(), freshnessHold));
+    this->followers.push_back(this->follow(std::make_unique<EndpointTableRows>(), freshnessHold));
+    this->followers.push_back(this->follow(std::make_unique<MemberTable>(self), memberHold));
 }
 
-std::unique_ptr<StoreFollower> GatewayProcess::follow(std::unique_ptr<TableTranslator> translator)
+std::unique_ptr<StoreFollower> GatewayProcess::follow(std::unique_ptr<TableTranslator> translator, Milliseconds hold)
 {
     StoreFollower::Options options;
     options.store = this->settings.store;
     options.timeout = this->settings.storeTimeout;
+    options.hold = hold;
     return std::make_unique<StoreFollower>(
         options, std::move(translator), [this](GatewayEvent event) { this->traffic->ring().push(std::move(event)); },
         &bootTimeNow);
@@ -96,6 +109,8 @@
         { "started", { { "instance", this->settings.instance }, { "zone", this->settings.zone.get() } } });
     if (auto failure = this->traffic->start())
         return failure;
+    if (const auto reason = this->peers.start())
+        return Failure { ErrorCode::Internal, "cannot listen for peers: " + *reason, Run::No, {} };
     for (const auto& follower : this->followers)
         follower->start();
     int signal = 0;
@@ -105,6 +120,7 @@
     this->stopped.get_future().wait();
     for (const auto& follower : this->followers)
         follower->stop();
+    this->peers.stop();
     this->traffic->stop();
     this->telemetry->log({ "stopped", { { "instance", this->settings.instance } } });
     this->telemetry->stop();
--- /dev/null
+++ b/src/adapters/peers/NewsCodec.cpp
@@ -0,0 +1,72 @@
+#include "adapters/peers/NewsCodec.h"
+
+#include "adapters/peers/Peers_generated.h"
+
+#include <algorithm>
+
+namespace teaselfold {
+
+namespace {
+
+    /** Fits into one Ethernet frame with the heads of IP and UDP and the other fields. */
+    constexpr std::size_t maximumShares = 48;
+    constexpr std::size_t maximumSuspects = 16;
+
+    std::vector<EndpointShare> largestShares(std::vector<EndpointShare> shares)
+    {
+        std::sort(shares.begin(), shares.end(),
+            [](const EndpointShare& left, const EndpointShare& right) { return left.tokens > right.tokens; });
+        if (shares.size() > maximumShares)
+            shares.resize(maximumShares);
+        return shares;
+    }
+
+}
+
+std::string encodeNews(const PeerNews& news)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    std::vector<peerwire::Load> loads;
+    for (const EndpointShare& share : largestShares(news.shares))
+        loads.emplace_back(share.endpoint, share.tokens, share.runs);
+    std::vector<peerwire::Suspect> suspects;
+    for (const auto& suspect : news.suspects.suspects) {
+        if (suspects.size() == maximumSuspects)
+            break;
+        suspects.emplace_back(
+            suspect.fingerprint.get(), static_cast<std::uint32_t>(suspect.remaining.count()), suspect.deaths);
+    }
+    const auto root = peerwire::CreateNews(builder, builder.CreateString(news.instance.get()), news.incarnation.get(),
+        news.sequence, news.isLeaving, builder.CreateVectorOfStructs(loads), builder.CreateVectorOfStructs(suspects));
+    builder.Finish(root, peerwire::NewsIdentifier());
+    return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
+}
+
+std::optional<PeerNews> decodeNews(std::string_view datagram)
+{
+    const auto* bytes = reinterpret_cast<const std::uint8_t*>(datagram.data());
+    flatbuffers::Verifier verifier(bytes, datagram.size());
+    constexpr std::size_t smallest = 16;
+    if (datagram.size() < smallest || !peerwire::VerifyNewsBuffer(verifier))
+        return std::nullopt;
+    const auto* root = peerwire::GetNews(bytes);
+    if (!root->instance() || root->instance()->size() == 0)
+        return std::nullopt;
+    PeerNews news;
+    news.instance = GatewayId(root->instance()->str());
+    news.incarnation = Incarnation(root->incarnation());
+    news.sequence = root->sequence();
+    news.isLeaving = root->leaving();
+    for (std::size_t index = 0; root->loads() && index < root->loads()->size(); ++index) {
+        const auto* load = root->loads()->Get(static_cast<flatbuffers::uoffset_t>(index));
+        news.shares.push_back({ load->endpoint(), load->runs(), load->tokens() });
+    }
+    for (std::size_t index = 0; root->suspects() && index < root->suspects()->size(); ++index) {
+        const auto* suspect = root->suspects()->Get(static_cast<flatbuffers::uoffset_t>(index));
+        news.suspects.suspects.push_back(
+            { Fingerprint(suspect->fingerprint()), suspect->deaths(), Milliseconds(suspect->remaining_ms()) });
+    }
+    return news;
+}
+
+}
--- a/src/adapters/settings/GatewaySettings.cpp
+++ b/src/adapters/settings/GatewaySettings.cpp
@@ -15,6 +15,7 @@
         Row { "callers", &GatewaySettings::callers, Need::Required, "where callers connect" },
         Row { "readiness", &GatewaySettings::readiness, Need::Required, "where the balancer asks for readiness" },
         Row { "metrics", &GatewaySettings::metrics, Need::Optional, "where collectors connect" },
+        Row { "peers", &GatewaySettings::peers, Need::Required, "where other gateways send their news, by UDP" },
         Row { "store", &GatewaySettings::store, Need::Required, "the platform's store" },
         Row { "store_timeout", &GatewaySettings::storeTimeout, Need::Optional, "wait for an answer of the store" },
         Row { "connect_timeout", &GatewaySettings::connectTimeout, Need::Optional,
@@ -38,8 +39,7 @@
 
     /** Time for a request to pass from the check of its key to the endpoint. */
     constexpr Milliseconds revocationMargin(500);
-    /** Part of the common headroom that one instance uses, since instances do not know how many they are. */
-    constexpr double headroomShare = 0.1;
+
     /** Part of the common ratio that is used; the rest covers requests that are counted in another window. */
     constexpr double ratioShare = 0.75;
 
@@ -75,7 +75,7 @@
     GatewayLimits limits;
     limits.keyFreshness = settings.revocationLimit - revocationMargin;
     limits.retryShare = settings.retryRatio * ratioShare;
-    limits.retryFloor = settings.retryHeadroom * headroomShare;
+    limits.retryHeadroom = settings.retryHeadroom;
     limits.retryWindow = settings.retryWindow;
     limits.stopLimit = settings.stopLimit - exitTime;
     limits.coldFactor = settings.coldFactor;
--- a/src/adapters/settings/GatewaySettings.h
+++ b/src/adapters/settings/GatewaySettings.h
@@ -18,6 +18,8 @@
     Address callers;
     Address readiness;
     std::optional<Address> metrics;
+    /** Where the other gateways send their news, by UDP. */
+    Address peers;
     Address store;
     Milliseconds storeTimeout { 700 };
     Milliseconds connectTimeout { 400 };
--- a/src/adapters/traffic/TrafficServer.cpp
+++ b/src/adapters/traffic/TrafficServer.cpp
@@ -28,7 +28,8 @@
     {
         static const HandlerTable<TrafficServer, void, GatewayAction> table(&TrafficServer::startExchange,
             &TrafficServer::cancelExchange, &TrafficServer::relayAnswer, &TrafficServer::refuseRequest,
-            &TrafficServer::cutAnswer, &TrafficServer::startMove, &TrafficServer::log, &TrafficServer::observe);
+            &TrafficServer::cutAnswer, &TrafficServer::startMove, &TrafficServer::tellPeers, &TrafficServer::log,
+            &TrafficServer::observe);
         return table;
     }
 };
@@ -171,6 +172,8 @@
 
 void TrafficServer::startMove(const StartMove& action) { this->endpoints.startMove(action); }
 
+void TrafficServer::tellPeers(const TellPeers& action) { this->parts.peers.tell(action); }
+
 void TrafficServer::log(const LogEvent& action) { this->parts.telemetry.log(action); }
 
 void TrafficServer::observe(const Observation& action) { this->parts.telemetry.observe(action); }
--- a/src/adapters/traffic/TrafficServer.h
+++ b/src/adapters/traffic/TrafficServer.h
@@ -31,6 +31,7 @@
         Gateway& gateway;
         const TrafficCodec& codec;
         Telemetry& telemetry;
+        Peers& peers;
         std::function<std::string()> metrics;
         /** Counts suspended time too, as ages of knowledge must. */
         std::function<Instant()> clock;
@@ -70,6 +71,7 @@
     void refuseRequest(const RefuseRequest& action);
     void cutAnswer(const CutAnswer& action);
     void startMove(const StartMove& action);
+    void tellPeers(const TellPeers& action);
     void log(const LogEvent& action);
     void observe(const Observation& action);
 
--- a/src/core/entry/RetryBudget.cpp
+++ b/src/core/entry/RetryBudget.cpp
@@ -15,6 +15,13 @@
     this->available = std::min(this->available + this->limits.retryShare, this->limits.retryCeiling);
 }
 
+void RetryBudget::setFloor(double retries)
+{
+    this->limits.retryFloor = retries;
+    this->limits.retryCeiling = retries;
+    this->available = std::min(this->available, retries);
+}
+
 bool RetryBudget::withdraw(Instant now)
 {
     this->refill(now);
--- a/src/core/entry/RetryBudget.h
+++ b/src/core/entry/RetryBudget.h
@@ -12,6 +12,8 @@
     explicit RetryBudget(const RouterLimits& limits);
     /** Counts a new request. */
     void deposit();
+    /** Changes the retries that are allowed in each floor time. What was saved up beyond it is lost. */
+    void setFloor(double retries);
     /** Takes one retry. @return false when the budget is spent. */
     bool withdraw(Instant now);
 
--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -1,5 +1,7 @@
 #include "core/gateway/EndpointDirectory.h"
 
+#include "core/entry/Rendezvous.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -26,6 +28,7 @@
         endpoint.eventTime.reset();
     }
     endpoint.record = record;
+    endpoint.idHash = hashOf(record.id.get());
     endpoint.removedAt.reset();
     endpoint.coldUntil = std::max(restarted ? now : endpoint.coldUntil, now + record.coldFor);
     return wasUsable && record.isDraining;
@@ -103,7 +106,8 @@
         [&](const auto& entry) { return entry.second.record.service == service && this->isUsable(entry.second); });
 }
 
-bool EndpointDirectory::bearsMore(GatewayEndpoint& endpoint, const GatewayService& service, Instant now) const
+bool EndpointDirectory::bearsMore(
+    GatewayEndpoint& endpoint, const GatewayService& service, std::size_t instances, Instant now) const
 {
     if (endpoint.coldUntil <= now) {
         endpoint.sentWhileCold.clear();
@@ -115,23 +119,36 @@
     while (!sent.empty() && sent.front() + span <= now)
         sent.pop_front();
     const double bound = service.coldRequestsPerSecond * this->limits.coldFactor + this->limits.coldHeadroom;
-    return static_cast<double>(sent.size()) < std::max(1.0, std::floor(bound * this->limits.coldShare));
+    return static_cast<double>(sent.size())
+        < std::max(1.0, std::floor(bound * this->limits.allowanceShare / static_cast<double>(instances)));
 }
 
-std::vector<GatewayEndpoint*> EndpointDirectory::candidates(const GatewayService& service, Instant now)
+std::vector<GatewayEndpoint*> EndpointDirectory::candidates(
+    const GatewayService& service, std::size_t instances, Instant now)
 {
     std::vector<GatewayEndpoint*> healthy;
     std::vector<GatewayEndpoint*> ejected;
     for (auto& [id, endpoint] : this->endpoints) {
         if (endpoint.record.service != service.name || !this->isUsable(endpoint))
             continue;
-        if (!this->bearsMore(endpoint, service, now))
+        if (!this->bearsMore(endpoint, service, instances, now))
             continue;
         (endpoint.ejectedUntil > now ? ejected : healthy).push_back(&endpoint);
     }
     return healthy.empty() ? ejected : healthy;
 }
 
+std::vector<EndpointShare> EndpointDirectory::shares() const
+{
+    std::vector<EndpointShare> shares;
+    for (const auto& [id, endpoint] : this->endpoints) {
+        const std::uint64_t tokens = endpoint.tokensInFlight + endpoint.copyTokens;
+        if (endpoint.inFlight > 0 || tokens > 0)
+            shares.push_back({ endpoint.idHash, endpoint.inFlight, tokens });
+    }
+    return shares;
+}
+
 void EndpointDirectory::begin(const EndpointId& endpoint, std::uint64_t tokens, Instant now)
 {
     if (GatewayEndpoint* found = this->find(endpoint)) {
--- a/src/core/gateway/EndpointDirectory.h
+++ b/src/core/gateway/EndpointDirectory.h
@@ -2,6 +2,7 @@
 
 #include "core/gateway/GatewayLimits.h"
 #include "ports/GatewayMessages.h"
+#include "ports/PeerMessages.h"
 
 #include <deque>
 #include <map>
@@ -14,6 +15,8 @@
 /** One endpoint as this instance knows it. */
 struct GatewayEndpoint {
     EndpointRecord record;
+    /** XXH3 hash of the id, by which instances name the endpoint to each other. */
+    std::uint64_t idHash { 0 };
     Instant coldUntil;
     /** The record is gone, but its endpoint may only have lost contact with the store. */
     std::optional<Instant> removedAt;
@@ -54,8 +57,10 @@
     GatewayEndpoint* find(const EndpointId& endpoint);
     /** @return true when the endpoint may get new work. */
     bool mayWork(const EndpointId& endpoint) const;
-    /** @return the endpoints of a service that may get one more request now. */
-    std::vector<GatewayEndpoint*> candidates(const GatewayService& service, Instant now);
+    /** @param instances that share what a cold endpoint bears. @return the endpoints that may get one more request. */
+    std::vector<GatewayEndpoint*> candidates(const GatewayService& service, std::size_t instances, Instant now);
+    /** @return this instance's work at each endpoint. */
+    std::vector<EndpointShare> shares() const;
     /** @return true when endpoints of the service exist that may get work, whatever they have to do. */
     bool hasEndpoints(const ServiceId& service) const;
 
@@ -73,7 +78,7 @@
 
 private:
     bool isUsable(const GatewayEndpoint& endpoint) const;
-    bool bearsMore(GatewayEndpoint& endpoint, const GatewayService& service, Instant now) const;
+    bool bearsMore(GatewayEndpoint& endpoint, const GatewayService& service, std::size_t instances, Instant now) const;
     /** @return true when the endpoint newly leaves. */
     bool apply(const EndpointRecord& record, Instant now);
 
--- a/src/core/gateway/EndpointPicker.cpp
+++ b/src/core/gateway/EndpointPicker.cpp
@@ -18,6 +18,10 @@
     constexpr double crowdedSeconds = 60;
     /** Seconds by which a full engine slows a request down, since its steps take longer. */
     constexpr double usedSeconds = 1;
+    /** Time in which a usual engine reads one token of a prompt; 14 in a millisecond. */
+    constexpr double secondsPerPromptToken = 1.0 / 14000;
+    /** Part of a prompt's reading time by which each running stream is delayed. */
+    constexpr double delayShare = 0.5;
     /** Other instances keep copies of their runs as well. */
     constexpr double foreignCopies = 1.7;
 
@@ -55,14 +59,24 @@
         return sum / count;
     }
 
+    /** @return runs of other instances at an engine: what they say, or what the engine reports if that is more. */
+    double runsElsewhere(const GatewayEndpoint& endpoint, const PickContext& context)
+    {
+        const auto told = static_cast<double>(context.peers.workElsewhere(endpoint.idHash).runs);
+        return context.peers.isComplete() ? told : std::max(told, foreignWork(endpoint, context));
+    }
+
     /** @return the tokens that the engine is expected to hold with one more request. */
     double tokensHeld(const GatewayEndpoint& endpoint, const PickContext& context)
     {
         const auto request = static_cast<double>(context.tokens);
-        const double own = endpoint.inFlight == 0 ? request
-                                                  : static_cast<double>(endpoint.tokensInFlight) / endpoint.inFlight;
-        const double foreign = foreignWork(endpoint, context) * own * foreignCopies;
-        return static_cast<double>(endpoint.tokensInFlight + endpoint.copyTokens) + foreign + request;
+        const auto own = static_cast<double>(endpoint.tokensInFlight + endpoint.copyTokens);
+        const auto told = static_cast<double>(context.peers.workElsewhere(endpoint.idHash).tokens);
+        if (context.peers.isComplete())
+            return own + told + request;
+        const double each
+            = endpoint.inFlight == 0 ? request : static_cast<double>(endpoint.tokensInFlight) / endpoint.inFlight;
+        return own + std::max(told, foreignWork(endpoint, context) * each * foreignCopies) + request;
     }
 
     template <typename Score>
@@ -98,11 +112,14 @@
     const double memory = std::max<std::uint64_t>(service.engine ? service.engine->memoryTokens : 0, 1);
     const double usualEventTime = usualTime(candidates);
     const auto events = static_cast<double>(context.events);
+    const double usualReading = static_cast<double>(context.promptTokens) * secondsPerPromptToken;
     return lowest(candidates, [&](const GatewayEndpoint& endpoint) {
         const double used = tokensHeld(endpoint, context) / memory;
-        const double time = endpoint.eventTime ? secondsOf(*endpoint.eventTime) : usualEventTime;
+        const double eventTime = endpoint.eventTime ? secondsOf(*endpoint.eventTime) : usualEventTime;
+        const double reading = usualReading * eventTime / usualEventTime;
+        const double delayed = (endpoint.inFlight + runsElsewhere(endpoint, context)) * reading * delayShare;
         const double crowded = std::max(0.0, used - crowdedShare) * crowdedSeconds;
-        return events * time + used * usedSeconds + crowded + zonePenalty(endpoint, context)
+        return reading + events * eventTime + delayed + used * usedSeconds + crowded + zonePenalty(endpoint, context)
             + jitter(context.randomness);
     });
 }
--- a/src/core/gateway/EndpointPicker.h
+++ b/src/core/gateway/EndpointPicker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/gateway/EndpointDirectory.h"
+#include "core/gateway/PeerBoard.h"
 #include "ports/Randomness.h"
 
 namespace teaselfold {
@@ -11,9 +12,12 @@
     Instant now;
     /** Tokens that the request is expected to hold at its end; zero at a plain service. */
     std::uint64_t tokens { 0 };
+    /** Tokens of the prompt; zero where nothing is read. */
+    std::uint64_t promptTokens { 0 };
     /** Events that the request is expected to take; zero where only memory counts. */
     std::uint64_t events { 0 };
     const GatewayLimits& limits;
+    const PeerBoard& peers;
     Randomness& randomness;
 };
 
@@ -33,7 +37,11 @@
         const PickContext& context) const override;
 };
 
-/** The engine that is expected to be done first: by its learned speed, as long as its memory has room. */
+/**
+ * The engine at which the request costs the least time, its own and that of the streams which its prompt delays:
+ * engines read prompts between the tokens of running streams. Long streams so find the fast engines, and short ones
+ * keep out of their way.
+ */
 class SoonestDonePicker final : public EndpointPicker {
 public:
     GatewayEndpoint* pick(const std::vector<GatewayEndpoint*>& candidates, const GatewayService& service,
--- a/src/core/gateway/ExchangeKeeper.cpp
+++ b/src/core/gateway/ExchangeKeeper.cpp
@@ -55,9 +55,10 @@
 GatewayEndpoint* ExchangeKeeper::pick(
     const ActiveRequest& active, const std::set<EndpointId>& excluded, Instant now) const
 {
-    auto candidates = this->state.endpoints.candidates(*active.service, now);
+    auto candidates = this->state.endpoints.candidates(*active.service, this->state.peers.instances(), now);
     std::erase_if(candidates, [&](const auto* endpoint) { return excluded.contains(endpoint->record.id); });
-    const PickContext context { this->state.zone, now, active.tokens, active.events, this->state.limits, this->state.randomness };
+    const PickContext context { this->state.zone, now, active.tokens, active.request.promptTokens, active.events,
+        this->state.limits, this->state.peers, this->state.randomness };
     return pickerFor(*active.service).pick(candidates, *active.service, context);
 }
 
@@ -66,8 +67,8 @@
     // The key was good when the request came in; while it waited, the proof of that may have grown too old.
     if (active.team && !this->state.freshness.isFresh(Followed::Configuration, this->state.limits.keyFreshness, now)) {
         const Milliseconds retryAfter = this->state.limits.retryAfter;
-        return this->refuse(
-            active, { ErrorCode::StoreUnavailable, "keys cannot be checked now", runOf(active), retryAfter }, now, actions);
+        return this->refuse(active,
+            { ErrorCode::StoreUnavailable, "keys cannot be checked now", runOf(active), retryAfter }, now, actions);
     }
     if (GatewayEndpoint* endpoint = this->pick(active, active.tried, now)) {
         this->state.waiting.erase(active.request.id);
@@ -81,8 +82,7 @@
     active.replicaAt.reset();
     if (!active.service->engine || !active.service->engine->canReplicate || !isStream(active))
         return std::nullopt;
-    const GatewayEndpoint* chosen
-        = placeCopy(this->state, active, endpoint.record.zone, { endpoint.record.id }, now);
+    const GatewayEndpoint* chosen = placeCopy(this->state, active, endpoint.record.zone, { endpoint.record.id }, now);
     if (!chosen)
         return std::nullopt;
     active.replicaAt = chosen->record.id;
@@ -276,8 +276,8 @@
     return this->resume(active, holder, point, now, actions);
 }
 
-bool ExchangeKeeper::resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now,
-    GatewayActions& actions)
+bool ExchangeKeeper::resume(
+    ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now, GatewayActions& actions)
 {
     if (!this->state.endpoints.mayWork(endpoint))
         return false;
@@ -333,9 +333,11 @@
     line.fields.push_back({ "run", std::string(runName(runOf(active))) });
     actions.emplace_back(std::move(line));
     if (active.mayHaveRun)
-        return this->refuse(active, { ErrorCode::DeadlineExceeded, "no answer in time", Run::Unknown, {} }, now, actions);
+        return this->refuse(
+            active, { ErrorCode::DeadlineExceeded, "no answer in time", Run::Unknown, {} }, now, actions);
     this->refuse(active,
-        { ErrorCode::NoCapacity, "no endpoint had room in time", Run::No, this->state.limits.retryAfter }, now, actions);
+        { ErrorCode::NoCapacity, "no endpoint had room in time", Run::No, this->state.limits.retryAfter }, now,
+        actions);
 }
 
 Duration ExchangeKeeper::waitLimit(const ActiveRequest& active) const
@@ -355,7 +357,8 @@
         line.fields.push_back({ "reason", "no endpoint" });
         actions.emplace_back(std::move(line));
         this->refuse(active,
-            { ErrorCode::NoCapacity, "no endpoint has room", runOf(active), this->state.limits.retryAfter }, now, actions);
+            { ErrorCode::NoCapacity, "no endpoint has room", runOf(active), this->state.limits.retryAfter }, now,
+            actions);
     }
 }
 
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -3,6 +3,9 @@
 #include "core/common/HandlerTable.h"
 #include "core/gateway/GatewayLog.h"
 
+#include <array>
+#include <string_view>
+
 namespace teaselfold {
 
 namespace {
@@ -11,27 +14,38 @@
     {
         RouterLimits shared;
         shared.retryShare = limits.retryShare;
-        shared.retryFloor = limits.retryFloor;
+
         shared.retryFloorTime = limits.retryWindow;
-        shared.retryCeiling = limits.retryFloor;
+
         return shared;
     }
 
 }
 
+namespace {
+
+    std::string_view followedName(Followed part)
+    {
+        constexpr std::array<std::string_view, followedCount> names { "configuration", "endpoints", "members" };
+        return names[static_cast<std::size_t>(part)];
+    }
+
+}
+
 struct Gateway::Handlers {
     static const HandlerTable<Gateway, void, GatewayEvent, Instant, GatewayActions&>& events()
     {
         static const HandlerTable<Gateway, void, GatewayEvent, Instant, GatewayActions&> table(&Gateway::arrived,
             &Gateway::abandoned, &Gateway::answered, &Gateway::ended, &Gateway::relayed, &Gateway::moveAnswered,
             &Gateway::configurationRead, &Gateway::endpointsListed, &Gateway::endpointsChanged, &Gateway::zonesOutRead,
-            &Gateway::storeAnswered, &Gateway::storeFailed, &Gateway::stopRequested);
+            &Gateway::storeAnswered, &Gateway::storeFailed, &Gateway::membersListed, &Gateway::peerHeard,
+            &Gateway::stopRequested);
         return table;
     }
 };
 
-Gateway::Gateway(const GatewayLimits& limits, ZoneId zone, Randomness& randomness)
-    : state(limits, sharedLimitsOf(limits), std::move(zone), randomness)
+Gateway::Gateway(const GatewayLimits& limits, GatewayPlace place, Randomness& randomness)
+    : state(limits, sharedLimitsOf(limits), std::move(place), randomness)
     , gate(this->state)
     , moves(this->state)
     , exchanges(this->state, this->moves)
@@ -51,6 +65,8 @@
     this->endpointsLeave(this->state.endpoints.expire(now), now, actions);
     this->state.quarantine.expire(now);
     this->exchanges.tick(now, actions);
+    this->state.peers.expire(now);
+    this->tellPeers(now, actions);
     return actions;
 }
 
@@ -89,10 +105,7 @@
     this->exchanges.ended(event, now, actions);
 }
 
-void Gateway::relayed(const EventsRelayed& event, Instant now, GatewayActions&)
-{
-    this->exchanges.relayed(event, now);
-}
+void Gateway::relayed(const EventsRelayed& event, Instant now, GatewayActions&) { this->exchanges.relayed(event, now); }
 
 void Gateway::moveAnswered(const MoveAnswered& event, Instant now, GatewayActions& actions)
 {
@@ -150,10 +163,36 @@
     this->state.freshness.failed(event.part, now);
     const auto age = this->state.freshness.age(event.part, now);
     actions.emplace_back(LogEvent { "store_failed",
-        { { "part", event.part == Followed::Configuration ? "configuration" : "endpoints" }, { "reason", event.reason },
+        { { "part", std::string(followedName(event.part)) }, { "reason", event.reason },
             { "known_since_ms", age ? Internal::millisecondsText(*age) : std::string("never") } } });
 }
 
+void Gateway::membersListed(const MembersListed& event, Instant, GatewayActions& actions)
+{
+    this->state.peers.setMembers(event.members);
+    actions.emplace_back(LogEvent { "members_listed",
+        { { "count", std::to_string(event.members.size()) },
+            { "sharing", std::to_string(this->state.peers.instances()) } } });
+}
+
+void Gateway::peerHeard(const PeerHeard& event, Instant now, GatewayActions&)
+{
+    this->state.peers.hear(event.news, now);
+    this->state.quarantine.merge(EndpointId(event.news.instance.get()), event.news.suspects, now);
+}
+
+void Gateway::tellPeers(Instant now, GatewayActions& actions)
+{
+    const GatewayLimits& limits = this->state.limits;
+    const auto receivers = static_cast<Milliseconds::rep>(this->state.peers.instances() - 1);
+    const Milliseconds period = std::max(limits.shortestNewsPeriod, limits.newsPeriodPerReceiver * receivers);
+    if (this->toldPeersAt && now - *this->toldPeersAt < period)
+        return;
+    this->toldPeersAt = now;
+    actions.emplace_back(this->state.peers.compose(
+        this->state.endpoints.shares(), this->state.quarantine.delivery(now), this->state.stopRequestedAt.has_value()));
+}
+
 void Gateway::stopRequested(const GatewayStopRequested&, Instant now, GatewayActions& actions)
 {
     if (this->state.stopRequestedAt)
--- a/src/core/gateway/Gateway.h
+++ b/src/core/gateway/Gateway.h
@@ -13,7 +13,7 @@
  */
 class Gateway {
 public:
-    Gateway(const GatewayLimits& limits, ZoneId zone, Randomness& randomness);
+    Gateway(const GatewayLimits& limits, GatewayPlace place, Randomness& randomness);
 
     /** Handles one event. @param now on a clock that also counts time for which the machine was suspended. */
     GatewayActions handle(const GatewayEvent& event, Instant now);
@@ -44,6 +44,9 @@
     void zonesOutRead(const ZonesOutRead& event, Instant now, GatewayActions& actions);
     void storeAnswered(const StoreAnswered& event, Instant now, GatewayActions& actions);
     void storeFailed(const StoreFailed& event, Instant now, GatewayActions& actions);
+    void membersListed(const MembersListed& event, Instant now, GatewayActions& actions);
+    void peerHeard(const PeerHeard& event, Instant now, GatewayActions& actions);
+    void tellPeers(Instant now, GatewayActions& actions);
     void stopRequested(const GatewayStopRequested& event, Instant now, GatewayActions& actions);
     void endpointsLeave(const std::vector<EndpointId>& leaving, Instant now, GatewayActions& actions);
 
@@ -51,6 +54,7 @@
     RequestGate gate;
     MoveKeeper moves;
     ExchangeKeeper exchanges;
+    std::optional<Instant> toldPeersAt;
 };
 
 }
--- a/src/core/gateway/GatewayLimits.h
+++ b/src/core/gateway/GatewayLimits.h
@@ -19,11 +19,19 @@
     Milliseconds outageAfter { 500 };
     /** Retries per new request. The platform's ratio, less a margin for requests that are counted elsewhere. */
     double retryShare { 0.15 };
-    /** Retries that one instance may send in each window whatever its traffic. Its share of the platform's headroom. */
-    double retryFloor { 5 };
+    /** Retries that all instances together may send in each window whatever their traffic. From the settings. */
+    double retryHeadroom { 50 };
     Milliseconds retryWindow { 10000 };
-    /** Share of a cold endpoint's bound that one instance uses; the bound holds for all instances together. */
-    double coldShare { 0.15 };
+    /** Part of a common allowance that is used; the rest covers instances that are not heard of yet. */
+    double allowanceShare { 0.8 };
+    /** Instances that share the allowances as long as their list is not known. */
+    std::size_t assumedInstances { 8 };
+    /** An instance that was silent for so long says nothing any more. Several times the period of news. */
+    Milliseconds peerSilence { 3000 };
+    /** Shortest time between two words to the other instances. */
+    Milliseconds shortestNewsPeriod { 100 };
+    /** Time between two words for each receiver; keeps a node's control traffic within the target of 21 KB/s. */
+    Milliseconds newsPeriodPerReceiver { 50 };
     /** What a cold endpoint bears, as a multiple of its stated rate, and beyond it. From the settings. */
     double coldFactor { 1.5 };
     double coldHeadroom { 5 };
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -3,6 +3,7 @@
 #include "core/entry/Quarantine.h"
 #include "core/entry/RetryBudget.h"
 #include "core/gateway/EndpointDirectory.h"
+#include "core/gateway/PeerBoard.h"
 #include "core/gateway/RouteTable.h"
 #include "core/gateway/StoreFreshness.h"
 #include "ports/Randomness.h"
@@ -81,15 +82,22 @@
     std::optional<Instant> lastEventAt;
 };
 
+/** Which gateway this is. */
+struct GatewayPlace {
+    GatewayId instance;
+    ZoneId zone;
+};
+
 /** What the parts of a gateway's decisions share. */
 struct GatewayState {
     GatewayState(
-        const GatewayLimits& gatewayLimits, const RouterLimits& sharedLimits, ZoneId ownZone, Randomness& random)
+        const GatewayLimits& gatewayLimits, const RouterLimits& sharedLimits, GatewayPlace place, Randomness& random)
         : limits(gatewayLimits)
-        , zone(std::move(ownZone))
+        , zone(std::move(place.zone))
         , randomness(random)
         , freshness(gatewayLimits)
         , endpoints(gatewayLimits)
+        , peers(gatewayLimits, std::move(place.instance), Incarnation(random.next()))
         , quarantine(sharedLimits)
         , sharedLimits(sharedLimits)
     {
@@ -98,7 +106,12 @@
     /** @return the budget of a service's retries. */
     RetryBudget& retriesOf(const ServiceId& service)
     {
-        return this->retries.try_emplace(service, this->sharedLimits).first->second;
+        RetryBudget& budget = this->retries.try_emplace(service, this->sharedLimits).first->second;
+        // A budget may be spent in full at the end of one window and again in the next.
+        constexpr double windows = 2;
+        budget.setFloor(this->limits.retryHeadroom * this->limits.allowanceShare / windows
+            / static_cast<double>(this->peers.instances()));
+        return budget;
     }
 
     GatewayLimits limits;
@@ -106,6 +119,7 @@
     Randomness& randomness;
     StoreFreshness freshness;
     EndpointDirectory endpoints;
+    PeerBoard peers;
     Quarantine quarantine;
     RouterLimits sharedLimits;
     std::map<ServiceId, RetryBudget> retries;
--- a/src/core/gateway/StoreFreshness.h
+++ b/src/core/gateway/StoreFreshness.h
@@ -37,7 +37,7 @@
     const Part& at(Followed part) const { return this->parts[static_cast<std::size_t>(part)]; }
 
     GatewayLimits limits;
-    std::array<Part, 2> parts;
+    std::array<Part, followedCount> parts;
 };
 
 }
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -2,6 +2,7 @@
 
 #include "ports/GatewayConfiguration.h"
 #include "ports/Outcome.h"
+#include "ports/PeerInterfaces.h"
 #include "ports/Telemetry.h"
 
 #include <memory>
@@ -131,7 +132,10 @@
 enum class Followed : std::uint8_t {
     Configuration,
     Endpoints,
+    /** The gateways themselves. */
+    Members,
 };
+constexpr std::size_t followedCount = 3;
 
 /** The store answered a reading: what was read holds as of the reading's start. */
 struct StoreAnswered {
@@ -145,12 +149,22 @@
     std::string reason;
 };
 
+/** All gateways of the store's list. */
+struct MembersListed {
+    std::vector<GatewayMember> members;
+};
+
+/** Another gateway's news came in. */
+struct PeerHeard {
+    PeerNews news;
+};
+
 /** The process is to stop once its work is done. */
 struct GatewayStopRequested { };
 
 using GatewayEvent = std::variant<RequestArrived, RequestAbandoned, ExchangeAnswered, ExchangeEnded, EventsRelayed,
     MoveAnswered, ConfigurationRead, EndpointsListed, EndpointsChanged, ZonesOutRead, StoreAnswered, StoreFailed,
-    GatewayStopRequested>;
+    MembersListed, PeerHeard, GatewayStopRequested>;
 
 /** Where a stream goes on that was begun elsewhere. */
 struct ResumePoint {
@@ -215,7 +229,7 @@
 };
 
 using GatewayAction = std::variant<StartExchange, CancelExchange, RelayAnswer, RefuseRequest, CutAnswer, StartMove,
-    LogEvent, Observation>;
+    TellPeers, LogEvent, Observation>;
 using GatewayActions = std::vector<GatewayAction>;
 
 }
--- a/test/support/GatewayScenario.cpp
+++ b/test/support/GatewayScenario.cpp
@@ -67,7 +67,7 @@
 }
 
 GatewayScenario::GatewayScenario(GatewayLimits limits)
-    : gateway(limits, ZoneId("north"), this->randomness)
+    : gateway(limits, { GatewayId("gateway-1"), ZoneId("north") }, this->randomness)
 {
 }
 
