--- /dev/null
+++ b/test/correctness/BodiesComeInAnyPieces.cpp
@@ -0,0 +1,64 @@
+#include "adapters/traffic/BodyDecoder.h"
+#include "adapters/traffic/EventSplitter.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace teaselfold;
+
+TEST_CASE("A chunked body is the same whatever pieces it comes in")
+{
+    CHECK(rc::check([] {
+        const std::string wire = "4\r\nabcd\r\n10;name=value\r\n0123456789abcdef\r\n0\r\nTrailer: x\r\n\r\nNEXT";
+        BodyDecoder decoder({ BodyKind::Chunked, 0 });
+        std::string body;
+        std::size_t used = 0;
+        while (used < wire.size() && !decoder.isDone()) {
+            const auto size = *rc::gen::inRange<std::size_t>(1, 7);
+            used += decoder.feed(std::string_view(wire).substr(used, size), body);
+        }
+        RC_ASSERT(decoder.isDone());
+        RC_ASSERT(!decoder.isBroken());
+        RC_ASSERT(body == "abcd0123456789abcdef");
+        RC_ASSERT(wire.substr(used) == "NEXT");
+    }));
+}
+
+TEST_CASE("A body of a stated length takes no byte more")
+{
+    BodyDecoder decoder({ BodyKind::Length, 3 });
+    std::string body;
+    CHECK(decoder.feed("abcdef", body) == 3);
+    CHECK(body == "abc");
+    CHECK(decoder.isDone());
+}
+
+TEST_CASE("A body without a length is whole only when its connection ended")
+{
+    BodyDecoder decoder({ BodyKind::UntilClose, 0 });
+    std::string body;
+    decoder.feed("abc", body);
+    CHECK_FALSE(decoder.isDone());
+    decoder.end();
+    CHECK(decoder.isDone());
+}
+
+TEST_CASE("Events go on whole, once and without a gap")
+{
+    EventSplitter events(std::nullopt);
+    CHECK(events.feed("id: 1\ndata: a\n").empty());
+    CHECK(events.isInsideEvent());
+    CHECK(events.feed("\nid: 2\nda") == "id: 1\ndata: a\n\n");
+    CHECK(events.lastId() == 1);
+    CHECK(events.feed("ta: b\n\n") == "id: 2\ndata: b\n\n");
+    CHECK_FALSE(events.isInsideEvent());
+}
+
+TEST_CASE("A stream that goes on repeats nothing and leaves nothing out")
+{
+    EventSplitter repeated(std::optional<std::uint64_t>(2));
+    CHECK(repeated.feed("id: 2\ndata: b\n\nid: 3\ndata: c\n\n") == "id: 3\ndata: c\n\n");
+    EventSplitter broken(std::optional<std::uint64_t>(2));
+    CHECK(broken.feed("id: 4\ndata: d\n\n").empty());
+    CHECK(broken.hasGap());
+}
--- /dev/null
+++ b/test/correctness/GatewayFindsRoutes.cpp
@@ -0,0 +1,51 @@
+#include "core/gateway/RouteTable.h"
+
+#include <doctest/doctest.h>
+
+using namespace teaselfold;
+
+namespace {
+
+GatewayRoute route(const std::string& prefix, std::vector<WeightedService> services)
+{
+    GatewayRoute made;
+    made.name = prefix;
+    made.host = "host.example";
+    made.prefix = prefix;
+    made.services = std::move(services);
+    return made;
+}
+
+RouteTable table(std::vector<GatewayRoute> routes)
+{
+    auto configuration = std::make_shared<GatewayConfiguration>();
+    configuration->routes = std::move(routes);
+    return RouteTable(configuration);
+}
+
+}
+
+TEST_CASE("The longest prefix of the host chooses the route")
+{
+    const RouteTable routes = table({ route("/a/", {}), route("/a/b/", {}), route("/c/", {}) });
+    CHECK(routes.findRoute("host.example", "/a/x")->prefix == "/a/");
+    CHECK(routes.findRoute("host.example", "/a/b/x")->prefix == "/a/b/");
+    CHECK(routes.findRoute("host.example", "/a/bc/x")->prefix == "/a/");
+    CHECK(routes.findRoute("host.example", "/d/") == nullptr);
+    CHECK(routes.findRoute("other.example", "/a/") == nullptr);
+}
+
+TEST_CASE("A split sends requests by weight, and none to a service without any")
+{
+    const GatewayRoute split
+        = route("/a/", { { ServiceId("large"), 90 }, { ServiceId("none"), 0 }, { ServiceId("small"), 10 } });
+    constexpr std::uint64_t steps = 1000;
+    int small = 0;
+    for (std::uint64_t step = 0; step < steps; ++step) {
+        const ServiceId* chosen = RouteTable::chooseService(split, UINT64_MAX / steps * step);
+        REQUIRE(chosen);
+        CHECK(chosen->get() != "none");
+        small += chosen->get() == "small" ? 1 : 0;
+    }
+    CHECK(small == 100);
+}
--- /dev/null
+++ b/test/correctness/PlatformNamesAreTranslated.cpp
@@ -0,0 +1,115 @@
+#include "platform/ConfigurationReader.h"
+#include "platform/PlatformTrafficCodec.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace teaselfold;
+
+namespace {
+
+std::vector<std::string> valuesOf(const RequestHead& head, const std::string& name)
+{
+    std::vector<std::string> values;
+    for (const HeaderField& field : head.fields) {
+        if (field.name == name)
+            values.push_back(field.value);
+    }
+    return values;
+}
+
+}
+
+TEST_CASE("Fields that only the system sets never pass from a caller to an endpoint")
+{
+    const PlatformTrafficCodec codec;
+    RequestHead received { "POST", "/a/b?c=d", false, {} };
+    for (const char* name : { "X-Api-Key", "X-Teaselfold-Tenant", "X-Teaselfold-Retention", "X-Teaselfold-Pin-Ms",
+             "X-Teaselfold-Kv-Replica", "Kv-From", "X-Teaselfold-Request-Priority", "X-Teaselfold-Target-Instance" })
+        received.fields.push_back({ name, "from-caller" });
+    received.fields.push_back({ "X-Teaselfold-Attempt-Id", "id-1" });
+    ExchangeOrder order;
+    order.endpoint = EndpointId("i-1");
+    order.team = TeamId("team-a");
+    order.timeLeft = Milliseconds(1200);
+    const RequestHead sent = codec.writeRequest(received, order);
+    CHECK(std::none_of(
+        sent.fields.begin(), sent.fields.end(), [](const HeaderField& field) { return field.value == "from-caller"; }));
+    CHECK(valuesOf(sent, "X-Teaselfold-Tenant") == std::vector<std::string> { "team-a" });
+    CHECK(valuesOf(sent, "X-Teaselfold-Target-Instance") == std::vector<std::string> { "i-1" });
+    CHECK(valuesOf(sent, "X-Teaselfold-Deadline-Ms") == std::vector<std::string> { "1200" });
+    CHECK(valuesOf(sent, "X-Teaselfold-Attempt-Id") == std::vector<std::string> { "id-1" });
+    CHECK(sent.target == "/a/b?c=d");
+}
+
+TEST_CASE("A stream that goes on names the engine with its memory and the last event")
+{
+    const PlatformTrafficCodec codec;
+    RequestHead received { "POST", "/a/", false, { { "Last-Event-Id", "3" } } };
+    ExchangeOrder order;
+    order.resume = ResumePoint { { "10.0.0.1", 80 }, MemoryHandle("h1"), 17 };
+    const RequestHead sent = codec.writeRequest(received, order);
+    CHECK(valuesOf(sent, "Kv-From") == std::vector<std::string> { "10.0.0.1:80/h1" });
+    CHECK(valuesOf(sent, "Last-Event-Id") == std::vector<std::string> { "17" });
+}
+
+TEST_CASE("Answers say whether they were signed and whether the request ran")
+{
+    const PlatformTrafficCodec codec;
+    const auto full = codec.readAnswer({ 503, "", { { "X-Teaselfold-Not-Executed", "1" } } });
+    CHECK(full.notRun);
+    CHECK_FALSE(full.isSigned);
+    CHECK(codec.readAnswer({ 421, "", {} }).notRun);
+    const auto success = codec.readAnswer(
+        { 200, "", { { "x-teaselfold-server-signature", "s" }, { "X-Teaselfold-Instance-Load", "3,1,8" } } });
+    CHECK(success.isSigned);
+    REQUIRE(success.load);
+    CHECK(success.load->waiting == 1);
+}
+
+TEST_CASE("A configuration is read with its routes, services, bounds and teams")
+{
+    const auto read = Prepared::readConfiguration(R"({"version":7,"routes":[{"name":"r","host":"H.example",
+        "prefix":"/p/","routeKind":"streaming","timeoutMs":6000,"goalMs":1500,"priority":2,
+        "split":[{"service":"a","weight":90},{"service":"b","weight":10}],"maxAttempts":1,"itlTargetMs":180}],
+        "services":[{"name":"a","coldPerS":36.0,"runtime":{"slots":24,"kvCapacity":34253,"migrations":true,
+        "replicas":true,"stride":4}},{"name":"b"}],"limits":{"maxHeaderBytes":100},
+        "tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":1}],"later":{"x":1}})");
+    REQUIRE(read);
+    CHECK(read->version == 7);
+    REQUIRE(read->routes.size() == 1);
+    CHECK(read->routes[0].host == "h.example");
+    CHECK(read->routes[0].kind == RequestKind::Stream);
+    CHECK(read->routes[0].services.size() == 2);
+    REQUIRE(read->services.size() == 2);
+    CHECK(read->services[0].engine->memoryTokens == 34253);
+    CHECK_FALSE(read->services[1].engine);
+    CHECK(read->bounds.maxHeadBytes == 100);
+    REQUIRE(read->teams);
+    CHECK(read->teams->front().keys.size() == 2);
+}
+
+TEST_CASE("What cannot be read names no endpoint and no configuration")
+{
+    for (const std::string text : { "", "{", "[]", "null", "{\"version\":\"7\"}", "\xff\xfe", "{\"version\":1e999}" })
+        CHECK_FALSE(Prepared::readConfiguration(text));
+    for (const std::string text : { "", "[1]", R"({"service":"s"})",
+             R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"resting"})",
+             R"({"service":"s","address":"10.0.0.1","zone":"z","state":"ready"})",
+             R"({"service":1,"address":"10.0.0.1:80","zone":"z","state":"ready"})" })
+        CHECK_FALSE(Prepared::readEndpoint("i-1", text));
+    CHECK(Prepared::readEndpoint("i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"draining"})")
+              ->isDraining);
+}
+
+TEST_CASE("A move without a handle has failed")
+{
+    const PlatformTrafficCodec codec;
+    const auto copied = codec.readMove(ExchangeId(1), 200, R"({"session":"s1","created":12})");
+    CHECK(copied.outcome == MoveOutcome::Copied);
+    CHECK(copied.handle == MemoryHandle("s1"));
+    CHECK(codec.readMove(ExchangeId(1), 200, "{}").outcome == MoveOutcome::Failed);
+    CHECK(codec.readMove(ExchangeId(1), 409, "").outcome == MoveOutcome::InProgress);
+    CHECK(codec.readMove(ExchangeId(1), 418, "").outcome == MoveOutcome::Failed);
+}
--- /dev/null
+++ b/test/correctness/StreamsOutliveTheirEngine.cpp
@@ -0,0 +1,119 @@
+#include "support/GatewayScenario.h"
+
+#include <doctest/doctest.h>
+
+using namespace teaselfold;
+
+namespace {
+
+/** A stream runs and five events went on. */
+EndpointId beginStream(GatewayScenario& scenario)
+{
+    scenario.start();
+    scenario.arrive("/draft/1");
+    scenario.answer(GatewayScenario::stream());
+    scenario.give(EventsRelayed { scenario.lastOrder()->exchange, 5 });
+    return scenario.lastOrder()->endpoint;
+}
+
+EndpointsChanged draining(const EndpointId& endpoint)
+{
+    EndpointRecord record = GatewayScenario::engine(endpoint.get());
+    record.isDraining = true;
+    return { { record }, {} };
+}
+
+/** The engine that keeps the replica leaves, so that the stream has none any more. */
+void loseReplica(GatewayScenario& scenario)
+{
+    for (const char* name : { "e1", "e2", "e3" }) {
+        const EndpointRecord record = GatewayScenario::engine(name);
+        if (record.address == scenario.lastOrder()->replicaAt)
+            scenario.give(draining(record.id));
+    }
+}
+
+}
+
+TEST_CASE("A stream goes on at the engine with its replica, after the last event that its caller has")
+{
+    GatewayScenario scenario;
+    const EndpointId first = beginStream(scenario);
+    const Address replica = *scenario.lastOrder()->replicaAt;
+    scenario.end(ExchangeEnd::Broken);
+    REQUIRE(scenario.lastOrder()->resume);
+    CHECK(scenario.lastOrder()->endpoint != first);
+    CHECK(scenario.lastOrder()->address == replica);
+    CHECK(scenario.lastOrder()->resume->lastEventId == 5);
+    CHECK(scenario.lastOrder()->resume->handle == MemoryHandle("caller-1"));
+}
+
+TEST_CASE("A stream without a replica is copied while it runs, stopped, and goes on elsewhere")
+{
+    GatewayScenario scenario;
+    const EndpointId first = beginStream(scenario);
+    const ExchangeId exchange = scenario.lastOrder()->exchange;
+    loseReplica(scenario);
+    scenario.forget();
+    scenario.give(draining(first));
+    const auto copying = scenario.take<StartMove>();
+    REQUIRE(copying);
+    CHECK_FALSE(copying->stopsRun);
+
+    scenario.forget();
+    scenario.give(MoveAnswered { exchange, MoveOutcome::Copied, MemoryHandle("h1") });
+    const auto finishing = scenario.take<StartMove>();
+    REQUIRE(finishing);
+    CHECK(finishing->stopsRun);
+    CHECK(finishing->target == copying->target);
+
+    // The last events and the end of the old stream come before or after the answer to the move.
+    scenario.forget();
+    scenario.give(MoveAnswered { exchange, MoveOutcome::Copied, MemoryHandle("h2") });
+    CHECK_FALSE(scenario.take<StartExchange>());
+    scenario.give(EventsRelayed { exchange, 7 });
+    scenario.give(ExchangeEnded { exchange, ExchangeEnd::Broken });
+    REQUIRE(scenario.take<StartExchange>());
+    CHECK(scenario.lastOrder()->resume->handle == MemoryHandle("h2"));
+    CHECK(scenario.lastOrder()->resume->lastEventId == 7);
+    CHECK(scenario.lastOrder()->address == copying->target);
+}
+
+TEST_CASE("A stream whose engine dies during the move goes on from the copy that there is")
+{
+    GatewayScenario scenario;
+    const EndpointId first = beginStream(scenario);
+    const ExchangeId exchange = scenario.lastOrder()->exchange;
+    loseReplica(scenario);
+    scenario.give(draining(first)).give(MoveAnswered { exchange, MoveOutcome::Copied, MemoryHandle("h1") });
+    scenario.forget();
+    scenario.give(ExchangeEnded { exchange, ExchangeEnd::Broken });
+    CHECK_FALSE(scenario.take<StartExchange>());
+    scenario.give(MoveAnswered { exchange, MoveOutcome::Failed, {} });
+    REQUIRE(scenario.take<StartExchange>());
+    CHECK(scenario.lastOrder()->resume->handle == MemoryHandle("h1"));
+}
+
+TEST_CASE("A stream that nobody has a copy of ends visibly cut")
+{
+    GatewayScenario scenario;
+    beginStream(scenario);
+    loseReplica(scenario);
+    scenario.forget();
+    scenario.end(ExchangeEnd::Broken);
+    CHECK(scenario.take<CutAnswer>());
+    CHECK_FALSE(scenario.take<StartExchange>());
+}
+
+TEST_CASE("A caller that leaves during a move ends it")
+{
+    GatewayScenario scenario;
+    const EndpointId first = beginStream(scenario);
+    const ExchangeId exchange = scenario.lastOrder()->exchange;
+    loseReplica(scenario);
+    scenario.give(draining(first)).forget();
+    scenario.give(RequestAbandoned { RequestId(1) });
+    CHECK(scenario.take<CancelExchange>());
+    scenario.give(MoveAnswered { exchange, MoveOutcome::Copied, MemoryHandle("h1") });
+    CHECK_FALSE(scenario.take<StartExchange>());
+}
