Place streams by what is held at once; find requests that crash endpoints; reload; measure

Cause: requests were spread as if all held their largest memory at once; copies were kept for streams that end before their engine leaves; suspects, histograms and a reload were missing. Change: engines may be booked to 1.4 times their memory by expected ends; replicas from 20 events on; a request is a suspect when its connection broke and its endpoint then refuses connections; counters and histograms a team and class; SIGHUP and a changed file replace the limits.

--- a/apps/teaselfold-gateway/Main.cpp
+++ b/apps/teaselfold-gateway/Main.cpp
@@ -40,6 +40,9 @@
 /** Gateways come and go rarely, and their table proves nothing. */
 constexpr Milliseconds memberHold(10000);
 
+/** How often the settings file is looked at when no signal says that it changed. */
+constexpr Seconds settingsPeriod(2);
+
 TrafficOptions trafficOptions(const GatewaySettings& settings)
 {
     TrafficOptions options;
@@ -51,18 +54,26 @@
     return options;
 }
 
+/** Reads the settings as at the start of the process. */
+using SettingsReader = std::function<std::variant<GatewaySettings, ProcessExit>()>;
+
 /** All parts of a gateway; members are destroyed in the reverse order of their use of each other. */
 class GatewayProcess {
 public:
-    explicit GatewayProcess(const GatewaySettings& settings);
+    /** @param reread reads the settings again, as at the start. */
+    GatewayProcess(const GatewaySettings& settings, SettingsReader reread);
 
     /** Serves until a stop signal came and its work is done. @return the reason when an address is taken. */
     std::optional<Failure> run(const sigset_t& signals);
 
 private:
+    /** Returns at the first stop signal; a changed settings file is read on a signal or without one. */
+    void waitForStop(const sigset_t& signals);
+    void reload(bool asked);
     std::unique_ptr<StoreFollower> follow(std::unique_ptr<TableTranslator> translator, Milliseconds hold);
 
     GatewaySettings settings;
+    SettingsReader reread;
     SystemRandomness randomness;
     PlatformTrafficCodec codec;
     std::unique_ptr<TelemetryHub> telemetry;
@@ -73,8 +84,9 @@
     std::vector<std::unique_ptr<StoreFollower>> followers;
 };
 
-GatewayProcess::GatewayProcess(const GatewaySettings& gatewaySettings)
+GatewayProcess::GatewayProcess(const GatewaySettings& gatewaySettings, SettingsReader settingsReader)
     : settings(gatewaySettings)
+    , reread(std::move(settingsReader))
     , telemetry(TelemetryHubBuilder().withLogSink(writeLog).build())
     , gateway(
           gatewayLimits(this->settings), { GatewayId(this->settings.instance), this->settings.zone }, this->randomness)
@@ -102,6 +114,33 @@
         &bootTimeNow);
 }
 
+void GatewayProcess::waitForStop(const sigset_t& signals)
+{
+    const timespec period { settingsPeriod.count(), 0 };
+    while (true) {
+        const int signal = sigtimedwait(&signals, nullptr, &period);
+        if (signal == SIGTERM || signal == SIGINT)
+            return;
+        this->reload(signal == SIGHUP);
+    }
+}
+
+void GatewayProcess::reload(bool asked)
+{
+    const auto read = this->reread();
+    const auto* changed = std::get_if<GatewaySettings>(&read);
+    if (!changed) {
+        if (asked)
+            this->telemetry->log(
+                { "reload", { { "outcome", "refused" }, { "reason", std::get<ProcessExit>(read).errors } } });
+        return;
+    }
+    if (!asked && *changed == this->settings)
+        return;
+    this->settings = *changed;
+    this->traffic->ring().push(LimitsChanged { gatewayLimits(this->settings) });
+}
+
 std::optional<Failure> GatewayProcess::run(const sigset_t& signals)
 {
     this->telemetry->start();
@@ -113,9 +152,7 @@
         return Failure { ErrorCode::Internal, "cannot listen for peers: " + *reason, Run::No, {} };
     for (const auto& follower : this->followers)
         follower->start();
-    int signal = 0;
-    while (sigwait(&signals, &signal) == 0 && signal == SIGHUP)
-        this->telemetry->log({ "reload", { { "outcome", "unchanged" } } });
+    this->waitForStop(signals);
     this->traffic->ring().push(GatewayStopRequested {});
     this->stopped.get_future().wait();
     for (const auto& follower : this->followers)
@@ -137,7 +174,9 @@
     if (const auto* exit = std::get_if<ProcessExit>(&read))
         return finishProcess(*exit);
     startLogging(argv[0]);
-    GatewayProcess process(*std::get_if<GatewaySettings>(&read));
+    GatewayProcess process(*std::get_if<GatewaySettings>(&read), [&] {
+        return readGatewayCommandLine({ "teaselfold-gateway", TEASELFOLD_VERSION }, arguments);
+    });
     const auto failure = process.run(signals);
     if (failure)
         writeLog({ "start_failed", { { "reason", failure->message } } });
--- a/src/adapters/peers/NewsCodec.cpp
+++ b/src/adapters/peers/NewsCodec.cpp
@@ -1,6 +1,6 @@
 #include "adapters/peers/NewsCodec.h"
 
-#include "adapters/peers/Peers_generated.h"
+#include "adapters/peers/PeerWire.h"
 
 #include <algorithm>
 
--- a/src/adapters/settings/GatewaySettings.h
+++ b/src/adapters/settings/GatewaySettings.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "adapters/settings/SettingProblem.h"
-#include "core/gateway/GatewayLimits.h"
 #include "ports/Fleet.h"
+#include "ports/GatewayLimits.h"
 
 #include <optional>
 #include <string>
--- a/src/core/gateway/EndpointDirectory.h
+++ b/src/core/gateway/EndpointDirectory.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/gateway/GatewayLimits.h"
+#include "ports/GatewayLimits.h"
 #include "ports/GatewayMessages.h"
 #include "ports/PeerMessages.h"
 
@@ -82,7 +82,7 @@
     /** @return true when the endpoint newly leaves. */
     bool apply(const EndpointRecord& record, Instant now);
 
-    GatewayLimits limits;
+    const GatewayLimits& limits;
     std::map<EndpointId, GatewayEndpoint> endpoints;
     std::set<ZoneId> zonesOut;
 };
--- a/src/core/gateway/EndpointPicker.cpp
+++ b/src/core/gateway/EndpointPicker.cpp
@@ -12,8 +12,11 @@
     /** Random part of a score, so that instances with the same view do not all choose the same endpoint. */
     constexpr double scoreJitter = 0.02;
 
-    /** Share of an engine's memory beyond which requests may be preempted. */
-    constexpr double crowdedShare = 0.8;
+    /**
+     * Expected tokens, as a share of an engine's memory, beyond which requests may be preempted. More than one: what
+     * requests are expected to hold at their ends is never held by all at once.
+     */
+    constexpr double crowdedShare = 1.4;
     /** Seconds by which a request is set back at an engine whose memory is overbooked once. */
     constexpr double crowdedSeconds = 60;
     /** Seconds by which a full engine slows a request down, since its steps take longer. */
@@ -109,7 +112,8 @@
 GatewayEndpoint* SoonestDonePicker::pick(
     const std::vector<GatewayEndpoint*>& candidates, const GatewayService& service, const PickContext& context) const
 {
-    const double memory = std::max<std::uint64_t>(service.engine ? service.engine->memoryTokens : 0, 1);
+    const auto memory
+        = static_cast<double>(std::max<std::uint64_t>(service.engine ? service.engine->memoryTokens : 0, 1));
     const double usualEventTime = usualTime(candidates);
     const auto events = static_cast<double>(context.events);
     const double usualReading = static_cast<double>(context.promptTokens) * secondsPerPromptToken;
--- a/src/core/gateway/ExchangeKeeper.cpp
+++ b/src/core/gateway/ExchangeKeeper.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+    /** Expected events from which a stream gets a replica; shorter ones end before their engine leaves. */
+    constexpr std::uint64_t replicatedEvents = 20;
     constexpr std::uint16_t firstServerError = 500;
     constexpr std::uint16_t firstRedirection = 300;
     constexpr std::uint16_t firstSuccess = 200;
@@ -80,7 +82,8 @@
 std::optional<Address> ExchangeKeeper::placeReplica(ActiveRequest& active, const GatewayEndpoint& endpoint, Instant now)
 {
     active.replicaAt.reset();
-    if (!active.service->engine || !active.service->engine->canReplicate || !isStream(active))
+    const auto& engine = active.service->engine;
+    if (!engine || !engine->canReplicate || !isStream(active) || active.events < replicatedEvents)
         return std::nullopt;
     const GatewayEndpoint* chosen = placeCopy(this->state, active, endpoint.record.zone, { endpoint.record.id }, now);
     if (!chosen)
@@ -158,6 +161,8 @@
 
 void ExchangeKeeper::refuse(ActiveRequest& active, Failure failure, Instant now, GatewayActions& actions)
 {
+    const Metric metric = failure.run == Run::No ? Metric::Refusal : Metric::Failed;
+    Internal::observe(actions, active, metric, 1, std::string(codeName(failure.code)));
     if (active.isAnswering)
         actions.emplace_back(CutAnswer { active.request.id });
     else
@@ -171,6 +176,7 @@
         auto line = Internal::requestLine("retried", active, now);
         line.fields.push_back({ "reason", failure.message });
         actions.emplace_back(std::move(line));
+        Internal::observe(actions, active, Metric::Retry);
         return this->dispatch(active, now, actions);
     }
     auto line = Internal::requestLine("failed", active, now);
@@ -208,6 +214,7 @@
         auto line = Internal::requestLine("retried", *active, now);
         line.fields.push_back({ "reason", "status " + std::to_string(answer.status) });
         actions.emplace_back(std::move(line));
+        Internal::observe(actions, *active, Metric::Retry);
         return this->dispatch(*active, now, actions);
     }
     // The run that the copy was to be made of never began, so there is none.
@@ -232,9 +239,12 @@
     internalCheck(active, "an exchange belongs to an active request");
     active->exchange.reset();
     if (event.end == ExchangeEnd::Complete) {
+        this->state.quarantine.clear(active->request.fingerprint);
         actions.emplace_back(Internal::requestLine("completed", *active, now));
+        Internal::observeCompleted(actions, *active, now);
         return this->finish(*active, now, actions);
     }
+    this->watchCrash(*active, *exchange, event.end, now, actions);
     this->state.endpoints.fail(exchange->endpoint, now);
     if (event.end == ExchangeEnd::NotConnected && !active->isAnswering)
         return this->sendElsewhere(*active, now, actions);
@@ -242,6 +252,18 @@
     this->breakOff(*active, now, actions);
 }
 
+void ExchangeKeeper::watchCrash(
+    const ActiveRequest& active, const Exchange& exchange, ExchangeEnd end, Instant now, GatewayActions& actions)
+{
+    if (end == ExchangeEnd::Broken)
+        return this->state.crashes.connectionBroke(exchange.endpoint, active.request.fingerprint, now);
+    const std::size_t suspects = this->state.crashes.connectionRefused(exchange.endpoint, now);
+    if (suspects > 0) {
+        actions.emplace_back(LogEvent { "endpoint_crashed",
+            { { "endpoint", exchange.endpoint.get() }, { "suspects", std::to_string(suspects) } } });
+    }
+}
+
 void ExchangeKeeper::sendElsewhere(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
     active.replicaAt.reset();
@@ -305,8 +327,13 @@
     }
     running.lastEventId = event.lastEventId;
     running.lastEventAt = now;
-    if (ActiveRequest* active = this->find(exchange->second.request))
-        active->lastEventId = event.lastEventId;
+    ActiveRequest* active = this->find(running.request);
+    internalCheck(active, "an exchange belongs to an active request");
+    if (active->newestEventAt)
+        active->longestPause = std::max(active->longestPause, now - *active->newestEventAt);
+    active->newestEventAt = now;
+    active->answeredAt = active->answeredAt.value_or(now);
+    active->lastEventId = event.lastEventId;
 }
 
 void ExchangeKeeper::abandon(RequestId request, Instant now, GatewayActions& actions)
@@ -318,6 +345,7 @@
         this->takeExchange(*active->exchange);
         actions.emplace_back(CancelExchange { *active->exchange });
     }
+    Internal::observe(actions, *active, Metric::Cancelled);
     actions.emplace_back(LogEvent { "abandoned", { { "request", active->request.callerId } } });
     this->finish(*active, now, actions);
 }
--- a/src/core/gateway/ExchangeKeeper.h
+++ b/src/core/gateway/ExchangeKeeper.h
@@ -35,6 +35,8 @@
     GatewayEndpoint* pick(const ActiveRequest& active, const std::set<EndpointId>& excluded, Instant now) const;
     bool mayRepeat(const ActiveRequest& active, Instant now);
     void retryOrFail(ActiveRequest& active, Failure failure, Instant now, GatewayActions& actions);
+    void watchCrash(
+        const ActiveRequest& active, const Exchange& exchange, ExchangeEnd end, Instant now, GatewayActions& actions);
     /** Nothing was sent: the request goes to another endpoint without using up an attempt. */
     void sendElsewhere(ActiveRequest& active, Instant now, GatewayActions& actions);
     void breakOff(ActiveRequest& active, Instant now, GatewayActions& actions);
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -39,7 +39,7 @@
             &Gateway::abandoned, &Gateway::answered, &Gateway::ended, &Gateway::relayed, &Gateway::moveAnswered,
             &Gateway::configurationRead, &Gateway::endpointsListed, &Gateway::endpointsChanged, &Gateway::zonesOutRead,
             &Gateway::storeAnswered, &Gateway::storeFailed, &Gateway::membersListed, &Gateway::peerHeard,
-            &Gateway::stopRequested);
+            &Gateway::limitsChanged, &Gateway::stopRequested);
         return table;
     }
 };
@@ -64,6 +64,7 @@
     GatewayActions actions;
     this->endpointsLeave(this->state.endpoints.expire(now), now, actions);
     this->state.quarantine.expire(now);
+    this->state.crashes.expire(now);
     this->exchanges.tick(now, actions);
     this->state.peers.expire(now);
     this->tellPeers(now, actions);
@@ -82,6 +83,8 @@
         actions.emplace_back(LogEvent { "denied",
             { { "request", event.request.callerId }, { "code", std::string(codeName(failure->code)) },
                 { "reason", failure->message } } });
+        actions.emplace_back(Observation {
+            Metric::Refusal, TeamId(), PriorityClass::Standard, 1, std::string(codeName(failure->code)) });
         actions.emplace_back(RefuseRequest { event.request.id, std::move(*failure) });
         return;
     }
@@ -181,6 +184,13 @@
     this->state.quarantine.merge(EndpointId(event.news.instance.get()), event.news.suspects, now);
 }
 
+void Gateway::limitsChanged(const LimitsChanged& event, Instant, GatewayActions& actions)
+{
+    const bool changes = event.limits != this->state.limits;
+    this->state.limits = event.limits;
+    actions.emplace_back(LogEvent { "reload", { { "outcome", changes ? "applied" : "unchanged" } } });
+}
+
 void Gateway::tellPeers(Instant now, GatewayActions& actions)
 {
     const GatewayLimits& limits = this->state.limits;
--- a/src/core/gateway/Gateway.h
+++ b/src/core/gateway/Gateway.h
@@ -46,6 +46,7 @@
     void storeFailed(const StoreFailed& event, Instant now, GatewayActions& actions);
     void membersListed(const MembersListed& event, Instant now, GatewayActions& actions);
     void peerHeard(const PeerHeard& event, Instant now, GatewayActions& actions);
+    void limitsChanged(const LimitsChanged& event, Instant now, GatewayActions& actions);
     void tellPeers(Instant now, GatewayActions& actions);
     void stopRequested(const GatewayStopRequested& event, Instant now, GatewayActions& actions);
     void endpointsLeave(const std::vector<EndpointId>& leaving, Instant now, GatewayActions& actions);
--- a/src/core/gateway/GatewayLog.cpp
+++ b/src/core/gateway/GatewayLog.cpp
@@ -1,12 +1,40 @@
 #include "core/gateway/GatewayLog.h"
 
+#include <algorithm>
+
 namespace teaselfold::Internal {
 
+namespace {
+
+    double milliseconds(Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
+
+}
+
 std::string millisecondsText(Duration duration)
 {
     return std::to_string(std::chrono::duration_cast<Milliseconds>(duration).count());
 }
 
+void observe(GatewayActions& actions, const ActiveRequest& active, Metric metric, double value, std::string label)
+{
+    const auto last = static_cast<std::uint32_t>(PriorityClass::Batch);
+    const auto priority = static_cast<PriorityClass>(std::min(active.priority, last));
+    actions.emplace_back(Observation { metric, active.team.value_or(TeamId()), priority, value, std::move(label) });
+}
+
+void observeCompleted(GatewayActions& actions, const ActiveRequest& active, Instant now)
+{
+    observe(actions, active, Metric::Completed, 1, active.route->name);
+    if (active.route->kind != RequestKind::Stream)
+        return observe(actions, active, Metric::CallDuration, milliseconds(now - active.arrivedAt));
+    if (active.answeredAt)
+        observe(actions, active, Metric::FirstToken, milliseconds(*active.answeredAt - active.arrivedAt));
+    observe(actions, active, Metric::Stall, milliseconds(active.longestPause));
+    const double tokens = static_cast<double>(active.lastEventId)
+        * (active.service->engine ? active.service->engine->tokensPerEvent : 1);
+    observe(actions, active, Metric::OutputLength, tokens);
+}
+
 LogEvent requestLine(std::string name, const ActiveRequest& active, Instant now)
 {
     LogEvent line { std::move(name), {} };
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -2,6 +2,7 @@
 
 #include "core/entry/Quarantine.h"
 #include "core/entry/RetryBudget.h"
+#include "core/gateway/CrashWatch.h"
 #include "core/gateway/EndpointDirectory.h"
 #include "core/gateway/PeerBoard.h"
 #include "core/gateway/RouteTable.h"
@@ -59,9 +60,14 @@
     std::optional<ExchangeId> exchange;
     /** An endpoint may have begun to work on it: "not run" can never be said again. */
     bool mayHaveRun { false };
+    /** When the first part of the answer came; nothing before. */
+    std::optional<Instant> answeredAt;
+    /** Longest time between two events of a stream. */
+    Duration longestPause { 0 };
     /** Parts of an answer went to the caller. */
     bool isAnswering { false };
     std::uint64_t lastEventId { 0 };
+    std::optional<Instant> newestEventAt;
     /** Engine that keeps a copy of the run's memory. */
     std::optional<EndpointId> replicaAt;
     std::optional<RunMove> move;
@@ -95,14 +101,18 @@
         : limits(gatewayLimits)
         , zone(std::move(place.zone))
         , randomness(random)
-        , freshness(gatewayLimits)
-        , endpoints(gatewayLimits)
-        , peers(gatewayLimits, std::move(place.instance), Incarnation(random.next()))
+        , freshness(this->limits)
+        , endpoints(this->limits)
+        , peers(this->limits, std::move(place.instance), Incarnation(random.next()))
         , quarantine(sharedLimits)
+        , crashes(this->quarantine)
         , sharedLimits(sharedLimits)
     {
     }
 
+    GatewayState(const GatewayState&) = delete;
+    GatewayState& operator=(const GatewayState&) = delete;
+
     /** @return the budget of a service's retries. */
     RetryBudget& retriesOf(const ServiceId& service)
     {
@@ -114,6 +124,7 @@
         return budget;
     }
 
+    /** Shared by reference with the parts below; replaced when the settings change. */
     GatewayLimits limits;
     ZoneId zone;
     Randomness& randomness;
@@ -121,6 +132,7 @@
     EndpointDirectory endpoints;
     PeerBoard peers;
     Quarantine quarantine;
+    CrashWatch crashes;
     RouterLimits sharedLimits;
     std::map<ServiceId, RetryBudget> retries;
     std::optional<RouteTable> routes;
--- a/src/core/gateway/PeerBoard.h
+++ b/src/core/gateway/PeerBoard.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/gateway/GatewayLimits.h"
+#include "ports/GatewayLimits.h"
 #include "ports/PeerInterfaces.h"
 
 #include <map>
@@ -47,7 +47,7 @@
 
     void addUp();
 
-    GatewayLimits limits;
+    const GatewayLimits& limits;
     GatewayId self;
     Incarnation incarnation;
     std::uint64_t sequence { 0 };
--- a/src/core/gateway/StoreFreshness.h
+++ b/src/core/gateway/StoreFreshness.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/gateway/GatewayLimits.h"
+#include "ports/GatewayLimits.h"
 #include "ports/GatewayMessages.h"
 
 #include <array>
@@ -36,7 +36,7 @@
     Part& at(Followed part) { return this->parts[static_cast<std::size_t>(part)]; }
     const Part& at(Followed part) const { return this->parts[static_cast<std::size_t>(part)]; }
 
-    GatewayLimits limits;
+    const GatewayLimits& limits;
     std::array<Part, followedCount> parts;
 };
 
--- a/src/core/gateway/GatewayLimits.h
+++ b/src/ports/GatewayLimits.h
@@ -51,6 +51,8 @@
     Milliseconds stopLimit { 7500 };
     /** Shortest deadline with which a request is still sent; less is no use to an endpoint. */
     Milliseconds shortestDeadline { 20 };
+
+    bool operator==(const GatewayLimits&) const = default;
 };
 
 }
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ports/GatewayConfiguration.h"
+#include "ports/GatewayLimits.h"
 #include "ports/Outcome.h"
 #include "ports/PeerInterfaces.h"
 #include "ports/Telemetry.h"
@@ -159,12 +160,17 @@
     PeerNews news;
 };
 
+/** The settings changed in a way that can be applied while running. */
+struct LimitsChanged {
+    GatewayLimits limits;
+};
+
 /** The process is to stop once its work is done. */
 struct GatewayStopRequested { };
 
 using GatewayEvent = std::variant<RequestArrived, RequestAbandoned, ExchangeAnswered, ExchangeEnded, EventsRelayed,
     MoveAnswered, ConfigurationRead, EndpointsListed, EndpointsChanged, ZonesOutRead, StoreAnswered, StoreFailed,
-    MembersListed, PeerHeard, GatewayStopRequested>;
+    MembersListed, PeerHeard, LimitsChanged, GatewayStopRequested>;
 
 /** Where a stream goes on that was begun elsewhere. */
 struct ResumePoint {
--- a/test/correctness/GatewaysHearEachOther.cpp
+++ b/test/correctness/GatewaysHearEachOther.cpp
@@ -18,7 +18,11 @@
     return news;
 }
 
-PeerBoard board() { return { GatewayLimits {}, GatewayId("self"), Incarnation(1) }; }
+PeerBoard board()
+{
+    static const GatewayLimits limits;
+    return { limits, GatewayId("self"), Incarnation(1) };
+}
 
 }
 
--- a/test/correctness/PlatformNamesAreTranslated.cpp
+++ b/test/correctness/PlatformNamesAreTranslated.cpp
@@ -94,10 +94,10 @@
 {
     for (const std::string text : { "", "{", "[]", "null", "{\"version\":\"7\"}", "\xff\xfe", "{\"version\":1e999}" })
         CHECK_FALSE(Prepared::readConfiguration(text));
-    for (const std::string text : { "", "[1]", R"({"service":"s"})",
-             R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"resting"})",
-             R"({"service":"s","address":"10.0.0.1","zone":"z","state":"ready"})",
-             R"({"service":1,"address":"10.0.0.1:80","zone":"z","state":"ready"})" })
+    for (const std::string text :
+        { "", "[1]", R"({"service":"s"})", R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"resting"})",
+            R"({"service":"s","address":"10.0.0.1","zone":"z","state":"ready"})",
+            R"({"service":1,"address":"10.0.0.1:80","zone":"z","state":"ready"})" })
         CHECK_FALSE(Prepared::readEndpoint("i-1", text));
     CHECK(Prepared::readEndpoint("i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"draining"})")
               ->isDraining);
--- a/test/error/AmbiguousRequestsAreRefused.cpp
+++ b/test/error/AmbiguousRequestsAreRefused.cpp
@@ -51,7 +51,8 @@
 
 TEST_CASE("Malformed chunks break the body")
 {
-    for (const std::string bytes : { "x\r\nabc\r\n", "3\nabc\r\n0\r\n\r\n", "3\r\nabcd\r\n0\r\n\r\n", "\r\n", "-1\r\n" }) {
+    for (const std::string bytes :
+        { "x\r\nabc\r\n", "3\nabc\r\n0\r\n\r\n", "3\r\nabcd\r\n0\r\n\r\n", "\r\n", "-1\r\n" }) {
         BodyDecoder decoder({ BodyKind::Chunked, 0 });
         std::string body;
         decoder.feed(bytes, body);
--- a/test/error/RevokedKeysAreNotAccepted.cpp
+++ b/test/error/RevokedKeysAreNotAccepted.cpp
@@ -49,8 +49,8 @@
     GatewayConfiguration newer = GatewayScenario::configuration(5);
     newer.teams->erase(newer.teams->begin());
     scenario.give(ConfigurationRead { std::make_shared<const GatewayConfiguration>(newer) });
-    scenario.give(ConfigurationRead {
-        std::make_shared<const GatewayConfiguration>(GatewayScenario::configuration(4)) });
+    scenario.give(
+        ConfigurationRead { std::make_shared<const GatewayConfiguration>(GatewayScenario::configuration(4)) });
     scenario.storeAnswers().forget();
     scenario.arrive("/write/1", "key-a");
     const auto refused = scenario.take<RefuseRequest>();
--- a/test/support/GatewayScenario.cpp
+++ b/test/support/GatewayScenario.cpp
@@ -102,7 +102,7 @@
     return *this;
 }
 
-RequestId GatewayScenario::arrive(const std::string& path, const std::string& key)
+GatewayRequest GatewayScenario::request(const std::string& path, const std::string& key)
 {
     GatewayRequest request;
     request.id = RequestId(++this->lastRequest);
@@ -115,8 +115,26 @@
     request.promptTokens = 1000;
     request.maxOutputTokens = 400;
     request.fingerprint = Fingerprint(this->lastRequest);
-    this->give(RequestArrived { request });
-    return request.id;
+    return request;
+}
+
+RequestId GatewayScenario::arrive(const std::string& path, const std::string& key)
+{
+    return this->receive(this->request(path, key));
+}
+
+RequestId GatewayScenario::arriveAgain(const std::string& path, Fingerprint fingerprint)
+{
+    GatewayRequest request = this->request(path, "key-a");
+    request.fingerprint = fingerprint;
+    return this->receive(std::move(request));
+}
+
+RequestId GatewayScenario::receive(GatewayRequest request)
+{
+    const RequestId id = request.id;
+    this->give(RequestArrived { std::move(request) });
+    return id;
 }
 
 void GatewayScenario::answer(AnswerSummary summary) { this->give(ExchangeAnswered { this->order->exchange, summary }); }
--- a/test/support/GatewayScenario.h
+++ b/test/support/GatewayScenario.h
@@ -28,6 +28,8 @@
 
     /** A request arrives. @return its id. */
     RequestId arrive(const std::string& path, const std::string& key = "key-a");
+    /** A request arrives that another one may have been before. @return its id. */
+    RequestId arriveAgain(const std::string& path, Fingerprint fingerprint);
     /** The newest exchange is answered. */
     void answer(AnswerSummary summary);
     void end(ExchangeEnd how);
@@ -54,6 +56,8 @@
     static AnswerSummary failure(std::uint16_t status);
 
 private:
+    GatewayRequest request(const std::string& path, const std::string& key);
+    RequestId receive(GatewayRequest request);
     void collect(GatewayActions taken);
 
     SeededRandomness randomness { 1 };
