--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 
 demo: build
 	@scripts/demo $(BUILD)/bin
+	@test/process/gateway-serves-callers.sh $(BUILD)/bin
 
 test: build check unit
 
