--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -19,7 +19,7 @@
 {
     const auto [entry, isNew] = this->endpoints.try_emplace(record.id);
     GatewayEndpoint& endpoint = entry->second;
-    const bool restarted = !isNew && endpoint.record.startedAtUnixMs != record.startedAtUnixMs;
+    const bool restarted = !isNew && endpoint.record.startedAt != record.startedAt;
     const bool wasUsable = !isNew && !endpoint.record.isDraining;
     if (restarted) {
         endpoint.failuresInRow = 0;
--- a/src/ports/GatewayConfiguration.h
+++ b/src/ports/GatewayConfiguration.h
@@ -112,7 +112,7 @@
     Milliseconds coldFor { 0 };
     std::uint32_t slots { 0 };
     /** Changes when an endpoint starts anew under its old id. */
-    std::int64_t startedAtUnixMs { 0 };
+    WallTime startedAt;
 };
 
 }
