Wait 250 ms for a connection to an endpoint

Cause: a dark endpoint costs each request sent there the whole wait, and plain calls have an objective of 150 ms.

--- a/src/adapters/settings/GatewaySettings.h
+++ b/src/adapters/settings/GatewaySettings.h
@@ -22,7 +22,7 @@
     Address peers;
     Address store;
     Milliseconds storeTimeout { 700 };
-    Milliseconds connectTimeout { 400 };
+    Milliseconds connectTimeout { 250 };
     Milliseconds stopLimit { 8000 };
     Milliseconds revocationLimit { 5000 };
     double retryRatio { 0.2 };
--- a/src/adapters/traffic/TrafficServer.h
+++ b/src/adapters/traffic/TrafficServer.h
@@ -17,7 +17,7 @@
     Address callers;
     Address readiness;
     std::optional<Address> metrics;
-    Milliseconds connectTimeout { 400 };
+    Milliseconds connectTimeout { 250 };
     /** A stop ends the process by then, whatever is still in progress. */
     Milliseconds stopLimit { 7500 };
     /** Kept connections stay open for so long after the order to stop; then the idle ones close. */
