--- a/apps/teaselfold-agent/AgentProcess.h
+++ b/apps/teaselfold-agent/AgentProcess.h
@@ -10,24 +10,15 @@
 #include "adapters/settings/AgentSettings.h"
 #include "ports/Randomness.h"
 #include "runtime/AgentDuty.h"
+#include "runtime/SystemRandomness.h"
 
 #include <future>
 #include <memory>
-#include <random>
 
 namespace teaselfold {
 
 class AgentAdminServer;
 
-/** Random numbers from the system. */
-class SystemRandomness final : public Randomness {
-public:
-    std::uint64_t next() override { return (std::uint64_t { this->device() } << 32U) | this->device(); }
-
-private:
-    std::random_device device;
-};
-
 /** All threads of an agent, wired together. */
 class AgentProcess {
 public:
--- a/apps/teaselfold-entry/Main.cpp
+++ b/apps/teaselfold-entry/Main.cpp
@@ -10,28 +10,15 @@
 #include "core/control/ConfigurationKeeper.h"
 #include "runtime/ControlDuty.h"
 #include "runtime/RouterDuty.h"
+#include "runtime/SystemRandomness.h"
 
 #include <csignal>
 #include <future>
-#include <random>
 
 using namespace teaselfold;
 
 namespace {
 
-class SystemRandomness final : public Randomness {
-public:
-    std::uint64_t next() override
-    {
-        const std::uint64_t high = this->device();
-        return (high << halfBits) | this->device();
-    }
-
-private:
-    static constexpr int halfBits = 32;
-    std::random_device device;
-};
-
 /** Blocks the stop signals in this thread and in all that it starts, so that only waitForStop sees them. */
 sigset_t blockStopSignals()
 {
--- a/apps/teaselfold-gateway/Main.cpp
+++ b/apps/teaselfold-gateway/Main.cpp
@@ -6,23 +6,15 @@
 #include "platform/PlatformTrafficCodec.h"
 #include "platform/StoreFollower.h"
 #include "runtime/BootClock.h"
+#include "runtime/SystemRandomness.h"
 
 #include <csignal>
 #include <future>
-#include <random>
 
 using namespace teaselfold;
 
 namespace {
 
-class SystemRandomness final : public Randomness {
-public:
-    std::uint64_t next() override { return this->engine(); }
-
-private:
-    std::mt19937_64 engine { std::random_device {}() };
-};
-
 sigset_t blockSignals()
 {
     sigset_t signals;
--- a/src/adapters/traffic/CallerSide.h
+++ b/src/adapters/traffic/CallerSide.h
@@ -29,7 +29,6 @@
     }
 
     void connected(ConnectionId connection);
-    /** @return false when the connection is to be closed at once. */
     void received(ConnectionId connection, std::string_view bytes);
     /** The caller left. */
     void closed(ConnectionId connection);
--- a/src/adapters/traffic/OwnAnswers.cpp
+++ b/src/adapters/traffic/OwnAnswers.cpp
@@ -11,12 +11,6 @@
 
     constexpr std::uint16_t badGateway = 502;
 
-    /** Statuses that promise the caller that its request has not run and never will. */
-    bool promisesNotRun(std::uint16_t status)
-    {
-        return status == 408 || status == 421 || status == 429 || status == 503;
-    }
-
     std::uint16_t statusOf(const Failure& failure)
     {
         const std::uint16_t status = httpStatus(failure.code);
--- a/src/core/gateway/ExchangeKeeper.cpp
+++ b/src/core/gateway/ExchangeKeeper.cpp
@@ -21,12 +21,6 @@
         return answer.status >= firstSuccess && answer.status < firstRedirection;
     }
 
-    /** @return true for statuses that promise the caller that its request has not run. */
-    bool promisesNotRun(std::uint16_t status)
-    {
-        return status == 408 || status == 421 || status == 429 || status == 503;
-    }
-
     Milliseconds timeLeft(const ActiveRequest& active, Instant now)
     {
         return std::chrono::duration_cast<Milliseconds>(active.answerBy - now);
@@ -221,8 +215,12 @@
     active->replicaAt.reset();
     if (active->isAnswering)
         return this->breakOff(*active, now, actions);
-    if (!answer.notRun)
+    if (!answer.notRun || answer.isMisdirected)
         this->state.endpoints.fail(exchange.endpoint, now);
+    const bool goesElsewhere
+        = answer.isMisdirected && !active->mayHaveRun && this->state.retriesOf(active->service->name).withdraw(now);
+    if (goesElsewhere)
+        return this->sendElsewhere(*active, now, actions);
     const Run run = runOf(*active);
     this->retryOrFail(*active,
         { run == Run::No ? ErrorCode::NoCapacity : ErrorCode::EndpointLost,
--- a/src/core/gateway/MoveKeeper.cpp
+++ b/src/core/gateway/MoveKeeper.cpp
@@ -4,6 +4,8 @@
 #include "core/gateway/GatewayLog.h"
 
 #include <algorithm>
+#include <array>
+#include <string_view>
 
 namespace teaselfold {
 
@@ -20,6 +22,12 @@
         return expected > made ? expected - made : made / 2;
     }
 
+    std::string_view outcomeName(MoveOutcome outcome)
+    {
+        constexpr std::array<std::string_view, 5> names { "copied", "no_such_run", "in_progress", "no_room", "failed" };
+        return names[static_cast<std::size_t>(outcome)];
+    }
+
     LogEvent moveLine(std::string name, const ActiveRequest& active, Instant now)
     {
         auto line = Internal::requestLine(std::move(name), active, now);
@@ -106,7 +114,7 @@
     RunMove& move = *active.move;
     auto line = moveLine("move_answered", active, now);
     line.fields.push_back({ "phase", move.phase == MovePhase::Copying ? "copying" : "finishing" });
-    line.fields.push_back({ "outcome", std::to_string(static_cast<int>(event.outcome)) });
+    line.fields.push_back({ "outcome", std::string(outcomeName(event.outcome)) });
     actions.emplace_back(std::move(line));
     const bool copied = event.outcome == MoveOutcome::Copied;
     if (copied)
--- a/src/ports/GatewayConfiguration.h
+++ b/src/ports/GatewayConfiguration.h
@@ -45,15 +45,10 @@
     std::uint32_t maxAttempts { 1 };
     /** Served without a key. */
     bool isPublic { false };
-    /** The requests describe their prompts, as model engines need them. */
-    bool isForEngines { false };
-    /** Longest pause between two events of a stream that is on time; zero for other kinds. */
-    Milliseconds longestPause { 0 };
 };
 
 /** What is known of the model engines of a service. */
 struct EngineTraits {
-    std::uint32_t slots { 0 };
     /** Tokens of running requests and cached prefixes that fit into an engine's memory. */
     std::uint64_t memoryTokens { 0 };
     /** The engines hand running requests over to each other. */
@@ -67,9 +62,7 @@
 /** One service and what its endpoints bear. */
 struct GatewayService {
     ServiceId name;
-    std::string healthPath;
-    /** Connections that one endpoint accepts from all instances together. */
-    std::uint32_t maxConnections { 0 };
+
     /** Requests a second that a cold endpoint bears. */
     double coldRequestsPerSecond { 0 };
     std::optional<EngineTraits> engine;
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -57,6 +57,8 @@
     std::uint16_t status { 0 };
     /** The endpoint states that it has not run the request and never will. */
     bool notRun { false };
+    /** Another endpoint has the address by now; the request never reached the one that was meant. */
+    bool isMisdirected { false };
     /** The endpoint signed the answer: it is the endpoint's own. */
     bool isSigned { false };
     bool isStream { false };
--- a/src/ports/Outcome.cpp
+++ b/src/ports/Outcome.cpp
@@ -56,6 +56,12 @@
 
 std::uint16_t httpStatus(ErrorCode code) { return rowOf(code).status; }
 
+bool promisesNotRun(std::uint16_t status)
+{
+    constexpr std::array<std::uint16_t, 4> promises { 408, 421, 429, 503 };
+    return std::find(promises.begin(), promises.end(), status) != promises.end();
+}
+
 std::string_view runName(Run run)
 {
     constexpr std::array names { std::string_view { "no" }, std::string_view { "unknown" },
--- a/src/ports/Outcome.h
+++ b/src/ports/Outcome.h
@@ -63,6 +63,9 @@
 /** @return the HTTP status that goes with a code. */
 std::uint16_t httpStatus(ErrorCode code);
 
+/** @return true for the HTTP statuses that promise a caller that its request has not run and never will. */
+bool promisesNotRun(std::uint16_t status);
+
 /** @return "no", "unknown" or "yes". */
 std::string_view runName(Run run);
 
--- /dev/null
+++ b/src/runtime/SystemRandomness.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "ports/Randomness.h"
+
+#include <random>
+
+namespace teaselfold {
+
+/** Random numbers of the system. Each user keeps one of its own, since it is not safe for several threads. */
+class SystemRandomness final : public Randomness {
+public:
+    std::uint64_t next() override
+    {
+        const std::uint64_t high = this->device();
+        return (high << halfBits) | this->device();
+    }
+
+private:
+    static constexpr int halfBits = 32;
+    std::random_device device;
+};
+
+}
--- a/test/correctness/OnlyIdempotentRequestsRepeat.cpp
+++ b/test/correctness/OnlyIdempotentRequestsRepeat.cpp
@@ -43,6 +43,22 @@
     CHECK(scenario.lastOrder()->endpoint != first);
 }
 
+TEST_CASE("A request that reached another endpoint at a reused address goes to the next one")
+{
+    GatewayScenario scenario;
+    scenario.start();
+    scenario.arrive("/write/1");
+    const EndpointId first = scenario.lastOrder()->endpoint;
+    AnswerSummary misdirected;
+    misdirected.status = 421;
+    misdirected.notRun = true;
+    misdirected.isMisdirected = true;
+    scenario.forget();
+    scenario.answer(misdirected);
+    REQUIRE(scenario.take<StartExchange>());
+    CHECK(scenario.lastOrder()->endpoint != first);
+}
+
 TEST_CASE("Retries stop when the budget of all gateways is spent")
 {
     GatewayLimits limits;
--- a/test/support/GatewayScenario.cpp
+++ b/test/support/GatewayScenario.cpp
@@ -50,7 +50,7 @@
     plainService.name = ServiceId("plain");
     GatewayService engines;
     engines.name = ServiceId("engines");
-    engines.engine = EngineTraits { 8, 30000, true, true, 4 };
+    engines.engine = EngineTraits { 30000, true, true, 4 };
     made.services = { plainService, engines };
     made.teams = std::vector { team("team-a", "key-a"), team("team-b", "key-b") };
     return made;
