--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 
 capacity: build
 	@scripts/measure-capacity $(BUILD)/bin
+	@python3 test/process/lib/measure_gateway.py $(BUILD)/bin 1000
 
 soak: build
 	@scripts/soak $(BUILD)/bin
--- a/test/process/lib/prepared_platform.py
+++ b/test/process/lib/prepared_platform.py
@@ -35,6 +35,7 @@
         class Bound(handler):
             owner = self
 
+        ThreadingHTTPServer.request_queue_size = 512
         self.http = ThreadingHTTPServer(("127.0.0.1", 0), Bound)
         # Peers that leave in the middle of an answer are part of the session.
         self.http.handle_error = lambda request, address: None
