Never begin a stream anew that may have run, when the engine with its copy cannot be reached

Cause, found on reading: a stream whose engine broke off before its first event was resumed at its replica, and when that connection could not be made it was sent to a third engine from the beginning, as if nothing had run. Change: only a request that has not run, or that may repeat, goes elsewhere after a connection that was not made.

--- a/src/core/gateway/ExchangeKeeper.cpp
+++ b/src/core/gateway/ExchangeKeeper.cpp
@@ -203,26 +203,31 @@
     this->takeExchange(event.exchange);
     actions.emplace_back(CancelExchange { event.exchange });
     active->exchange.reset();
-    if (isOwnAnswer) {
-        // The retry was paid for by mayRepeat above.
-        auto line = Internal::requestLine("retried", *active, now);
-        line.fields.push_back({ "reason", "status " + std::to_string(answer.status) });
-        actions.emplace_back(std::move(line));
-        Internal::observe(actions, *active, Metric::Retry);
-        return this->dispatch(*active, now, actions);
-    }
+    if (!isOwnAnswer)
+        return this->turnedAway(*active, exchange, answer, now, actions);
+    // The retry was paid for by mayRepeat above.
+    auto line = Internal::requestLine("retried", *active, now);
+    line.fields.push_back({ "reason", "status " + std::to_string(answer.status) });
+    actions.emplace_back(std::move(line));
+    Internal::observe(actions, *active, Metric::Retry);
+    this->dispatch(*active, now, actions);
+}
+
+void ExchangeKeeper::turnedAway(
+    ActiveRequest& active, const Exchange& exchange, const AnswerSummary& answer, Instant now, GatewayActions& actions)
+{
     // The run that the copy was to be made of never began, so there is none.
-    active->replicaAt.reset();
-    if (active->isAnswering)
-        return this->breakOff(*active, now, actions);
+    active.replicaAt.reset();
+    if (active.isAnswering)
+        return this->breakOff(active, now, actions);
     if (!answer.notRun || answer.isMisdirected)
         this->state.endpoints.fail(exchange.endpoint, now);
     const bool goesElsewhere
-        = answer.isMisdirected && !active->mayHaveRun && this->state.retriesOf(active->service->name).withdraw(now);
+        = answer.isMisdirected && !active.mayHaveRun && this->state.retriesOf(active.service->name).withdraw(now);
     if (goesElsewhere)
-        return this->sendElsewhere(*active, now, actions);
-    const Run run = runOf(*active);
-    this->retryOrFail(*active,
+        return this->sendElsewhere(active, now, actions);
+    const Run run = runOf(active);
+    this->retryOrFail(active,
         { run == Run::No ? ErrorCode::NoCapacity : ErrorCode::EndpointLost,
             "endpoint answered " + std::to_string(answer.status), run, this->state.limits.retryAfter },
         now, actions);
@@ -244,9 +249,13 @@
     }
     this->watchCrash(*active, *exchange, event.end, now, actions);
     this->state.endpoints.fail(exchange->endpoint, now);
-    if (event.end == ExchangeEnd::NotConnected && !active->isAnswering)
+    const bool mayBeSentAgain = !active->mayHaveRun || isRepeatable(*active);
+    if (event.end == ExchangeEnd::NotConnected && mayBeSentAgain && !active->isAnswering)
         return this->sendElsewhere(*active, now, actions);
-    active->mayHaveRun = true;
+    if (event.end == ExchangeEnd::NotConnected)
+        active->replicaAt.reset();
+    else
+        active->mayHaveRun = true;
     this->breakOff(*active, now, actions);
 }
 
--- a/src/core/gateway/ExchangeKeeper.h
+++ b/src/core/gateway/ExchangeKeeper.h
@@ -35,6 +35,9 @@
     GatewayEndpoint* pick(const ActiveRequest& active, const std::set<EndpointId>& excluded, Instant now) const;
     bool mayRepeat(const ActiveRequest& active, Instant now);
     void retryOrFail(ActiveRequest& active, Failure failure, Instant now, GatewayActions& actions);
+    /** An endpoint did not take the request, or gave an answer that does not count. */
+    void turnedAway(ActiveRequest& active, const Exchange& exchange, const AnswerSummary& answer, Instant now,
+        GatewayActions& actions);
     void watchCrash(
         const ActiveRequest& active, const Exchange& exchange, ExchangeEnd end, Instant now, GatewayActions& actions);
     /** Nothing was sent: the request goes to another endpoint without using up an attempt. */
--- a/test/error/GatewayRefusalsStayTrue.cpp
+++ b/test/error/GatewayRefusalsStayTrue.cpp
@@ -62,3 +62,16 @@
     REQUIRE(refused);
     CHECK(refused->failure.run == Run::Unknown);
 }
+
+TEST_CASE("A stream that may have run is not begun anew when the engine with its copy cannot be reached")
+{
+    GatewayScenario scenario;
+    scenario.start();
+    scenario.arrive("/draft/1");
+    scenario.end(ExchangeEnd::Broken);
+    REQUIRE(scenario.lastOrder()->resume);
+    scenario.forget();
+    scenario.end(ExchangeEnd::NotConnected);
+    const auto started = scenario.take<StartExchange>();
+    CHECK((!started || started->order.resume));
+}
--- a/test/support/GatewayScenario.h
+++ b/test/support/GatewayScenario.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace teaselfold {
@@ -45,6 +46,8 @@
         return found;
     }
     void forget() { this->actions.clear(); }
+    /** @return all actions since the last call, in their order. */
+    GatewayActions takeAll() { return std::exchange(this->actions, {}); }
 
     Gateway& decisions() { return this->gateway; }
     Instant now() const { return this->time; }
