--- a/test/golden/GatewayUnderRandomFaults.cpp
+++ b/test/golden/GatewayUnderRandomFaults.cpp
@@ -174,13 +174,13 @@
 
 std::uint64_t seedsToPlay()
 {
-    const char* text = std::getenv("TEASELFOLD_SEEDS");
+    const char* text = std::getenv("TEASELFOLD_SOAK_SEEDS");
     return text ? std::strtoull(text, nullptr, 10) : defaultSeeds;
 }
 
 }
 
-TEST_CASE("No random sequence of faults makes a gateway repeat, promise wrongly or answer twice")
+TEST_CASE("Under random faults a gateway never repeats, promises wrongly or answers twice")
 {
     for (std::uint64_t seed = 1; seed <= seedsToPlay(); ++seed) {
         CAPTURE(seed);
