End moves that are not answered within 3 s

Cause, found on reading: a stream that was stopped for a move waited for its answer without a bound, if the connection went silent; and pools of engines that are gone were kept as empty entries. Change: a move call ends after 3 s as failed, so that the stream goes on from the copy that there is; empty pools go.

--- a/src/adapters/traffic/EndpointSide.cpp
+++ b/src/adapters/traffic/EndpointSide.cpp
@@ -18,6 +18,8 @@
     constexpr Milliseconds defaultIdleTime(2000);
     /** Closing before the endpoint does, so that no request meets the close. */
     constexpr Milliseconds idleMargin(500);
+    /** Longest time for a copy of a run's memory; an engine that leaves is gone by then. */
+    constexpr Milliseconds moveTimeout(3000);
     constexpr std::uint16_t firstFinalStatus = 200;
     constexpr std::uint16_t firstRedirection = 300;
 
@@ -383,6 +385,19 @@
     }
     for (const ConnectionId connection : old)
         this->forget(connection);
+    std::erase_if(this->idle, [](const auto& entry) { return entry.second.empty(); });
+    this->endLateMoves();
+}
+
+void EndpointSide::endLateMoves()
+{
+    std::vector<ConnectionId> late;
+    for (const auto& [connection, channel] : this->channels) {
+        if (channel.move && this->context.now - channel.orderedAt > moveTimeout)
+            late.push_back(connection);
+    }
+    for (const ConnectionId connection : late)
+        this->fail(connection, ExchangeEnd::Broken);
 }
 
 }
--- a/src/adapters/traffic/EndpointSide.h
+++ b/src/adapters/traffic/EndpointSide.h
@@ -33,7 +33,7 @@
     bool owns(ConnectionId connection) const { return this->channels.contains(connection); }
     /** The caller took what was queued: its stream may be read on. */
     void callerDrained(ConnectionId caller);
-    /** Closes pooled connections before their endpoints do. */
+    /** Closes pooled connections before their endpoints do, and ends moves that are not answered. */
     void tick();
 
 private:
@@ -74,6 +74,8 @@
     void headComplete(ConnectionId connection, Channel& channel);
     bool answerComplete(ConnectionId connection, Channel& channel);
     void forwardEvents(ConnectionId connection, Channel& channel);
+    /** A connection may be silent for good: what came of its move is not known. */
+    void endLateMoves();
     void release(ConnectionId connection, Channel& channel);
     void fail(ConnectionId connection, ExchangeEnd end);
     void forget(ConnectionId connection);
