Remove what the gateway's change left dead

Cause, found on reading the whole change: a query of the endpoints that nothing asked, a time that nothing read, a second unnamed namespace. No behaviour changes.

--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -100,12 +100,6 @@
     return found != this->endpoints.end() && this->isUsable(found->second);
 }
 
-bool EndpointDirectory::hasEndpoints(const ServiceId& service) const
-{
-    return std::any_of(this->endpoints.begin(), this->endpoints.end(),
-        [&](const auto& entry) { return entry.second.record.service == service && this->isUsable(entry.second); });
-}
-
 bool EndpointDirectory::bearsMore(
     GatewayEndpoint& endpoint, const GatewayService& service, std::size_t instances, Instant now) const
 {
--- a/src/core/gateway/EndpointDirectory.h
+++ b/src/core/gateway/EndpointDirectory.h
@@ -61,8 +61,6 @@
     std::vector<GatewayEndpoint*> candidates(const GatewayService& service, std::size_t instances, Instant now);
     /** @return this instance's work at each endpoint. */
     std::vector<EndpointShare> shares() const;
-    /** @return true when endpoints of the service exist that may get work, whatever they have to do. */
-    bool hasEndpoints(const ServiceId& service) const;
 
     void begin(const EndpointId& endpoint, std::uint64_t tokens, Instant now);
     void finish(const EndpointId& endpoint, std::uint64_t tokens);
--- a/src/core/gateway/ExchangeKeeper.cpp
+++ b/src/core/gateway/ExchangeKeeper.cpp
@@ -108,7 +108,7 @@
     }
     active.exchange = id;
     this->state.exchanges[id] = { active.request.id, endpoint.record.id, endpoint.record.address, endpoint.record.zone,
-        active.tokens, now, active.replicaAt, active.lastEventId, std::nullopt };
+        active.tokens, active.replicaAt, active.lastEventId, std::nullopt };
     if (active.replicaAt)
         this->state.endpoints.addCopy(*active.replicaAt, active.tokens);
     auto line = Internal::requestLine(order.resume ? "resumed" : "sent", active, now);
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -14,16 +14,10 @@
     {
         RouterLimits shared;
         shared.retryShare = limits.retryShare;
-
         shared.retryFloorTime = limits.retryWindow;
-
         return shared;
     }
 
-}
-
-namespace {
-
     std::string_view followedName(Followed part)
     {
         constexpr std::array<std::string_view, followedCount> names { "configuration", "endpoints", "members" };
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -80,7 +80,6 @@
     Address address;
     ZoneId zone;
     std::uint64_t tokens { 0 };
-    Instant startedAt;
     /** Engine that keeps a copy of the run's memory while the exchange lasts. */
     std::optional<EndpointId> replicaAt;
     /** Newest event that went on, and when. */
