Move streams one at a time as they are, and bring copies up to date before a run stops

Cause: an engine that leaves had its moves planned once, at the notice. With many gateways the transfers of one engine queue on its link: the last copy of a stopped run waited behind whole copies of other runs (77 of 146 moved drafts paused for more than 180 ms).

Change: which stream is moved next is decided when a transfer ends or an event comes; a target without room is not asked again; a run is stopped only after a copy that took less than 25 ms; another zone is taken when the own one has no engine. Replicas only where they leave half of an engine's memory free.

--- a/src/core/gateway/EndpointPicker.cpp
+++ b/src/core/gateway/EndpointPicker.cpp
@@ -109,16 +109,20 @@
     });
 }
 
+double usedWith(const GatewayEndpoint& endpoint, const GatewayService& service, const PickContext& context)
+{
+    const auto memory = std::max<std::uint64_t>(service.engine ? service.engine->memoryTokens : 0, 1);
+    return tokensHeld(endpoint, context) / static_cast<double>(memory);
+}
+
 GatewayEndpoint* SoonestDonePicker::pick(
     const std::vector<GatewayEndpoint*>& candidates, const GatewayService& service, const PickContext& context) const
 {
-    const auto memory
-        = static_cast<double>(std::max<std::uint64_t>(service.engine ? service.engine->memoryTokens : 0, 1));
     const double usualEventTime = usualTime(candidates);
     const auto events = static_cast<double>(context.events);
     const double usualReading = static_cast<double>(context.promptTokens) * secondsPerPromptToken;
     return lowest(candidates, [&](const GatewayEndpoint& endpoint) {
-        const double used = tokensHeld(endpoint, context) / memory;
+        const double used = usedWith(endpoint, service, context);
         const double eventTime = endpoint.eventTime ? secondsOf(*endpoint.eventTime) : usualEventTime;
         const double reading = usualReading * eventTime / usualEventTime;
         const double delayed = (endpoint.inFlight + runsElsewhere(endpoint, context)) * reading * delayShare;
--- a/src/core/gateway/EndpointPicker.h
+++ b/src/core/gateway/EndpointPicker.h
@@ -48,6 +48,9 @@
         const PickContext& context) const override;
 };
 
+/** @return the tokens that an engine is expected to hold with the request, as a share of its memory. */
+double usedWith(const GatewayEndpoint& endpoint, const GatewayService& service, const PickContext& context);
+
 /** @return the picker for a service's endpoints. */
 const EndpointPicker& pickerFor(const GatewayService& service);
 
--- a/src/core/gateway/ExchangeKeeper.cpp
+++ b/src/core/gateway/ExchangeKeeper.cpp
@@ -12,6 +12,8 @@
 
     /** Expected events from which a stream gets a replica; shorter ones end before their engine leaves. */
     constexpr std::uint64_t replicatedEvents = 20;
+    /** Share of an engine's memory beyond which a replica would take room that running streams need. */
+    constexpr double replicaMostUsed = 0.5;
     constexpr std::uint16_t firstServerError = 500;
     constexpr std::uint16_t firstRedirection = 300;
     constexpr std::uint16_t firstSuccess = 200;
@@ -79,7 +81,8 @@
     const auto& engine = active.service->engine;
     if (!engine || !engine->canReplicate || !isStream(active) || active.events < replicatedEvents)
         return std::nullopt;
-    const GatewayEndpoint* chosen = placeCopy(this->state, active, endpoint.record.zone, { endpoint.record.id }, now);
+    const GatewayEndpoint* chosen
+        = placeCopy(this->state, active, { endpoint.record.zone, { endpoint.record.id }, replicaMostUsed }, now);
     if (!chosen)
         return std::nullopt;
     active.replicaAt = chosen->record.id;
@@ -243,7 +246,7 @@
     active->exchange.reset();
     if (event.end == ExchangeEnd::Complete) {
         this->state.quarantine.clear(active->request.fingerprint);
-        actions.emplace_back(Internal::requestLine("completed", *active, now));
+        actions.emplace_back(Internal::completedLine(*active, now));
         Internal::observeCompleted(actions, *active, now);
         return this->finish(*active, now, actions);
     }
@@ -322,7 +325,7 @@
     this->breakOff(*this->find(*ready), now, actions);
 }
 
-void ExchangeKeeper::relayed(const EventsRelayed& event, Instant now)
+void ExchangeKeeper::relayed(const EventsRelayed& event, Instant now, GatewayActions& actions)
 {
     const auto exchange = this->state.exchanges.find(event.exchange);
     if (exchange == this->state.exchanges.end())
@@ -341,6 +344,7 @@
     active->newestEventAt = now;
     active->answeredAt = active->answeredAt.value_or(now);
     active->lastEventId = event.lastEventId;
+    this->moves.streamAdvanced(running.endpoint, now, actions);
 }
 
 void ExchangeKeeper::abandon(RequestId request, Instant now, GatewayActions& actions)
--- a/src/core/gateway/ExchangeKeeper.h
+++ b/src/core/gateway/ExchangeKeeper.h
@@ -19,7 +19,7 @@
     void dispatch(ActiveRequest& active, Instant now, GatewayActions& actions);
     void answered(const ExchangeAnswered& event, Instant now, GatewayActions& actions);
     void ended(const ExchangeEnded& event, Instant now, GatewayActions& actions);
-    void relayed(const EventsRelayed& event, Instant now);
+    void relayed(const EventsRelayed& event, Instant now, GatewayActions& actions);
     void abandon(RequestId request, Instant now, GatewayActions& actions);
     void moveAnswered(const MoveAnswered& event, Instant now, GatewayActions& actions);
     /** Ends requests whose time is up, and sends or refuses those that wait. */
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -59,6 +59,7 @@
     this->endpointsLeave(this->state.endpoints.expire(now), now, actions);
     this->state.quarantine.expire(now);
     this->state.crashes.expire(now);
+    this->moves.expire();
     this->exchanges.tick(now, actions);
     this->state.peers.expire(now);
     this->tellPeers(now, actions);
@@ -102,7 +103,10 @@
     this->exchanges.ended(event, now, actions);
 }
 
-void Gateway::relayed(const EventsRelayed& event, Instant now, GatewayActions&) { this->exchanges.relayed(event, now); }
+void Gateway::relayed(const EventsRelayed& event, Instant now, GatewayActions& actions)
+{
+    this->exchanges.relayed(event, now, actions);
+}
 
 void Gateway::moveAnswered(const MoveAnswered& event, Instant now, GatewayActions& actions)
 {
--- a/src/core/gateway/GatewayLog.cpp
+++ b/src/core/gateway/GatewayLog.cpp
@@ -45,4 +45,15 @@
     return line;
 }
 
+LogEvent completedLine(const ActiveRequest& active, Instant now)
+{
+    auto line = requestLine("completed", active, now);
+    if (!active.answeredAt)
+        return line;
+    line.fields.push_back({ "first_event_ms", millisecondsText(*active.answeredAt - active.arrivedAt) });
+    line.fields.push_back({ "longest_pause_ms", millisecondsText(active.longestPause) });
+    line.fields.push_back({ "last_event", std::to_string(active.lastEventId) });
+    return line;
+}
+
 }
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -17,7 +17,7 @@
 
 /** How far a running stream is handed over to another engine. */
 enum class MovePhase : std::uint8_t {
-    /** The memory is copied while the run goes on. */
+    /** The memory is copied while the run goes on, each time only what is new. */
     Copying,
     /** The run is stopped and the rest of its memory copied. */
     Finishing,
@@ -33,6 +33,10 @@
     Address sourceAddress;
     EndpointId target;
     Address targetAddress;
+    /** When the newest call was sent. */
+    Instant orderedAt;
+    /** Tokens for which room is kept at the target. */
+    std::uint64_t tokens { 0 };
     /** The newest copy at the target. */
     std::optional<MemoryHandle> copy;
     /** The source's stream is over, so that the caller has all that came of it. */
@@ -71,6 +75,9 @@
     /** Engine that keeps a copy of the run's memory. */
     std::optional<EndpointId> replicaAt;
     std::optional<RunMove> move;
+    /** Moves that came to nothing, and their targets. */
+    std::uint32_t failedMoves { 0 };
+    std::set<EndpointId> fullTargets;
 };
 
 /** One request at one endpoint. */
--- a/src/core/gateway/MoveKeeper.cpp
+++ b/src/core/gateway/MoveKeeper.cpp
@@ -13,6 +13,13 @@
 
     /** A run with fewer tokens left is done before its engine is gone. */
     constexpr std::uint64_t shortestRemainder = 100;
+    /**
+     * A copy that takes longer waited for other transfers on the links. The run is stopped only after a short one,
+     * since its caller waits as long as the last copy takes.
+     */
+    constexpr Milliseconds shortCopy(25);
+    /** An engine's notice is not long enough for more. */
+    constexpr std::uint32_t mostFailedMoves = 4;
 
     std::uint64_t expectedRemainder(const ActiveRequest& active)
     {
@@ -45,61 +52,66 @@
         return false;
     if (active.replicaAt && this->state.endpoints.mayWork(*active.replicaAt))
         return false;
-    return active.isAnswering && expectedRemainder(active) >= shortestRemainder;
+    const bool hasBegun = active.lastEventId > 0;
+    return hasBegun && active.failedMoves < mostFailedMoves && expectedRemainder(active) >= shortestRemainder;
 }
 
 void MoveKeeper::endpointLeaves(const EndpointId& endpoint, Instant now, GatewayActions& actions)
 {
-    std::vector<const ActiveRequest*> moving;
+    this->leaving.try_emplace(endpoint);
+    this->startNext(endpoint, now, actions);
+}
+
+void MoveKeeper::streamAdvanced(const EndpointId& endpoint, Instant now, GatewayActions& actions)
+{
+    this->startNext(endpoint, now, actions);
+}
+
+ActiveRequest* MoveKeeper::nextToMove(const EndpointId& source)
+{
+    ActiveRequest* next = nullptr;
     for (const auto& [id, exchange] : this->state.exchanges) {
-        if (exchange.endpoint != endpoint)
+        if (exchange.endpoint != source)
             continue;
-        const ActiveRequest& active = this->state.requests.at(exchange.request);
-        if (this->isWorthMoving(active))
-            moving.push_back(&active);
+        ActiveRequest& active = this->state.requests.at(exchange.request);
+        if (this->isWorthMoving(active) && (!next || expectedRemainder(active) > expectedRemainder(*next)))
+            next = &active;
     }
-    std::sort(moving.begin(), moving.end(),
-        [](const auto* left, const auto* right) { return expectedRemainder(*left) > expectedRemainder(*right); });
-    for (const ActiveRequest* active : moving)
-        this->queues[endpoint].push_back(active->request.id);
-    this->startNext(endpoint, now, actions);
+    return next;
 }
 
 void MoveKeeper::startNext(const EndpointId& source, Instant now, GatewayActions& actions)
 {
-    const auto queue = this->queues.find(source);
-    while (queue != this->queues.end() && !queue->second.empty() && !this->underWay.contains(source)) {
-        const RequestId id = queue->second.front();
-        queue->second.pop_front();
-        const auto found = this->state.requests.find(id);
-        if (found == this->state.requests.end() || !this->isWorthMoving(found->second))
-            continue;
-        if (this->start(found->second, source, now, actions))
-            this->underWay[source] = id;
-    }
-    if (queue != this->queues.end() && queue->second.empty())
-        this->queues.erase(queue);
+    const auto entry = this->leaving.find(source);
+    if (entry == this->leaving.end() || entry->second)
+        return;
+    ActiveRequest* next = this->nextToMove(source);
+    if (next && this->start(*next, source, now, actions))
+        entry->second = next->request.id;
 }
 
 bool MoveKeeper::start(ActiveRequest& active, const EndpointId& source, Instant now, GatewayActions& actions)
 {
-    const auto exchange = active.exchange ? this->state.exchanges.find(*active.exchange) : this->state.exchanges.end();
-    if (exchange == this->state.exchanges.end() || exchange->second.endpoint != source)
-        return false;
-    const GatewayEndpoint* target = placeCopy(this->state, active, exchange->second.zone, { source }, now);
+    const Exchange& exchange = this->state.exchanges.at(*active.exchange);
+    std::set<EndpointId> excluded = active.fullTargets;
+    excluded.insert(source);
+    const GatewayEndpoint* target = placeCopy(this->state, active, { exchange.zone, std::move(excluded), {} }, now);
     if (!target)
         return false;
-    active.move = RunMove { MovePhase::Copying, *active.exchange, source, exchange->second.address, target->record.id,
-        target->record.address, std::nullopt, false };
+    active.move = RunMove { MovePhase::Copying, *active.exchange, source, exchange.address, target->record.id,
+        target->record.address, now, active.tokens, std::nullopt, false };
+    this->state.endpoints.addCopy(target->record.id, active.tokens);
     this->byExchange[*active.exchange] = active.request.id;
-    this->order(active, false, actions);
+    this->order(active, now, actions);
     actions.emplace_back(moveLine("move_started", active, now));
     return true;
 }
 
-void MoveKeeper::order(const ActiveRequest& active, bool stopsRun, GatewayActions& actions)
+void MoveKeeper::order(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
-    const RunMove& move = *active.move;
+    RunMove& move = *active.move;
+    move.orderedAt = now;
+    const bool stopsRun = move.phase == MovePhase::Finishing;
     actions.emplace_back(
         StartMove { move.exchange, move.sourceAddress, active.request.callerId, move.targetAddress, stopsRun });
 }
@@ -120,21 +132,43 @@
     if (copied)
         move.copy = event.handle;
     if (move.phase == MovePhase::Copying && copied && !move.streamEnded) {
-        move.phase = MovePhase::Finishing;
-        this->order(active, true, actions);
+        if (now - move.orderedAt < shortCopy)
+            move.phase = MovePhase::Finishing;
+        this->order(active, now, actions);
         return std::nullopt;
     }
     const EndpointId source = move.source;
     const bool streamEnded = move.streamEnded;
+    if (!copied) {
+        ++active.failedMoves;
+        active.fullTargets.insert(move.target);
+    }
+    this->settle(move);
     move.phase = MovePhase::Done;
     if (!move.copy)
         active.move.reset();
-    this->byExchange.erase(entry);
-    this->underWay.erase(source);
     this->startNext(source, now, actions);
     return streamEnded ? std::optional(id) : std::nullopt;
 }
 
+void MoveKeeper::settle(const RunMove& move)
+{
+    if (this->byExchange.erase(move.exchange) == 0)
+        return;
+    this->state.endpoints.removeCopy(move.target, move.tokens);
+    const auto source = this->leaving.find(move.source);
+    if (source != this->leaving.end())
+        source->second.reset();
+}
+
+void MoveKeeper::expire()
+{
+    std::erase_if(this->leaving, [&](const auto& entry) {
+        return std::none_of(this->state.exchanges.begin(), this->state.exchanges.end(),
+            [&](const auto& exchange) { return exchange.second.endpoint == entry.first; });
+    });
+}
+
 bool MoveKeeper::isWaiting(const ActiveRequest& active)
 {
     return active.move && active.move->phase != MovePhase::Done && active.move->streamEnded;
@@ -146,6 +180,8 @@
         return std::nullopt;
     const ResumePoint point { active.move->targetAddress, *active.move->copy, active.lastEventId };
     active.move.reset();
+    active.failedMoves = 0;
+    active.fullTargets.clear();
     return point;
 }
 
@@ -164,11 +200,7 @@
 {
     if (!active.move)
         return;
-    this->byExchange.erase(active.move->exchange);
-    const auto underWayHere = this->underWay.find(active.move->source);
-    if (underWayHere == this->underWay.end() || underWayHere->second != active.request.id)
-        return;
-    this->underWay.erase(underWayHere);
+    this->settle(*active.move);
     this->startNext(active.move->source, now, actions);
 }
 
--- a/test/correctness/StreamsOutliveTheirEngine.cpp
+++ b/test/correctness/StreamsOutliveTheirEngine.cpp
@@ -117,3 +117,85 @@
     scenario.give(MoveAnswered { exchange, MoveOutcome::Copied, MemoryHandle("h1") });
     CHECK_FALSE(scenario.take<StartExchange>());
 }
+
+TEST_CASE("A stream whose first event comes from an engine that leaves is handed over then")
+{
+    GatewayScenario scenario;
+    scenario.start();
+    scenario.arrive("/draft/1");
+    const EndpointId first = scenario.lastOrder()->endpoint;
+    const ExchangeId exchange = scenario.lastOrder()->exchange;
+    loseReplica(scenario);
+    scenario.give(draining(first));
+    CHECK_FALSE(scenario.take<StartMove>());
+    scenario.give(ExchangeAnswered { exchange, GatewayScenario::stream() });
+    scenario.give(EventsRelayed { exchange, 1 });
+    const auto copying = scenario.take<StartMove>();
+    REQUIRE(copying);
+    CHECK(copying->exchange == exchange);
+    CHECK_FALSE(copying->stopsRun);
+}
+
+TEST_CASE("A stream that found no room at one engine is offered to another one")
+{
+    GatewayScenario scenario;
+    const EndpointId first = beginStream(scenario);
+    const ExchangeId exchange = scenario.lastOrder()->exchange;
+    loseReplica(scenario);
+    scenario.give(EndpointsChanged { { GatewayScenario::engine("e7") }, {} });
+    scenario.give(draining(first));
+    const auto refused = scenario.take<StartMove>();
+    REQUIRE(refused);
+    scenario.give(MoveAnswered { exchange, MoveOutcome::NoRoom, {} });
+    const auto second = scenario.take<StartMove>();
+    REQUIRE(second);
+    CHECK(second->target != refused->target);
+}
+
+TEST_CASE("Where no engine of the zone is left, a stream goes to another zone")
+{
+    GatewayScenario scenario;
+    const EndpointId first = beginStream(scenario);
+    scenario.give(EndpointsChanged { { GatewayScenario::engine("e7", "south") }, {} });
+    for (const char* name : { "e1", "e2", "e3" }) {
+        if (EndpointId(name) != first)
+            scenario.give(draining(EndpointId(name)));
+    }
+    scenario.give(draining(first));
+    const auto move = scenario.take<StartMove>();
+    REQUIRE(move);
+    CHECK(move->target == GatewayScenario::engine("e7").address);
+}
+
+TEST_CASE("A copy that waited for other transfers is brought up to date before the run stops")
+{
+    GatewayScenario scenario;
+    const EndpointId first = beginStream(scenario);
+    const ExchangeId exchange = scenario.lastOrder()->exchange;
+    loseReplica(scenario);
+    scenario.give(draining(first)).pass(Milliseconds(200)).forget();
+    scenario.give(MoveAnswered { exchange, MoveOutcome::Copied, MemoryHandle("h1") });
+    auto copying = scenario.take<StartMove>();
+    REQUIRE(copying);
+    CHECK_FALSE(copying->stopsRun);
+    scenario.pass(Milliseconds(10)).forget();
+    scenario.give(MoveAnswered { exchange, MoveOutcome::Copied, MemoryHandle("h2") });
+    const auto finishing = scenario.take<StartMove>();
+    REQUIRE(finishing);
+    CHECK(finishing->stopsRun);
+}
+
+TEST_CASE("A replica takes no room that running streams need")
+{
+    GatewayScenario scenario;
+    scenario.start();
+    int replicated = 0;
+    int streams = 0;
+    for (; streams < 60; ++streams) {
+        scenario.arrive("/draft/1");
+        replicated += scenario.lastOrder()->replicaAt ? 1 : 0;
+    }
+    CHECK(replicated > 0);
+    CHECK(replicated < streams);
+    CHECK_FALSE(scenario.lastOrder()->replicaAt);
+}
