Tell other gateways of changes at once, count waiting prompts, draw ten engines for a pick

Prompts that wait to be read were not counted at all.

Change: changes go out as soon as a node's bytes allow, in datagrams of about 130 bytes (16 a share, the sender named by its incarnation); everything goes out every 150 ms for each receiver. A share tells the tokens of prompts that have no event yet; they count in placing. A pick draws ten of the engines at random, which also bounds its cost.

--- a/src/adapters/peers/NewsCodec.cpp
+++ b/src/adapters/peers/NewsCodec.cpp
@@ -28,7 +28,7 @@
     flatbuffers::FlatBufferBuilder builder;
     std::vector<peerwire::Load> loads;
     for (const EndpointShare& share : largestShares(news.shares))
-        loads.emplace_back(share.endpoint, share.tokens, share.runs);
+        loads.emplace_back(share.endpoint, share.tokens, share.runs, share.promptTokens);
     std::vector<peerwire::Suspect> suspects;
     for (const auto& suspect : news.suspects.suspects) {
         if (suspects.size() == maximumSuspects)
@@ -36,8 +36,12 @@
         suspects.emplace_back(
             suspect.fingerprint.get(), static_cast<std::uint32_t>(suspect.remaining.count()), suspect.deaths);
     }
-    const auto root = peerwire::CreateNews(builder, builder.CreateString(news.instance.get()), news.incarnation.get(),
-        news.sequence, news.isLeaving, builder.CreateVectorOfStructs(loads), builder.CreateVectorOfStructs(suspects));
+    // What is empty is left out: a datagram goes to each other gateway several times a second.
+    const auto instance = news.isPartial ? 0 : builder.CreateString(news.instance.get());
+    const auto loadVector = builder.CreateVectorOfStructs(loads);
+    const auto suspectVector = suspects.empty() ? 0 : builder.CreateVectorOfStructs(suspects);
+    const auto root = peerwire::CreateNews(builder, instance, news.incarnation.get(), news.sequence, news.isLeaving,
+        loadVector, suspectVector, news.isPartial);
     builder.Finish(root, peerwire::NewsIdentifier());
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
@@ -50,16 +54,19 @@
     if (datagram.size() < smallest || !peerwire::VerifyNewsBuffer(verifier))
         return std::nullopt;
     const auto* root = peerwire::GetNews(bytes);
-    if (!root->instance() || root->instance()->size() == 0)
+    const bool isNamed = root->instance() && root->instance()->size() > 0;
+    if (isNamed == root->partial())
         return std::nullopt;
     PeerNews news;
-    news.instance = GatewayId(root->instance()->str());
+    if (isNamed)
+        news.instance = GatewayId(root->instance()->str());
     news.incarnation = Incarnation(root->incarnation());
     news.sequence = root->sequence();
     news.isLeaving = root->leaving();
+    news.isPartial = root->partial();
     for (std::size_t index = 0; root->loads() && index < root->loads()->size(); ++index) {
         const auto* load = root->loads()->Get(static_cast<flatbuffers::uoffset_t>(index));
-        news.shares.push_back({ load->endpoint(), load->runs(), load->tokens() });
+        news.shares.push_back({ load->endpoint(), load->runs(), load->tokens(), load->prompt_tokens() });
     }
     for (std::size_t index = 0; root->suspects() && index < root->suspects()->size(); ++index) {
         const auto* suspect = root->suspects()->Get(static_cast<flatbuffers::uoffset_t>(index));
--- a/src/adapters/peers/Peers_generated.h
+++ b/src/adapters/peers/Peers_generated.h
@@ -23,39 +23,40 @@
 struct News;
 struct NewsBuilder;
 
-FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Load FLATBUFFERS_FINAL_CLASS {
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) Load FLATBUFFERS_FINAL_CLASS {
  private:
-  uint64_t endpoint_;
-  uint64_t tokens_;
+  uint32_t endpoint_;
+  uint32_t tokens_;
   uint32_t runs_;
-  int32_t padding0__;
+  uint32_t prompt_tokens_;
 
  public:
   Load()
       : endpoint_(0),
         tokens_(0),
         runs_(0),
-        padding0__(0) {
-    (void)padding0__;
+        prompt_tokens_(0) {
   }
-  Load(uint64_t _endpoint, uint64_t _tokens, uint32_t _runs)
+  Load(uint32_t _endpoint, uint32_t _tokens, uint32_t _runs, uint32_t _prompt_tokens)
       : endpoint_(flatbuffers::EndianScalar(_endpoint)),
         tokens_(flatbuffers::EndianScalar(_tokens)),
         runs_(flatbuffers::EndianScalar(_runs)),
-        padding0__(0) {
-    (void)padding0__;
+        prompt_tokens_(flatbuffers::EndianScalar(_prompt_tokens)) {
   }
-  uint64_t endpoint() const {
+  uint32_t endpoint() const {
     return flatbuffers::EndianScalar(endpoint_);
   }
-  uint64_t tokens() const {
+  uint32_t tokens() const {
     return flatbuffers::EndianScalar(tokens_);
   }
   uint32_t runs() const {
     return flatbuffers::EndianScalar(runs_);
   }
+  uint32_t prompt_tokens() const {
+    return flatbuffers::EndianScalar(prompt_tokens_);
+  }
 };
-FLATBUFFERS_STRUCT_END(Load, 24);
+FLATBUFFERS_STRUCT_END(Load, 16);
 
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Suspect FLATBUFFERS_FINAL_CLASS {
  private:
@@ -94,7 +95,8 @@
     VT_SEQUENCE = 8,
     VT_LEAVING = 10,
     VT_LOADS = 12,
-    VT_SUSPECTS = 14
+    VT_SUSPECTS = 14,
+    VT_PARTIAL = 16
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -114,6 +116,9 @@
   const flatbuffers::Vector<const teaselfold::peerwire::Suspect *> *suspects() const {
     return GetPointer<const flatbuffers::Vector<const teaselfold::peerwire::Suspect *> *>(VT_SUSPECTS);
   }
+  bool partial() const {
+    return GetField<uint8_t>(VT_PARTIAL, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCE) &&
@@ -125,6 +130,7 @@
            verifier.VerifyVector(loads()) &&
            VerifyOffset(verifier, VT_SUSPECTS) &&
            verifier.VerifyVector(suspects()) &&
+           VerifyField<uint8_t>(verifier, VT_PARTIAL, 1) &&
            verifier.EndTable();
   }
 };
@@ -151,6 +157,9 @@
   void add_suspects(flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Suspect *>> suspects) {
     fbb_.AddOffset(News::VT_SUSPECTS, suspects);
   }
+  void add_partial(bool partial) {
+    fbb_.AddElement<uint8_t>(News::VT_PARTIAL, static_cast<uint8_t>(partial), 0);
+  }
   explicit NewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -169,13 +178,15 @@
     uint64_t sequence = 0,
     bool leaving = false,
     flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Load *>> loads = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Suspect *>> suspects = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Suspect *>> suspects = 0,
+    bool partial = false) {
   NewsBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
   builder_.add_suspects(suspects);
   builder_.add_loads(loads);
   builder_.add_instance(instance);
+  builder_.add_partial(partial);
   builder_.add_leaving(leaving);
   return builder_.Finish();
 }
@@ -187,7 +198,8 @@
     uint64_t sequence = 0,
     bool leaving = false,
     const std::vector<teaselfold::peerwire::Load> *loads = nullptr,
-    const std::vector<teaselfold::peerwire::Suspect> *suspects = nullptr) {
+    const std::vector<teaselfold::peerwire::Suspect> *suspects = nullptr,
+    bool partial = false) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Load>(*loads) : 0;
   auto suspects__ = suspects ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Suspect>(*suspects) : 0;
@@ -198,7 +210,8 @@
       sequence,
       leaving,
       loads__,
-      suspects__);
+      suspects__,
+      partial);
 }
 
 inline const teaselfold::peerwire::News *GetNews(const void *buf) {
@@ -210,7 +223,7 @@
 }
 
 inline const char *NewsIdentifier() {
-  return "TFPN";
+  return "TFP2";
 }
 
 inline bool NewsBufferHasIdentifier(const void *buf) {
--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -28,7 +28,7 @@
         endpoint.eventTime.reset();
     }
     endpoint.record = record;
-    endpoint.idHash = hashOf(record.id.get());
+    endpoint.idHash = static_cast<std::uint32_t>(hashOf(record.id.get()));
     endpoint.removedAt.reset();
     endpoint.coldUntil = std::max(restarted ? now : endpoint.coldUntil, now + record.coldFor);
     return wasUsable && record.isDraining;
@@ -138,7 +138,8 @@
     for (const auto& [id, endpoint] : this->endpoints) {
         const std::uint64_t tokens = endpoint.tokensInFlight + endpoint.copyTokens;
         if (endpoint.inFlight > 0 || tokens > 0)
-            shares.push_back({ endpoint.idHash, endpoint.inFlight, tokens });
+            shares.push_back({ endpoint.idHash, endpoint.inFlight, static_cast<std::uint32_t>(tokens),
+                static_cast<std::uint32_t>(endpoint.promptTokens) });
     }
     return shares;
 }
@@ -161,6 +162,18 @@
     }
 }
 
+void EndpointDirectory::addPrompt(const EndpointId& endpoint, std::uint64_t tokens)
+{
+    if (GatewayEndpoint* found = this->find(endpoint))
+        found->promptTokens += tokens;
+}
+
+void EndpointDirectory::removePrompt(const EndpointId& endpoint, std::uint64_t tokens)
+{
+    if (GatewayEndpoint* found = this->find(endpoint))
+        found->promptTokens -= std::min(found->promptTokens, tokens);
+}
+
 void EndpointDirectory::addCopy(const EndpointId& endpoint, std::uint64_t tokens)
 {
     if (GatewayEndpoint* found = this->find(endpoint))
--- a/src/core/gateway/EndpointDirectory.h
+++ b/src/core/gateway/EndpointDirectory.h
@@ -15,8 +15,8 @@
 /** One endpoint as this instance knows it. */
 struct GatewayEndpoint {
     EndpointRecord record;
-    /** XXH3 hash of the id, by which instances name the endpoint to each other. */
-    std::uint64_t idHash { 0 };
+    /** Low half of the XXH3 hash of the id, by which instances name the endpoint to each other. */
+    std::uint32_t idHash { 0 };
     Instant coldUntil;
     /** The record is gone, but its endpoint may only have lost contact with the store. */
     std::optional<Instant> removedAt;
@@ -24,6 +24,8 @@
     std::uint32_t inFlight { 0 };
     /** Tokens that this instance's requests are expected to hold at their end. */
     std::uint64_t tokensInFlight { 0 };
+    /** Tokens of prompts of this instance's requests of which no event has come yet. */
+    std::uint64_t promptTokens { 0 };
     /** Tokens of copies that this instance's runs elsewhere keep here. */
     std::uint64_t copyTokens { 0 };
     /** Learned time between two events of a stream; nothing before the first stream. */
@@ -64,6 +66,9 @@
 
     void begin(const EndpointId& endpoint, std::uint64_t tokens, Instant now);
     void finish(const EndpointId& endpoint, std::uint64_t tokens);
+    /** A prompt waits to be read at the endpoint, or does so no longer. */
+    void addPrompt(const EndpointId& endpoint, std::uint64_t tokens);
+    void removePrompt(const EndpointId& endpoint, std::uint64_t tokens);
     /** A copy of a run's memory is kept at the endpoint from now on, or no longer. */
     void addCopy(const EndpointId& endpoint, std::uint64_t tokens);
     void removeCopy(const EndpointId& endpoint, std::uint64_t tokens);
--- a/src/core/gateway/EndpointPicker.cpp
+++ b/src/core/gateway/EndpointPicker.cpp
@@ -16,7 +16,7 @@
      * Expected tokens, as a share of an engine's memory, beyond which requests may be preempted. More than one: what
      * requests are expected to hold at their ends is never held by all at once.
      */
-    constexpr double crowdedShare = 1.4;
+    constexpr double crowdedShare = 1.1;
     /** Seconds by which a request is set back at an engine whose memory is overbooked once. */
     constexpr double crowdedSeconds = 60;
     /** Seconds by which a full engine slows a request down, since its steps take longer. */
@@ -25,6 +25,10 @@
     constexpr double secondsPerPromptToken = 1.0 / 14000;
     /** Part of a prompt's reading time by which each running stream is delayed. */
     constexpr double delayShare = 0.5;
+    /** Times as long that reading takes between the steps of running streams. */
+    constexpr double busyReading = 2;
+    /** Weight of a second before the first event against one of a stream's run. */
+    constexpr double waitWeight = 2;
     /** Other instances keep copies of their runs as well. */
     constexpr double foreignCopies = 1.7;
 
@@ -82,6 +86,25 @@
         return own + std::max(told, foreignWork(endpoint, context) * each * foreignCopies) + request;
     }
 
+    /** @return the tokens of prompts that the engine reads before the request's own. */
+    double promptsBefore(const GatewayEndpoint& endpoint, const PickContext& context)
+    {
+        const auto elsewhere = context.peers.workElsewhere(endpoint.idHash).promptTokens;
+        return static_cast<double>(endpoint.promptTokens + elsewhere);
+    }
+
+    /** @return some of the candidates, at random. Instances that know the same so seldom choose the same endpoint. */
+    std::vector<GatewayEndpoint*> drawSome(std::vector<GatewayEndpoint*> candidates, Randomness& randomness)
+    {
+        constexpr std::size_t drawn = 10;
+        for (std::size_t index = 0; index < drawn && candidates.size() > drawn; ++index) {
+            const std::size_t other = index + randomness.next() % (candidates.size() - index);
+            std::swap(candidates[index], candidates[other]);
+        }
+        candidates.resize(std::min(candidates.size(), drawn));
+        return candidates;
+    }
+
     template <typename Score>
     GatewayEndpoint* lowest(const std::vector<GatewayEndpoint*>& candidates, const Score& scoreOf)
     {
@@ -121,14 +144,16 @@
     const double usualEventTime = usualTime(candidates);
     const auto events = static_cast<double>(context.events);
     const double usualReading = static_cast<double>(context.promptTokens) * secondsPerPromptToken;
-    return lowest(candidates, [&](const GatewayEndpoint& endpoint) {
+    return lowest(drawSome(candidates, context.randomness), [&](const GatewayEndpoint& endpoint) {
         const double used = usedWith(endpoint, service, context);
         const double eventTime = endpoint.eventTime ? secondsOf(*endpoint.eventTime) : usualEventTime;
         const double reading = usualReading * eventTime / usualEventTime;
+        const double waiting = promptsBefore(endpoint, context) * secondsPerPromptToken * busyReading * eventTime
+            / usualEventTime * waitWeight;
         const double delayed = (endpoint.inFlight + runsElsewhere(endpoint, context)) * reading * delayShare;
         const double crowded = std::max(0.0, used - crowdedShare) * crowdedSeconds;
-        return reading + events * eventTime + delayed + used * usedSeconds + crowded + zonePenalty(endpoint, context)
-            + jitter(context.randomness);
+        return reading + waiting + events * eventTime + delayed + used * usedSeconds + crowded
+            + zonePenalty(endpoint, context) + jitter(context.randomness);
     });
 }
 
--- a/src/core/gateway/ExchangeKeeper.cpp
+++ b/src/core/gateway/ExchangeKeeper.cpp
@@ -110,8 +110,10 @@
         active.tried.insert(endpoint.record.id);
     }
     active.exchange = id;
+    const std::uint64_t promptTokens = order.resume ? 0 : active.request.promptTokens;
+    this->state.endpoints.addPrompt(endpoint.record.id, promptTokens);
     this->state.exchanges[id] = { active.request.id, endpoint.record.id, endpoint.record.address, endpoint.record.zone,
-        active.tokens, active.replicaAt, active.lastEventId, std::nullopt };
+        active.tokens, promptTokens, active.replicaAt, active.lastEventId, std::nullopt };
     if (active.replicaAt)
         this->state.endpoints.addCopy(*active.replicaAt, active.tokens);
     auto line = Internal::requestLine(order.resume ? "resumed" : "sent", active, now);
@@ -132,6 +134,7 @@
     Exchange exchange = found->second;
     this->state.exchanges.erase(found);
     this->state.endpoints.finish(exchange.endpoint, exchange.tokens);
+    this->state.endpoints.removePrompt(exchange.endpoint, exchange.promptTokens);
     if (exchange.replicaAt)
         this->state.endpoints.removeCopy(*exchange.replicaAt, exchange.tokens);
     return exchange;
@@ -335,6 +338,7 @@
         const auto events = static_cast<Duration::rep>(event.lastEventId - running.lastEventId);
         this->state.endpoints.learnEventTime(running.endpoint, (now - *running.lastEventAt) / events);
     }
+    this->state.endpoints.removePrompt(running.endpoint, std::exchange(running.promptTokens, 0));
     running.lastEventId = event.lastEventId;
     running.lastEventAt = now;
     ActiveRequest* active = this->find(running.request);
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -38,11 +38,12 @@
     }
 };
 
-Gateway::Gateway(const GatewayLimits& limits, GatewayPlace place, Randomness& randomness)
-    : state(limits, sharedLimitsOf(limits), std::move(place), randomness)
+Gateway::Gateway(const GatewayLimits& limits, const GatewayPlace& place, Randomness& randomness)
+    : state(limits, sharedLimitsOf(limits), place, randomness)
     , gate(this->state)
     , moves(this->state)
     , exchanges(this->state, this->moves)
+    , news(this->state.limits, place.instance, Incarnation(randomness.next()))
 {
 }
 
@@ -178,8 +179,8 @@
 
 void Gateway::peerHeard(const PeerHeard& event, Instant now, GatewayActions&)
 {
-    this->state.peers.hear(event.news, now);
-    this->state.quarantine.merge(EndpointId(event.news.instance.get()), event.news.suspects, now);
+    if (const auto sender = this->state.peers.hear(event.news, now))
+        this->state.quarantine.merge(EndpointId(sender->get()), event.news.suspects, now);
 }
 
 void Gateway::limitsChanged(const LimitsChanged& event, Instant, GatewayActions& actions)
@@ -191,14 +192,11 @@
 
 void Gateway::tellPeers(Instant now, GatewayActions& actions)
 {
-    const GatewayLimits& limits = this->state.limits;
-    const auto receivers = static_cast<Milliseconds::rep>(this->state.peers.instances() - 1);
-    const Milliseconds period = std::max(limits.shortestNewsPeriod, limits.newsPeriodPerReceiver * receivers);
-    if (this->toldPeersAt && now - *this->toldPeersAt < period)
-        return;
-    this->toldPeersAt = now;
-    actions.emplace_back(this->state.peers.compose(
-        this->state.endpoints.shares(), this->state.quarantine.delivery(now), this->state.stopRequestedAt.has_value()));
+    std::vector<Address> receivers = this->state.peers.receivers();
+    const NewsContent content { this->state.endpoints.shares(), this->state.quarantine.delivery(now),
+        this->state.stopRequestedAt.has_value(), receivers.size() };
+    if (auto news = this->news.compose(content, now))
+        actions.emplace_back(TellPeers { std::move(*news), std::move(receivers) });
 }
 
 void Gateway::stopRequested(const GatewayStopRequested&, Instant now, GatewayActions& actions)
--- a/src/core/gateway/Gateway.h
+++ b/src/core/gateway/Gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/gateway/ExchangeKeeper.h"
+#include "core/gateway/NewsComposer.h"
 #include "core/gateway/RequestGate.h"
 
 #include <memory>
@@ -13,7 +14,7 @@
  */
 class Gateway {
 public:
-    Gateway(const GatewayLimits& limits, GatewayPlace place, Randomness& randomness);
+    Gateway(const GatewayLimits& limits, const GatewayPlace& place, Randomness& randomness);
 
     /** Handles one event. @param now on a clock that also counts time for which the machine was suspended. */
     GatewayActions handle(const GatewayEvent& event, Instant now);
@@ -55,7 +56,7 @@
     RequestGate gate;
     MoveKeeper moves;
     ExchangeKeeper exchanges;
-    std::optional<Instant> toldPeersAt;
+    NewsComposer news;
 };
 
 }
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -87,6 +87,8 @@
     Address address;
     ZoneId zone;
     std::uint64_t tokens { 0 };
+    /** Tokens of the prompt while no event has come; zero from then on. */
+    std::uint64_t promptTokens { 0 };
     /** Engine that keeps a copy of the run's memory while the exchange lasts. */
     std::optional<EndpointId> replicaAt;
     /** Newest event that went on, and when. */
@@ -102,14 +104,14 @@
 
 /** What the parts of a gateway's decisions share. */
 struct GatewayState {
-    GatewayState(
-        const GatewayLimits& gatewayLimits, const RouterLimits& sharedLimits, GatewayPlace place, Randomness& random)
+    GatewayState(const GatewayLimits& gatewayLimits, const RouterLimits& sharedLimits, const GatewayPlace& place,
+        Randomness& random)
         : limits(gatewayLimits)
-        , zone(std::move(place.zone))
+        , zone(place.zone)
         , randomness(random)
         , freshness(this->limits)
         , endpoints(this->limits)
-        , peers(this->limits, std::move(place.instance), Incarnation(random.next()))
+        , peers(this->limits, place.instance)
         , quarantine(sharedLimits)
         , crashes(this->quarantine)
         , sharedLimits(sharedLimits)
--- a/src/core/gateway/PeerBoard.cpp
+++ b/src/core/gateway/PeerBoard.cpp
@@ -1,5 +1,7 @@
 #include "core/gateway/PeerBoard.h"
 
+#include "core/gateway/NewsComposer.h"
+
 #include <algorithm>
 
 namespace teaselfold {
@@ -10,24 +12,43 @@
     this->members = std::move(listed);
 }
 
-void PeerBoard::hear(const PeerNews& news, Instant now)
+std::optional<GatewayId> PeerBoard::senderOf(const PeerNews& news) const
 {
-    if (news.instance == this->self)
-        return;
-    const auto [entry, isNew] = this->peers.try_emplace(news.instance);
+    if (!news.isPartial)
+        return news.instance;
+    const auto sender = std::find_if(this->peers.begin(), this->peers.end(),
+        [&](const auto& entry) { return entry.second.incarnation == news.incarnation; });
+    return sender == this->peers.end() ? std::nullopt : std::optional(sender->first);
+}
+
+std::optional<GatewayId> PeerBoard::hear(const PeerNews& news, Instant now)
+{
+    const auto sender = this->senderOf(news);
+    if (!sender || *sender == this->self)
+        return std::nullopt;
+    const auto [entry, isNew] = this->peers.try_emplace(*sender);
     Peer& peer = entry->second;
-    const bool isOlder = !isNew && peer.news.incarnation == news.incarnation && news.sequence <= peer.news.sequence;
-    if (isOlder)
-        return;
-    peer.news = news;
+    const bool isSameLife = !isNew && peer.incarnation == news.incarnation;
+    if (isSameLife && news.sequence <= peer.sequence)
+        return std::nullopt;
+    if (!isSameLife || !news.isPartial)
+        peer.shares.clear();
+    peer.incarnation = news.incarnation;
+    peer.sequence = news.sequence;
     peer.heardAt = now;
+    for (const EndpointShare& share : news.shares)
+        peer.shares[share.endpoint] = share;
     this->addUp();
+    return sender;
 }
 
 void PeerBoard::expire(Instant now)
 {
-    const auto silent = std::erase_if(
-        this->peers, [&](const auto& entry) { return now - entry.second.heardAt > this->limits.peerSilence; });
+    constexpr int lostNews = 2;
+    const Duration silence
+        = std::max(this->limits.peerSilence, fullNewsPeriod(this->limits, this->instances()) * lostNews);
+    const auto silent
+        = std::erase_if(this->peers, [&](const auto& entry) { return now - entry.second.heardAt > silence; });
     if (silent > 0)
         this->addUp();
 }
@@ -36,19 +57,20 @@
 {
     this->elsewhere.clear();
     for (const auto& [instance, peer] : this->peers) {
-        for (const EndpointShare& share : peer.news.shares) {
-            EndpointShare& sum = this->elsewhere[share.endpoint];
-            sum.endpoint = share.endpoint;
+        for (const auto& [endpoint, share] : peer.shares) {
+            EndpointShare& sum = this->elsewhere[endpoint];
+            sum.endpoint = endpoint;
             sum.runs += share.runs;
             sum.tokens += share.tokens;
+            sum.promptTokens += share.promptTokens;
         }
     }
 }
 
-EndpointShare PeerBoard::workElsewhere(std::uint64_t endpoint) const
+EndpointShare PeerBoard::workElsewhere(std::uint32_t endpoint) const
 {
     const auto found = this->elsewhere.find(endpoint);
-    return found == this->elsewhere.end() ? EndpointShare { endpoint, 0, 0 } : found->second;
+    return found == this->elsewhere.end() ? EndpointShare { endpoint, 0, 0, 0 } : found->second;
 }
 
 bool PeerBoard::isComplete() const
@@ -66,16 +88,12 @@
     return std::max(heard, this->members->size()) + 1;
 }
 
-TellPeers PeerBoard::compose(std::vector<EndpointShare> shares, QuarantineDelivery suspects, bool isLeaving)
+std::vector<Address> PeerBoard::receivers() const
 {
-    TellPeers message;
-    message.news
-        = { this->self, this->incarnation, ++this->sequence, isLeaving, std::move(shares), std::move(suspects) };
-    if (this->members) {
-        for (const GatewayMember& member : *this->members)
-            message.receivers.push_back(member.address);
-    }
-    return message;
+    std::vector<Address> addresses;
+    for (const GatewayMember& member : this->members.value_or(std::vector<GatewayMember> {}))
+        addresses.push_back(member.address);
+    return addresses;
 }
 
 }
--- a/src/core/gateway/PeerBoard.h
+++ b/src/core/gateway/PeerBoard.h
@@ -12,22 +12,24 @@
 /** What the other gateways say: their work at each endpoint, and how many share the common allowances. */
 class PeerBoard {
 public:
-    PeerBoard(const GatewayLimits& limits, GatewayId self, Incarnation incarnation)
+    PeerBoard(const GatewayLimits& limits, GatewayId self)
         : limits(limits)
         , self(std::move(self))
-        , incarnation(incarnation)
     {
     }
 
     /** @param listed the gateways of the platform's store, this one among them or not. */
     void setMembers(std::vector<GatewayMember> listed);
-    /** Takes news. An older word than the one that is known says nothing. */
-    void hear(const PeerNews& news, Instant now);
+    /**
+     * Takes news. An older word than the newest of its sender says nothing, nor does partial news of a sender whose
+     * full news did not come yet. @return the sender, if the news count.
+     */
+    std::optional<GatewayId> hear(const PeerNews& news, Instant now);
     /** Forgets instances that have been silent. */
     void expire(Instant now);
 
     /** @return the work of all others at an endpoint, by the hash of its id. */
-    EndpointShare workElsewhere(std::uint64_t endpoint) const;
+    EndpointShare workElsewhere(std::uint32_t endpoint) const;
     /** @return true when every other member was heard lately, so that what they say is all there is. */
     bool isComplete() const;
     /**
@@ -36,24 +38,25 @@
      */
     std::size_t instances() const;
 
-    /** @return the word for the others, with the next sequence number. */
-    TellPeers compose(std::vector<EndpointShare> shares, QuarantineDelivery suspects, bool isLeaving);
+    /** @return where the other listed gateways hear news. */
+    std::vector<Address> receivers() const;
 
 private:
     struct Peer {
-        PeerNews news;
+        Incarnation incarnation;
+        std::uint64_t sequence { 0 };
         Instant heardAt;
+        std::unordered_map<std::uint32_t, EndpointShare> shares;
     };
 
+    std::optional<GatewayId> senderOf(const PeerNews& news) const;
     void addUp();
 
     const GatewayLimits& limits;
     GatewayId self;
-    Incarnation incarnation;
-    std::uint64_t sequence { 0 };
     std::optional<std::vector<GatewayMember>> members;
     std::map<GatewayId, Peer> peers;
-    std::unordered_map<std::uint64_t, EndpointShare> elsewhere;
+    std::unordered_map<std::uint32_t, EndpointShare> elsewhere;
 };
 
 }
--- a/src/ports/GatewayLimits.h
+++ b/src/ports/GatewayLimits.h
@@ -26,12 +26,14 @@
     double allowanceShare { 0.8 };
     /** Instances that share the allowances as long as their list is not known. */
     std::size_t assumedInstances { 8 };
-    /** An instance that was silent for so long says nothing any more. Several times the period of news. */
-    Milliseconds peerSilence { 3000 };
-    /** Shortest time between two words to the other instances. */
-    Milliseconds shortestNewsPeriod { 100 };
-    /** Time between two words for each receiver; keeps a node's control traffic within the target of 21 KB/s. */
-    Milliseconds newsPeriodPerReceiver { 50 };
+    /** An instance that was silent for so long, and for twice its period of full news, says nothing any more. */
+    Milliseconds peerSilence { 6000 };
+    /** Shortest time between two full words to the other instances. */
+    Milliseconds shortestFullNewsPeriod { 500 };
+    /** Time between two full words for each receiver; they then take about a fifth of the bytes for news. */
+    Milliseconds fullNewsPeriodPerReceiver { 150 };
+    /** Bytes of news that an instance sends. Of the target of 21 KB/s a node for control; the rest is for the store. */
+    double newsBytesPerSecond { 17000 };
     /** What a cold endpoint bears, as a multiple of its stated rate, and beyond it. From the settings. */
     double coldFactor { 1.5 };
     double coldHeadroom { 5 };
