--- a/apps/teaselfold-gateway/Main.cpp
+++ b/apps/teaselfold-gateway/Main.cpp
@@ -8,6 +8,7 @@
 #include "runtime/BootClock.h"
 #include "runtime/SystemRandomness.h"
 
+#include <atomic>
 #include <csignal>
 #include <future>
 
@@ -28,7 +29,7 @@
 }
 
 /** How long the store may hold a call: an answer, even an empty one, proves how fresh the configuration is. */
-constexpr Milliseconds freshnessHold(1000);
+constexpr Milliseconds freshnessHold(1500);
 /** Gateways come and go rarely, and their table proves nothing. */
 constexpr Milliseconds memberHold(10000);
 
@@ -63,6 +64,8 @@
     void waitForStop(const sigset_t& signals);
     void reload(bool asked);
     std::unique_ptr<StoreFollower> follow(std::unique_ptr<TableTranslator> translator, Milliseconds hold);
+    /** Passes news of the store on to the traffic duty. Called by the followers' threads. */
+    void storeNews(GatewayEvent event);
 
     GatewaySettings settings;
     SettingsReader reread;
@@ -73,6 +76,8 @@
     std::promise<void> stopped;
     PeerChannel peers;
     std::unique_ptr<TrafficServer> traffic;
+    /** Gateways on the platform's list. */
+    std::atomic<std::size_t> listedGateways { 1 };
     std::vector<std::unique_ptr<StoreFollower>> followers;
 };
 
@@ -101,11 +106,19 @@
     options.store = this->settings.store;
     options.timeout = this->settings.storeTimeout;
     options.hold = hold;
+    options.pause = [this] { return storePause(this->listedGateways); };
     return std::make_unique<StoreFollower>(
-        options, std::move(translator), [this](GatewayEvent event) { this->traffic->ring().push(std::move(event)); },
+        options, std::move(translator), [this](GatewayEvent event) { this->storeNews(std::move(event)); },
         &bootTimeNow);
 }
 
+void GatewayProcess::storeNews(GatewayEvent event)
+{
+    if (const auto* listed = std::get_if<MembersListed>(&event))
+        this->listedGateways = listed->members.size();
+    this->traffic->ring().push(std::move(event));
+}
+
 void GatewayProcess::waitForStop(const sigset_t& signals)
 {
     const timespec period { settingsPeriod.count(), 0 };
--- a/test/correctness/FeedsKeepTheNewestWord.cpp
+++ b/test/correctness/FeedsKeepTheNewestWord.cpp
@@ -48,3 +48,11 @@
     REQUIRE(events.size() == 1);
     CHECK(std::get<ZonesOutRead>(events.front()).zones == std::set { ZoneId("b") });
 }
+
+TEST_CASE("Gateways ask the store less often the more they are, but notice a leaving endpoint within its notice")
+{
+    constexpr Milliseconds shortestNotice(1500);
+    CHECK(storePause(26) > storePause(3));
+    CHECK(storePause(400) < shortestNotice / 2);
+    CHECK(storePause(0) > Milliseconds(0));
+}
