--- a/apps/teaselfold-gateway/Main.cpp
+++ b/apps/teaselfold-gateway/Main.cpp
@@ -29,7 +29,7 @@
 }
 
 /** How long the store may hold a call: an answer, even an empty one, proves how fresh the configuration is. */
-constexpr Milliseconds freshnessHold(1500);
+constexpr Milliseconds freshnessHold(1000);
 /** Gateways come and go rarely, and their table proves nothing. */
 constexpr Milliseconds memberHold(10000);
 
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -33,8 +33,9 @@
     Address sourceAddress;
     EndpointId target;
     Address targetAddress;
-    /** When the newest call was sent. */
+    /** When the newest call was sent, and how many there were. */
     Instant orderedAt;
+    std::uint32_t calls { 0 };
     /** Tokens for which room is kept at the target. */
     std::uint64_t tokens { 0 };
     /** The newest copy at the target. */
--- a/src/core/gateway/MoveKeeper.cpp
+++ b/src/core/gateway/MoveKeeper.cpp
@@ -18,6 +18,8 @@
      * since its caller waits as long as the last copy takes.
      */
     constexpr Milliseconds shortCopy(25);
+    /** Calls after which the links stay too slow to stop the run: its copy is kept for when its engine is gone. */
+    constexpr std::uint32_t mostCalls = 12;
     /** An engine's notice is not long enough for more. */
     constexpr std::uint32_t mostFailedMoves = 4;
 
@@ -99,7 +101,7 @@
     if (!target)
         return false;
     active.move = RunMove { MovePhase::Copying, *active.exchange, source, exchange.address, target->record.id,
-        target->record.address, now, active.tokens, std::nullopt, false };
+        target->record.address, now, 0, active.tokens, std::nullopt, false };
     this->state.endpoints.addCopy(target->record.id, active.tokens);
     this->byExchange[*active.exchange] = active.request.id;
     this->order(active, now, actions);
@@ -111,6 +113,7 @@
 {
     RunMove& move = *active.move;
     move.orderedAt = now;
+    ++move.calls;
     const bool stopsRun = move.phase == MovePhase::Finishing;
     actions.emplace_back(
         StartMove { move.exchange, move.sourceAddress, active.request.callerId, move.targetAddress, stopsRun });
@@ -131,7 +134,7 @@
     const bool copied = event.outcome == MoveOutcome::Copied;
     if (copied)
         move.copy = event.handle;
-    if (move.phase == MovePhase::Copying && copied && !move.streamEnded) {
+    if (move.phase == MovePhase::Copying && copied && !move.streamEnded && move.calls < mostCalls) {
         if (now - move.orderedAt < shortCopy)
             move.phase = MovePhase::Finishing;
         this->order(active, now, actions);
--- a/test/correctness/StreamsOutliveTheirEngine.cpp
+++ b/test/correctness/StreamsOutliveTheirEngine.cpp
@@ -199,3 +199,23 @@
     CHECK(replicated < streams);
     CHECK_FALSE(scenario.lastOrder()->replicaAt);
 }
+
+TEST_CASE("Copies over slow links end, and the last one is used when the engine is gone")
+{
+    GatewayScenario scenario;
+    const EndpointId first = beginStream(scenario);
+    const ExchangeId exchange = scenario.lastOrder()->exchange;
+    loseReplica(scenario);
+    scenario.give(draining(first));
+    int calls = 0;
+    constexpr int bound = 50;
+    while (calls < bound && scenario.take<StartMove>()) {
+        ++calls;
+        scenario.pass(Milliseconds(100)).forget();
+        scenario.give(MoveAnswered { exchange, MoveOutcome::Copied, MemoryHandle("h" + std::to_string(calls)) });
+    }
+    CHECK(calls < bound);
+    scenario.give(ExchangeEnded { exchange, ExchangeEnd::Broken });
+    REQUIRE(scenario.take<StartExchange>());
+    CHECK(scenario.lastOrder()->resume->handle == MemoryHandle("h" + std::to_string(calls)));
+}
