Read the change again: no work on the tick that is thrown away, nothing unused

Gateway::tellPeers copied the receivers' addresses 20 times a second, and NewsComposer compared all shares, also when the node's bytes were used up; a pick asked each other gateway up to 20 times whether it was heard. NewsComposer::news took a parameter that its content holds already, and had a copy of secondsOf. MoveKeeper::takeResumePoint is private.

Behaviour stays as it is; tests unchanged.

--- a/src/adapters/traffic/CallerSide.cpp
+++ b/src/adapters/traffic/CallerSide.cpp
@@ -15,7 +15,6 @@
     constexpr std::size_t maximumAheadBytes = 65536;
     constexpr std::string_view continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
     constexpr std::string_view lastChunk = "0\r\n\r\n";
-    constexpr std::uint16_t headTooLarge = 431;
     constexpr std::uint16_t bodyTooLarge = 413;
     constexpr std::uint16_t badRequest = 400;
 
--- a/src/core/gateway/EndpointPicker.cpp
+++ b/src/core/gateway/EndpointPicker.cpp
@@ -70,7 +70,7 @@
     double runsElsewhere(const GatewayEndpoint& endpoint, const PickContext& context)
     {
         const auto told = static_cast<double>(context.peers.workElsewhere(endpoint.idHash).runs);
-        return context.peers.isComplete() ? told : std::max(told, foreignWork(endpoint, context));
+        return context.hearsAll ? told : std::max(told, foreignWork(endpoint, context));
     }
 
     /** @return the tokens that the engine is expected to hold with one more request. */
@@ -79,7 +79,7 @@
         const auto request = static_cast<double>(context.tokens);
         const auto own = static_cast<double>(endpoint.tokensInFlight + endpoint.copyTokens);
         const auto told = static_cast<double>(context.peers.workElsewhere(endpoint.idHash).tokens);
-        if (context.peers.isComplete())
+        if (context.hearsAll)
             return own + told + request;
         const double each
             = endpoint.inFlight == 0 ? request : static_cast<double>(endpoint.tokensInFlight) / endpoint.inFlight;
--- a/src/core/gateway/EndpointPicker.h
+++ b/src/core/gateway/EndpointPicker.h
@@ -19,6 +19,8 @@
     const GatewayLimits& limits;
     const PeerBoard& peers;
     Randomness& randomness;
+    /** What the other instances say is all there is. Asked once, as it looks at each of them. */
+    bool hearsAll { this->peers.isComplete() };
 };
 
 /** Chooses the endpoint for one request. One object for each kind of service. */
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -192,11 +192,10 @@
 
 void Gateway::tellPeers(Instant now, GatewayActions& actions)
 {
-    std::vector<Address> receivers = this->state.peers.receivers();
     const NewsContent content { this->state.endpoints.shares(), this->state.quarantine.delivery(now),
-        this->state.stopRequestedAt.has_value(), receivers.size() };
+        this->state.stopRequestedAt.has_value(), this->state.peers.receiverCount() };
     if (auto news = this->news.compose(content, now))
-        actions.emplace_back(TellPeers { std::move(*news), std::move(receivers) });
+        actions.emplace_back(TellPeers { std::move(*news), this->state.peers.receivers() });
 }
 
 void Gateway::stopRequested(const GatewayStopRequested&, Instant now, GatewayActions& actions)
--- a/src/core/gateway/MoveKeeper.h
+++ b/src/core/gateway/MoveKeeper.h
@@ -31,8 +31,6 @@
     std::optional<ResumePoint> streamEnded(ActiveRequest& active);
     /** @return true when the stream waits for the answer to a move. */
     static bool isWaiting(const ActiveRequest& active);
-    /** @return where a stopped stream goes on, and forgets the move. */
-    static std::optional<ResumePoint> takeResumePoint(ActiveRequest& active);
     /** Forgets engines that have no stream left. */
     void expire();
     /** The request is over: the engine's next run may move. */
@@ -46,6 +44,8 @@
     /** Sends the call of the move's phase. */
     void order(ActiveRequest& active, Instant now, GatewayActions& actions);
     bool isWorthMoving(const ActiveRequest& active) const;
+    /** @return where a stopped stream goes on, and forgets the move. */
+    static std::optional<ResumePoint> takeResumePoint(ActiveRequest& active);
     /** The move is over, whatever came of it. */
     void settle(const RunMove& move);
 
--- a/src/core/gateway/NewsComposer.cpp
+++ b/src/core/gateway/NewsComposer.cpp
@@ -13,8 +13,6 @@
     /** Time for which unused bytes are saved up. */
     constexpr Milliseconds burstTime(500);
 
-    double secondsOf(Duration time) { return std::chrono::duration<double>(time).count(); }
-
 }
 
 Milliseconds fullNewsPeriod(const GatewayLimits& limits, std::size_t receivers)
@@ -25,9 +23,10 @@
 
 void NewsComposer::refill(Instant now)
 {
-    const double most = this->limits.newsBytesPerSecond * secondsOf(burstTime);
-    const double earned
-        = this->refilledAt ? this->limits.newsBytesPerSecond * secondsOf(now - *this->refilledAt) : most;
+    const auto bytesIn
+        = [&](std::chrono::duration<double> time) { return this->limits.newsBytesPerSecond * (time / Seconds(1)); };
+    const double most = bytesIn(burstTime);
+    const double earned = this->refilledAt ? bytesIn(now - *this->refilledAt) : most;
     this->refilledAt = now;
     this->available = std::min(most, this->available + earned);
 }
@@ -52,9 +51,9 @@
     return changed;
 }
 
-PeerNews NewsComposer::news(const NewsContent& content, std::vector<EndpointShare> shares, std::size_t receivers)
+PeerNews NewsComposer::news(const NewsContent& content, std::vector<EndpointShare> shares)
 {
-    this->spend(shares.size(), receivers);
+    this->spend(shares.size(), content.receivers);
     this->told.clear();
     for (const EndpointShare& share : content.shares)
         this->told[share.endpoint] = share;
@@ -67,12 +66,14 @@
     this->refill(now);
     if (!this->toldAllAt || now - *this->toldAllAt >= fullNewsPeriod(this->limits, content.receivers)) {
         this->toldAllAt = now;
-        return this->news(content, content.shares, content.receivers);
+        return this->news(content, content.shares);
     }
+    if (this->available <= 0)
+        return std::nullopt;
     auto changed = this->changedShares(content.shares);
-    if (changed.empty() || this->available <= 0)
+    if (changed.empty())
         return std::nullopt;
-    PeerNews partial = this->news(content, std::move(changed), content.receivers);
+    PeerNews partial = this->news(content, std::move(changed));
     partial.isPartial = true;
     partial.instance = GatewayId();
     return partial;
--- a/src/core/gateway/NewsComposer.h
+++ b/src/core/gateway/NewsComposer.h
@@ -37,7 +37,7 @@
     std::optional<PeerNews> compose(const NewsContent& content, Instant now);
 
 private:
-    PeerNews news(const NewsContent& content, std::vector<EndpointShare> shares, std::size_t receivers);
+    PeerNews news(const NewsContent& content, std::vector<EndpointShare> shares);
     std::vector<EndpointShare> changedShares(const std::vector<EndpointShare>& shares) const;
     void refill(Instant now);
     /** Takes the bytes of one round of news. */
--- a/src/core/gateway/PeerBoard.cpp
+++ b/src/core/gateway/PeerBoard.cpp
@@ -44,6 +44,7 @@
 
 void PeerBoard::expire(Instant now)
 {
+    // One full word may get lost.
     constexpr int lostNews = 2;
     const Duration silence
         = std::max(this->limits.peerSilence, fullNewsPeriod(this->limits, this->instances()) * lostNews);
@@ -91,7 +92,9 @@
 std::vector<Address> PeerBoard::receivers() const
 {
     std::vector<Address> addresses;
-    for (const GatewayMember& member : this->members.value_or(std::vector<GatewayMember> {}))
+    if (!this->members)
+        return addresses;
+    for (const GatewayMember& member : *this->members)
         addresses.push_back(member.address);
     return addresses;
 }
--- a/src/core/gateway/PeerBoard.h
+++ b/src/core/gateway/PeerBoard.h
@@ -38,6 +38,8 @@
      */
     std::size_t instances() const;
 
+    /** @return how many other gateways are listed. */
+    std::size_t receiverCount() const { return this->members ? this->members->size() : 0; }
     /** @return where the other listed gateways hear news. */
     std::vector<Address> receivers() const;
 
