Log the prompt parts of requests and how far broken runs got

A request now carries the hashes of its prompt's shared parts (all but the last, which is its own), 'sent' lines name them, and each broken exchange is logged with its age, the time since its first event and its parts.

--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -122,7 +122,7 @@
     const std::uint64_t promptTokens = parameters.resume ? 0 : active.request.promptTokens;
     this->state.endpoints.addPendingPrompt(endpoint.record.id, promptTokens);
     this->state.exchanges[id] = { active.request.id, endpoint.record.id, endpoint.record.address, endpoint.record.zone,
-        active.tokens, promptTokens, active.replicaEngine, active.lastEventId, std::nullopt };
+        active.tokens, promptTokens, active.replicaEngine, active.lastEventId, std::nullopt, now, std::nullopt };
     if (active.replicaEngine)
         this->state.endpoints.addCopy(*active.replicaEngine, active.tokens);
     auto line = Internal::requestLogEvent(parameters.resume ? "resumed" : "sent", active, now);
@@ -130,6 +130,8 @@
     line.fields.push_back({ "attempt", std::to_string(active.attempts) });
     line.fields.push_back({ "in_flight", std::to_string(endpoint.inFlight) });
     line.fields.push_back({ "foreign", std::to_string(endpoint.externalRequests) });
+    if (!active.request.sharedPromptParts.empty())
+        line.fields.push_back({ "prompt_parts", Internal::promptPartsText(active.request.sharedPromptParts) });
     this->state.endpoints.beginExchange(endpoint.record.id, active.tokens, now);
     actions.emplace_back(StartExchange { std::move(parameters) });
     actions.emplace_back(std::move(line));
@@ -262,6 +264,8 @@
         Internal::observeCompleted(actions, *active, now);
         return this->removeRequest(*active, now, actions);
     }
+    if (event.end == ExchangeEnd::Broken)
+        actions.emplace_back(Internal::brokenExchangeLogEvent(*active, *exchange, now));
     this->detectCrash(*active, *exchange, event.end, now, actions);
     this->state.endpoints.recordFailure(exchange->endpoint, now);
     const bool mayResend = !active->mayHaveRun || isIdempotent(*active);
@@ -353,6 +357,7 @@
     this->state.endpoints.removePendingPrompt(running.endpoint, std::exchange(running.promptTokens, 0));
     running.lastEventId = event.lastEventId;
     running.lastEventAt = now;
+    running.firstEventAt = running.firstEventAt.value_or(now);
     ActiveRequest* active = this->findRequest(running.request);
     internalCheck(active, "an exchange belongs to an active request");
     if (active->lastEventAt)
--- a/src/core/gateway/GatewayLog.cpp
+++ b/src/core/gateway/GatewayLog.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdio>
 
 namespace teaselfold::Internal {
 
@@ -57,6 +58,30 @@
     return line;
 }
 
+LogEvent brokenExchangeLogEvent(const ActiveRequest& active, const Exchange& exchange, Instant now)
+{
+    auto line = requestLogEvent("exchange_broken", active, now);
+    line.fields.push_back({ "endpoint", exchange.endpoint.get() });
+    line.fields.push_back({ "sent_ms_ago", millisecondsText(now - exchange.startedAt) });
+    line.fields.push_back(
+        { "first_event_ms_ago", exchange.firstEventAt ? millisecondsText(now - *exchange.firstEventAt) : "none" });
+    line.fields.push_back({ "last_event", std::to_string(exchange.lastEventId) });
+    if (!active.request.sharedPromptParts.empty())
+        line.fields.push_back({ "prompt_parts", promptPartsText(active.request.sharedPromptParts) });
+    return line;
+}
+
+std::string promptPartsText(const std::vector<PromptPartId>& parts)
+{
+    std::string text;
+    for (const PromptPartId part : parts) {
+        std::array<char, 17> digits {};
+        std::snprintf(digits.data(), digits.size(), "%016llx", static_cast<unsigned long long>(part.get()));
+        text += (text.empty() ? "" : "+") + std::string(digits.data());
+    }
+    return text;
+}
+
 std::string_view sectionName(StoreSection section)
 {
     constexpr std::array<std::string_view, storeSectionCount> names { "configuration", "endpoints", "members" };
--- a/src/core/gateway/GatewayLog.h
+++ b/src/core/gateway/GatewayLog.h
@@ -13,6 +13,12 @@
 /** @return the log event of a completed request; for a stream also with the latencies that its caller observed. */
 LogEvent completedLogEvent(const ActiveRequest& active, Instant now);
 
+/** @return the log event of a broken exchange: how far the request's run got at the endpoint, and its prompt's parts. */
+LogEvent brokenExchangeLogEvent(const ActiveRequest& active, const Exchange& exchange, Instant now);
+
+/** @return the parts' ids in hexadecimal, separated by plus signs. */
+std::string promptPartsText(const std::vector<PromptPartId>& parts);
+
 /** Adds a metric observation for a request. @param value in the metric's unit; 1 for counters. */
 void observe(
     GatewayActions& actions, const ActiveRequest& active, Metric metric, double value = 1, std::string label = {});
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -96,6 +96,9 @@
     /** Last event that was relayed to the caller. `lastEventAt` is the time of the relay. */
     std::uint64_t lastEventId { 0 };
     std::optional<Instant> lastEventAt;
+    Instant startedAt;
+    /** When this exchange's first event was relayed; earlier exchanges of a resumed stream do not count. */
+    std::optional<Instant> firstEventAt;
 };
 
 /** State shared by the parts of a gateway's decision logic. */
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -15,6 +15,8 @@
 using ExchangeId = Id<struct ExchangeTag, std::uint64_t>;
 /** Identifies a copy of a running request's KV cache at an engine. */
 using KvCacheHandle = Id<struct KvCacheHandleTag, std::string>;
+/** Identifies a part of a prompt by the XXH3 hash of the name that requests with this part give it. */
+using PromptPartId = Id<struct PromptPartTag, std::uint64_t>;
 
 /** A caller's request without its body. */
 struct GatewayRequest {
@@ -34,6 +36,8 @@
     /** The caller's estimate of the output length; zero when the caller sent none. */
     std::uint64_t expectedOutputTokens { 0 };
     Fingerprint fingerprint;
+    /** Parts of the prompt that other requests may share, in order. */
+    std::vector<PromptPartId> sharedPromptParts;
 };
 
 /** A complete request was received. */
--- a/test/correctness/PlatformNamesAreTranslated.cpp
+++ b/test/correctness/PlatformNamesAreTranslated.cpp
@@ -43,6 +43,20 @@
     CHECK(sent.target == "/a/b?c=d");
 }
 
+TEST_CASE("A request's shared prompt parts are all parts but the last, whatever their case and sizes")
+{
+    const PlatformTrafficCodec codec;
+    const auto partsOf = [&](const std::string& list) {
+        return codec.readRequest({ "POST", "/a/", false, { { "X-Teaselfold-Prefix-Hash", list } } }).sharedPromptParts;
+    };
+    const auto parts = partsOf("5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+    REQUIRE(parts.size() == 2);
+    CHECK(parts[0] != parts[1]);
+    CHECK(partsOf("5C1E07A2:1, 91bd3f06,0:1") == parts);
+    CHECK(partsOf("5c1e07a2:800").empty());
+    CHECK(partsOf("").empty());
+}
+
 TEST_CASE("A resumed stream's request names the engine that holds its KV cache and the last event")
 {
     const PlatformTrafficCodec codec;
