--- a/src/adapters/peers/GossipCodec.cpp
+++ b/src/adapters/peers/GossipCodec.cpp
@@ -12,22 +12,74 @@
     constexpr std::size_t maxUsages = 48;
     constexpr std::size_t maxSuspects = 16;
 
-    std::vector<EndpointUsage> selectLargestUsages(std::vector<EndpointUsage> usages)
+    /** @return the number of usages that take as many bytes as the evidence. */
+    std::size_t displacedUsages(const PromptPartEvidence& evidence)
+    {
+        constexpr std::size_t usagesPerStart = 3;
+        constexpr std::size_t partsPerUsage = 2;
+        std::size_t usages = evidence.survivals.size();
+        for (const auto& start : evidence.brokenStarts)
+            usages += usagesPerStart + start.parts.size() / partsPerUsage;
+        return std::min(usages, maxUsages);
+    }
+
+    std::vector<EndpointUsage> selectLargestUsages(std::vector<EndpointUsage> usages, std::size_t limit)
     {
         std::sort(usages.begin(), usages.end(),
             [](const EndpointUsage& left, const EndpointUsage& right) { return left.tokens > right.tokens; });
-        if (usages.size() > maxUsages)
-            usages.resize(maxUsages);
+        if (usages.size() > limit)
+            usages.resize(limit);
         return usages;
     }
 
+    std::vector<flatbuffers::Offset<peerwire::BrokenStart>> encodeBrokenStarts(
+        flatbuffers::FlatBufferBuilder& builder, const PromptPartEvidence& evidence)
+    {
+        std::vector<flatbuffers::Offset<peerwire::BrokenStart>> starts;
+        for (const auto& start : evidence.brokenStarts) {
+            std::vector<std::uint64_t> parts;
+            for (const PromptPartId part : start.parts)
+                parts.push_back(part.get());
+            starts.push_back(peerwire::CreateBrokenStart(builder, start.report, start.endpoint,
+                static_cast<std::uint32_t>(start.age.count()), builder.CreateVector(parts)));
+        }
+        return starts;
+    }
+
+    std::vector<peerwire::Survival> encodeSurvivals(const PromptPartEvidence& evidence)
+    {
+        std::vector<peerwire::Survival> survivals;
+        for (const auto& survival : evidence.survivals)
+            survivals.emplace_back(survival.part.get(), static_cast<std::uint32_t>(survival.age.count()));
+        return survivals;
+    }
+
+    PromptPartEvidence decodeEvidence(const peerwire::News& news)
+    {
+        PromptPartEvidence evidence;
+        for (flatbuffers::uoffset_t index = 0; news.broken_starts() && index < news.broken_starts()->size(); ++index) {
+            const auto* start = news.broken_starts()->Get(index);
+            std::vector<PromptPartId> parts;
+            for (flatbuffers::uoffset_t part = 0; start->parts() && part < start->parts()->size(); ++part)
+                parts.emplace_back(start->parts()->Get(part));
+            evidence.brokenStarts.push_back(
+                { start->report(), start->endpoint(), Milliseconds(start->age_ms()), std::move(parts) });
+        }
+        for (flatbuffers::uoffset_t index = 0; news.survivals() && index < news.survivals()->size(); ++index) {
+            const auto* survival = news.survivals()->Get(index);
+            evidence.survivals.push_back({ PromptPartId(survival->part()), Milliseconds(survival->age_ms()) });
+        }
+        return evidence;
+    }
+
 }
 
 std::string encodeGossip(const GossipMessage& gossip)
 {
     flatbuffers::FlatBufferBuilder builder;
     std::vector<peerwire::Load> loads;
-    for (const EndpointUsage& usage : selectLargestUsages(gossip.usages))
+    for (const EndpointUsage& usage :
+        selectLargestUsages(gossip.usages, maxUsages - displacedUsages(gossip.promptParts)))
         loads.emplace_back(usage.endpoint, usage.tokens, usage.runs, usage.promptTokens);
     std::vector<peerwire::Suspect> suspects;
     for (const auto& suspect : gossip.suspects.suspects) {
@@ -40,8 +92,12 @@
     const auto instance = gossip.isPartial ? 0 : builder.CreateString(gossip.instance.get());
     const auto loadVector = builder.CreateVectorOfStructs(loads);
     const auto suspectVector = suspects.empty() ? 0 : builder.CreateVectorOfStructs(suspects);
+    const auto starts = encodeBrokenStarts(builder, gossip.promptParts);
+    const auto startVector = starts.empty() ? 0 : builder.CreateVector(starts);
+    const auto survivals = encodeSurvivals(gossip.promptParts);
+    const auto survivalVector = survivals.empty() ? 0 : builder.CreateVectorOfStructs(survivals);
     const auto root = peerwire::CreateNews(builder, instance, gossip.incarnation.get(), gossip.sequence,
-        gossip.isDraining, loadVector, suspectVector, gossip.isPartial);
+        gossip.isDraining, loadVector, suspectVector, gossip.isPartial, startVector, survivalVector);
     builder.Finish(root, peerwire::NewsIdentifier());
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
@@ -73,6 +129,7 @@
         gossip.suspects.suspects.push_back(
             { Fingerprint(suspect->fingerprint()), suspect->deaths(), Milliseconds(suspect->remaining_ms()) });
     }
+    gossip.promptParts = decodeEvidence(*root);
     return gossip;
 }
 
--- a/src/adapters/peers/Peers_generated.h
+++ b/src/adapters/peers/Peers_generated.h
@@ -20,6 +20,11 @@
 
 struct Suspect;
 
+struct Survival;
+
+struct BrokenStart;
+struct BrokenStartBuilder;
+
 struct News;
 struct NewsBuilder;
 
@@ -87,6 +92,121 @@
 };
 FLATBUFFERS_STRUCT_END(Suspect, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Survival FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t part_;
+  uint32_t age_ms_;
+  int32_t padding0__;
+
+ public:
+  Survival()
+      : part_(0),
+        age_ms_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  Survival(uint64_t _part, uint32_t _age_ms)
+      : part_(flatbuffers::EndianScalar(_part)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Survival, 16);
+
+struct BrokenStart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BrokenStartBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REPORT = 4,
+    VT_ENDPOINT = 6,
+    VT_AGE_MS = 8,
+    VT_PARTS = 10
+  };
+  uint64_t report() const {
+    return GetField<uint64_t>(VT_REPORT, 0);
+  }
+  uint32_t endpoint() const {
+    return GetField<uint32_t>(VT_ENDPOINT, 0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REPORT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_ENDPOINT, 4) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           verifier.EndTable();
+  }
+};
+
+struct BrokenStartBuilder {
+  typedef BrokenStart Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_report(uint64_t report) {
+    fbb_.AddElement<uint64_t>(BrokenStart::VT_REPORT, report, 0);
+  }
+  void add_endpoint(uint32_t endpoint) {
+    fbb_.AddElement<uint32_t>(BrokenStart::VT_ENDPOINT, endpoint, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(BrokenStart::VT_AGE_MS, age_ms, 0);
+  }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
+    fbb_.AddOffset(BrokenStart::VT_PARTS, parts);
+  }
+  explicit BrokenStartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<BrokenStart> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<BrokenStart>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<BrokenStart> CreateBrokenStart(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t report = 0,
+    uint32_t endpoint = 0,
+    uint32_t age_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0) {
+  BrokenStartBuilder builder_(_fbb);
+  builder_.add_report(report);
+  builder_.add_parts(parts);
+  builder_.add_age_ms(age_ms);
+  builder_.add_endpoint(endpoint);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<BrokenStart> CreateBrokenStartDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t report = 0,
+    uint32_t endpoint = 0,
+    uint32_t age_ms = 0,
+    const std::vector<uint64_t> *parts = nullptr) {
+  auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
+  return teaselfold::peerwire::CreateBrokenStart(
+      _fbb,
+      report,
+      endpoint,
+      age_ms,
+      parts__);
+}
+
 struct News FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef NewsBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -96,7 +216,9 @@
     VT_LEAVING = 10,
     VT_LOADS = 12,
     VT_SUSPECTS = 14,
-    VT_PARTIAL = 16
+    VT_PARTIAL = 16,
+    VT_BROKEN_STARTS = 18,
+    VT_SURVIVALS = 20
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -119,6 +241,12 @@
   bool partial() const {
     return GetField<uint8_t>(VT_PARTIAL, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<teaselfold::peerwire::BrokenStart>> *broken_starts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<teaselfold::peerwire::BrokenStart>> *>(VT_BROKEN_STARTS);
+  }
+  const flatbuffers::Vector<const teaselfold::peerwire::Survival *> *survivals() const {
+    return GetPointer<const flatbuffers::Vector<const teaselfold::peerwire::Survival *> *>(VT_SURVIVALS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCE) &&
@@ -131,6 +259,11 @@
            VerifyOffset(verifier, VT_SUSPECTS) &&
            verifier.VerifyVector(suspects()) &&
            VerifyField<uint8_t>(verifier, VT_PARTIAL, 1) &&
+           VerifyOffset(verifier, VT_BROKEN_STARTS) &&
+           verifier.VerifyVector(broken_starts()) &&
+           verifier.VerifyVectorOfTables(broken_starts()) &&
+           VerifyOffset(verifier, VT_SURVIVALS) &&
+           verifier.VerifyVector(survivals()) &&
            verifier.EndTable();
   }
 };
@@ -160,6 +293,12 @@
   void add_partial(bool partial) {
     fbb_.AddElement<uint8_t>(News::VT_PARTIAL, static_cast<uint8_t>(partial), 0);
   }
+  void add_broken_starts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<teaselfold::peerwire::BrokenStart>>> broken_starts) {
+    fbb_.AddOffset(News::VT_BROKEN_STARTS, broken_starts);
+  }
+  void add_survivals(flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Survival *>> survivals) {
+    fbb_.AddOffset(News::VT_SURVIVALS, survivals);
+  }
   explicit NewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -179,10 +318,14 @@
     bool leaving = false,
     flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Load *>> loads = 0,
     flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Suspect *>> suspects = 0,
-    bool partial = false) {
+    bool partial = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<teaselfold::peerwire::BrokenStart>>> broken_starts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Survival *>> survivals = 0) {
   NewsBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_survivals(survivals);
+  builder_.add_broken_starts(broken_starts);
   builder_.add_suspects(suspects);
   builder_.add_loads(loads);
   builder_.add_instance(instance);
@@ -199,10 +342,14 @@
     bool leaving = false,
     const std::vector<teaselfold::peerwire::Load> *loads = nullptr,
     const std::vector<teaselfold::peerwire::Suspect> *suspects = nullptr,
-    bool partial = false) {
+    bool partial = false,
+    const std::vector<flatbuffers::Offset<teaselfold::peerwire::BrokenStart>> *broken_starts = nullptr,
+    const std::vector<teaselfold::peerwire::Survival> *survivals = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Load>(*loads) : 0;
   auto suspects__ = suspects ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Suspect>(*suspects) : 0;
+  auto broken_starts__ = broken_starts ? _fbb.CreateVector<flatbuffers::Offset<teaselfold::peerwire::BrokenStart>>(*broken_starts) : 0;
+  auto survivals__ = survivals ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Survival>(*survivals) : 0;
   return teaselfold::peerwire::CreateNews(
       _fbb,
       instance__,
@@ -211,7 +358,9 @@
       leaving,
       loads__,
       suspects__,
-      partial);
+      partial,
+      broken_starts__,
+      survivals__);
 }
 
 inline const teaselfold::peerwire::News *GetNews(const void *buf) {
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -1,6 +1,7 @@
 #include "core/gateway/ExchangeDispatcher.h"
 
 #include "core/common/Check.h"
+#include "core/entry/Rendezvous.h"
 #include "core/gateway/CopyPlacement.h"
 #include "core/gateway/GatewayLog.h"
 
@@ -14,6 +15,10 @@
     constexpr std::uint64_t minReplicatedEvents = 20;
     /** KV cache utilization beyond which an engine gets no replica, since it would take space from running streams. */
     constexpr double maxReplicaUtilization = 0.5;
+    /** Time after its first event during which a run's prompt may still crash its engine. */
+    constexpr Milliseconds startPeriod(1000);
+    /** A run that broke at the start at this many engines is not resumed at another one. */
+    constexpr std::uint32_t maxBrokenStarts = 2;
     constexpr std::uint16_t firstServerError = 500;
     constexpr std::uint16_t firstRedirection = 300;
     constexpr std::uint16_t firstSuccess = 200;
@@ -76,6 +81,10 @@
             { ErrorCode::StoreUnavailable, "keys cannot be checked now", executedStateOf(active), retryAfter }, now,
             actions);
     }
+    const Milliseconds quarantinedFor
+        = this->state.promptParts.remainingQuarantine(active.request.sharedPromptParts, now);
+    if (quarantinedFor > Milliseconds(0))
+        return this->refuseQuarantined(active, quarantinedFor, now, actions);
     if (GatewayEndpoint* endpoint = this->pickEndpoint(active, active.triedEndpoints, now)) {
         this->state.waiting.erase(active.request.id);
         return this->startExchange(active, *endpoint, std::nullopt, now, actions);
@@ -83,6 +92,19 @@
     this->state.waiting.insert(active.request.id);
 }
 
+void ExchangeDispatcher::refuseQuarantined(
+    ActiveRequest& active, Milliseconds quarantinedFor, Instant now, GatewayActions& actions)
+{
+    auto line = Internal::requestLogEvent("refused", active, now);
+    line.fields.push_back({ "reason", "prompt part quarantined" });
+    line.fields.push_back({ "prompt_parts", Internal::promptPartsText(active.request.sharedPromptParts) });
+    actions.emplace_back(std::move(line));
+    this->failRequest(active,
+        { ErrorCode::Quarantined, "engines crashed under a part of this prompt", executedStateOf(active),
+            quarantinedFor },
+        now, actions);
+}
+
 std::optional<Address> ExchangeDispatcher::placeReplica(
     ActiveRequest& active, const GatewayEndpoint& endpoint, Instant now)
 {
@@ -211,8 +233,11 @@
     active->mayHaveRun = active->mayHaveRun || !response.notExecuted;
     const bool isRunResult = response.isSigned && !response.notExecuted && !promisesNotExecuted(response.status);
     if (isRunResult && (response.status < firstServerError || !this->reserveRetry(*active, now))) {
-        if (isSuccess(response))
+        if (isSuccess(response)) {
             this->state.endpoints.recordSuccess(exchange.endpoint);
+            if (!response.isStream)
+                this->state.promptParts.recordSurvival(active->request.sharedPromptParts, now);
+        }
         active->responseStarted = true;
         actions.emplace_back(RelayResponse { event.exchange });
         return;
@@ -260,12 +285,16 @@
     active->exchange.reset();
     if (event.end == ExchangeEnd::Complete) {
         this->state.quarantine.clear(active->request.fingerprint);
+        if (exchange->firstEventAt)
+            this->state.promptParts.recordSurvival(active->request.sharedPromptParts, now);
         actions.emplace_back(Internal::completedLogEvent(*active, now));
         Internal::observeCompleted(actions, *active, now);
         return this->removeRequest(*active, now, actions);
     }
-    if (event.end == ExchangeEnd::Broken)
+    if (event.end == ExchangeEnd::Broken) {
         actions.emplace_back(Internal::brokenExchangeLogEvent(*active, *exchange, now));
+        this->recordBrokenStart(*active, *exchange, now);
+    }
     this->detectCrash(*active, *exchange, event.end, now, actions);
     this->state.endpoints.recordFailure(exchange->endpoint, now);
     const bool mayResend = !active->mayHaveRun || isIdempotent(*active);
@@ -278,6 +307,16 @@
     this->recoverOrFail(*active, now, actions);
 }
 
+void ExchangeDispatcher::recordBrokenStart(ActiveRequest& active, const Exchange& exchange, Instant now)
+{
+    if (exchange.isPastStart)
+        return;
+    ++active.brokenStarts;
+    const auto endpoint = static_cast<std::uint32_t>(hashOf(exchange.endpoint.get()));
+    this->state.promptParts.recordBrokenStart(
+        this->state.randomness.next(), endpoint, active.request.sharedPromptParts, now);
+}
+
 void ExchangeDispatcher::detectCrash(
     const ActiveRequest& active, const Exchange& exchange, ExchangeEnd end, Instant now, GatewayActions& actions)
 {
@@ -331,6 +370,8 @@
 {
     if (!this->state.endpoints.acceptsRequests(endpoint))
         return false;
+    if (active.brokenStarts >= maxBrokenStarts || this->state.promptParts.isSuspect(active.request.sharedPromptParts))
+        return false;
     this->startExchange(active, *this->state.endpoints.find(endpoint), point, now, actions);
     return true;
 }
@@ -360,6 +401,10 @@
     running.firstEventAt = running.firstEventAt.value_or(now);
     ActiveRequest* active = this->findRequest(running.request);
     internalCheck(active, "an exchange belongs to an active request");
+    if (!running.isPastStart && now - *running.firstEventAt >= startPeriod) {
+        running.isPastStart = true;
+        this->state.promptParts.recordSurvival(active->request.sharedPromptParts, now);
+    }
     if (active->lastEventAt)
         active->longestPause = std::max(active->longestPause, now - *active->lastEventAt);
     active->lastEventAt = now;
--- a/src/core/gateway/ExchangeDispatcher.h
+++ b/src/core/gateway/ExchangeDispatcher.h
@@ -39,6 +39,8 @@
      */
     bool resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now,
         GatewayActions& actions);
+    /** Refuses a request because of a quarantined part of its prompt. */
+    void refuseQuarantined(ActiveRequest& active, Milliseconds quarantinedFor, Instant now, GatewayActions& actions);
     GatewayEndpoint* pickEndpoint(const ActiveRequest& active, const std::set<EndpointId>& excluded, Instant now) const;
     /** Withdraws one retry from the budget if the request may be repeated. @return true if a retry may be sent. */
     bool reserveRetry(const ActiveRequest& active, Instant now);
@@ -46,6 +48,8 @@
     /** Handles a response that refuses the request or is not the result of a run. */
     void handleRejection(ActiveRequest& active, const Exchange& exchange, const ResponseSummary& response, Instant now,
         GatewayActions& actions);
+    /** Records a run that broke before it got past its start as evidence against the parts of its prompt. */
+    void recordBrokenStart(ActiveRequest& active, const Exchange& exchange, Instant now);
     void detectCrash(
         const ActiveRequest& active, const Exchange& exchange, ExchangeEnd end, Instant now, GatewayActions& actions);
     /** Dispatches a request again after an attempt that did not reach its endpoint and is therefore not counted. */
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -53,6 +53,8 @@
     this->drainEndpoints(this->state.endpoints.expire(now), now, actions);
     this->state.quarantine.expire(now);
     this->state.crashDetector.expire(now);
+    this->state.promptParts.expire(now);
+    this->logQuarantinedParts(actions);
     this->migrator.expire();
     this->exchanges.tick(now, actions);
     this->state.peers.expire(now);
@@ -193,6 +195,7 @@
 
 void Gateway::gossipReceived(const GossipReceived& event, Instant now, GatewayActions&)
 {
+    this->state.promptParts.merge(event.gossip.promptParts, now);
     if (const auto sender = this->state.peers.receive(event.gossip, now))
         this->state.quarantine.merge(EndpointId(sender->get()), event.gossip.suspects, now);
 }
@@ -213,11 +216,19 @@
 void Gateway::sendGossip(Instant now, GatewayActions& actions)
 {
     const GossipContent content { this->state.endpoints.usages(), this->state.quarantine.delivery(now),
-        this->state.stopRequestedAt.has_value(), this->state.peers.receiverCount() };
+        this->state.stopRequestedAt.has_value(), this->state.peers.receiverCount(),
+        this->state.promptParts.recentEvidence(now), this->state.promptParts.allEvidence(now) };
     if (auto message = this->gossip.compose(content, now))
         actions.emplace_back(SendGossip { std::move(*message), this->state.peers.receiverAddresses() });
 }
 
+void Gateway::logQuarantinedParts(GatewayActions& actions)
+{
+    for (const auto& parts : this->state.promptParts.takeQuarantined())
+        actions.emplace_back(
+            LogEvent { "prompt_parts_quarantined", { { "prompt_parts", Internal::promptPartsText(parts) } } });
+}
+
 void Gateway::stopRequested(const GatewayStopRequested&, Instant now, GatewayActions& actions)
 {
     if (this->state.stopRequestedAt)
--- a/src/core/gateway/Gateway.h
+++ b/src/core/gateway/Gateway.h
@@ -62,6 +62,8 @@
     void limitsChanged(const LimitsChanged& event, Instant now, GatewayActions& actions);
     /** Sends this gateway's load to the other gateways if a message is due. */
     void sendGossip(Instant now, GatewayActions& actions);
+    /** Logs which parts of prompts were quarantined since the last call. */
+    void logQuarantinedParts(GatewayActions& actions);
     void stopRequested(const GatewayStopRequested& event, Instant now, GatewayActions& actions);
     void applyEndpointChanges(const EndpointsChanged& changes, Instant now, GatewayActions& actions);
     /** Completes a requested stop once nothing is in progress. */
--- a/src/core/gateway/GatewayLog.h
+++ b/src/core/gateway/GatewayLog.h
@@ -13,7 +13,8 @@
 /** @return the log event of a completed request; for a stream also with the latencies that its caller observed. */
 LogEvent completedLogEvent(const ActiveRequest& active, Instant now);
 
-/** @return the log event of a broken exchange: how far the request's run got at the endpoint, and its prompt's parts. */
+/** @return the log event of a broken exchange: how far the request's run got at the endpoint, and its prompt's parts.
+ */
 LogEvent brokenExchangeLogEvent(const ActiveRequest& active, const Exchange& exchange, Instant now);
 
 /** @return the parts' ids in hexadecimal, separated by plus signs. */
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -5,6 +5,7 @@
 #include "core/gateway/CrashDetector.h"
 #include "core/gateway/EndpointDirectory.h"
 #include "core/gateway/PeerLoadTable.h"
+#include "core/gateway/PromptPartQuarantine.h"
 #include "core/gateway/ReaderRank.h"
 #include "core/gateway/RouteTable.h"
 #include "core/gateway/StoreFreshness.h"
@@ -77,6 +78,8 @@
     /** Engine that holds a replica of the run's KV cache. */
     std::optional<EndpointId> replicaEngine;
     std::optional<StreamMigration> migration;
+    /** Engines at which the run broke before it got past its start. */
+    std::uint32_t brokenStarts { 0 };
     std::uint32_t failedMigrations { 0 };
     /** Targets of the failed migrations, excluded until the stream resumes elsewhere. */
     std::set<EndpointId> failedTargets;
@@ -99,6 +102,8 @@
     Instant startedAt;
     /** When this exchange's first event was relayed; earlier exchanges of a resumed stream do not count. */
     std::optional<Instant> firstEventAt;
+    /** The run went on for a while after its first event, so its prompt does not crash the engine. */
+    bool isPastStart { false };
 };
 
 /** State shared by the parts of a gateway's decision logic. */
@@ -113,6 +118,7 @@
         , peers(this->limits, identity.instance)
         , quarantine(sharedLimits)
         , crashDetector(this->quarantine)
+        , promptParts(sharedLimits)
         , sharedLimits(sharedLimits)
     {
     }
@@ -140,6 +146,7 @@
     PeerLoadTable peers;
     Quarantine quarantine;
     CrashDetector crashDetector;
+    PromptPartQuarantine promptParts;
     RouterLimits sharedLimits;
     std::map<ServiceId, RetryBudget> retryBudgets;
     std::optional<RouteTable> routes;
--- a/src/core/gateway/GossipComposer.cpp
+++ b/src/core/gateway/GossipComposer.cpp
@@ -10,6 +10,9 @@
     constexpr std::size_t headerBytes = 96;
     /** Encoded size of one endpoint's usage. */
     constexpr std::size_t usageBytes = 16;
+    /** Encoded size of a broken run without its parts. */
+    constexpr std::size_t brokenStartBytes = 36;
+    constexpr std::size_t survivalBytes = 16;
     /** Time in which an empty token bucket is filled. */
     constexpr Milliseconds burstTime(500);
 
@@ -31,9 +34,19 @@
     this->availableBytes = std::min(capacity, this->availableBytes + refilled);
 }
 
-void GossipComposer::spend(std::size_t usageCount, std::size_t receiverCount)
+void GossipComposer::spend(const GossipMessage& message, std::size_t receiverCount)
 {
-    this->availableBytes -= static_cast<double>((headerBytes + usageCount * usageBytes) * receiverCount);
+    std::size_t bytes
+        = headerBytes + message.usages.size() * usageBytes + message.promptParts.survivals.size() * survivalBytes;
+    for (const auto& start : message.promptParts.brokenStarts)
+        bytes += brokenStartBytes + start.parts.size() * sizeof(std::uint64_t);
+    this->availableBytes -= static_cast<double>(bytes * receiverCount);
+}
+
+bool GossipComposer::hasNewReport(const PromptPartEvidence& evidence) const
+{
+    return std::any_of(evidence.brokenStarts.begin(), evidence.brokenStarts.end(),
+        [&](const auto& start) { return !this->lastReports.contains(start.report); });
 }
 
 std::vector<EndpointUsage> GossipComposer::changedUsages(const std::vector<EndpointUsage>& usages) const
@@ -51,14 +64,19 @@
     return changed;
 }
 
-GossipMessage GossipComposer::makeMessage(const GossipContent& content, std::vector<EndpointUsage> usages)
+GossipMessage GossipComposer::makeMessage(
+    const GossipContent& content, std::vector<EndpointUsage> usages, const PromptPartEvidence& evidence)
 {
-    this->spend(usages.size(), content.receiverCount);
     this->lastSent.clear();
     for (const EndpointUsage& usage : content.usages)
         this->lastSent[usage.endpoint] = usage;
-    return { this->self, this->incarnation, ++this->sequence, content.isDraining, false, std::move(usages),
-        content.suspects };
+    this->lastReports.clear();
+    for (const auto& start : evidence.brokenStarts)
+        this->lastReports.insert(start.report);
+    GossipMessage message { this->self, this->incarnation, ++this->sequence, content.isDraining, false,
+        std::move(usages), content.suspects, evidence };
+    this->spend(message, content.receiverCount);
+    return message;
 }
 
 std::optional<GossipMessage> GossipComposer::compose(const GossipContent& content, Instant now)
@@ -67,14 +85,14 @@
     if (!this->fullGossipSentAt
         || now - *this->fullGossipSentAt >= fullGossipInterval(this->limits, content.receiverCount)) {
         this->fullGossipSentAt = now;
-        return this->makeMessage(content, content.usages);
+        return this->makeMessage(content, content.usages, content.allEvidence);
     }
     if (this->availableBytes <= 0)
         return std::nullopt;
     auto changed = this->changedUsages(content.usages);
-    if (changed.empty())
+    if (changed.empty() && !this->hasNewReport(content.recentEvidence))
         return std::nullopt;
-    GossipMessage partial = this->makeMessage(content, std::move(changed));
+    GossipMessage partial = this->makeMessage(content, std::move(changed), content.recentEvidence);
     partial.isPartial = true;
     partial.instance = GatewayId();
     return partial;
--- a/src/core/gateway/GossipComposer.h
+++ b/src/core/gateway/GossipComposer.h
@@ -4,6 +4,7 @@
 #include "ports/PeerMessages.h"
 
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace teaselfold {
@@ -18,6 +19,10 @@
     bool isDraining { false };
     /** Number of gateways that receive each message. */
     std::size_t receiverCount { 0 };
+    /** Sent with partial messages. */
+    PromptPartEvidence recentEvidence {};
+    /** Sent with full messages. */
+    PromptPartEvidence allEvidence {};
 };
 
 /**
@@ -37,11 +42,13 @@
     std::optional<GossipMessage> compose(const GossipContent& content, Instant now);
 
 private:
-    GossipMessage makeMessage(const GossipContent& content, std::vector<EndpointUsage> usages);
+    GossipMessage makeMessage(
+        const GossipContent& content, std::vector<EndpointUsage> usages, const PromptPartEvidence& evidence);
     std::vector<EndpointUsage> changedUsages(const std::vector<EndpointUsage>& usages) const;
     void refill(Instant now);
     /** Takes the bytes of one message to all receivers from the token bucket. */
-    void spend(std::size_t usageCount, std::size_t receiverCount);
+    void spend(const GossipMessage& message, std::size_t receiverCount);
+    bool hasNewReport(const PromptPartEvidence& evidence) const;
 
     const GatewayLimits& limits;
     GatewayId self;
@@ -49,6 +56,8 @@
     std::uint64_t sequence { 0 };
     /** Usages as of the last message, by endpoint hash. */
     std::unordered_map<std::uint32_t, EndpointUsage> lastSent;
+    /** Reports of broken runs in the last message. */
+    std::set<std::uint64_t> lastReports;
     std::optional<Instant> fullGossipSentAt;
     std::optional<Instant> refilledAt;
     /** Bytes left in the token bucket; negative after a full message that exceeded them. */
--- /dev/null
+++ b/src/core/gateway/PromptPartQuarantine.cpp
@@ -0,0 +1,303 @@
+#include "core/gateway/PromptPartQuarantine.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace teaselfold {
+
+namespace {
+
+    /** Deaths with a common part after which it is quarantined. Fewer can be chance when many engines crash. */
+    constexpr std::uint32_t deathLimit = 3;
+    /** Deaths with a common part after which a broken run is not resumed at a further engine. */
+    constexpr std::uint32_t suspectDeaths = 2;
+    /** Deaths closer together have a common cause outside of the requests, such as the loss of a zone. */
+    constexpr Milliseconds simultaneousDeaths(250);
+    /** A survival clears a part of deaths up to this long after it. A part may become harmful, but not at once. */
+    constexpr Milliseconds survivalMemory(10000);
+    /** Time for which a report is repeated in every message, because datagrams may be lost. */
+    constexpr Milliseconds announcementTime(3000);
+    constexpr std::size_t maxReports = 64;
+    constexpr std::size_t maxSentReports = 6;
+    constexpr std::size_t maxSentSurvivals = 8;
+
+    Milliseconds ageOf(Instant at, Instant now)
+    {
+        return std::max(Milliseconds(0), std::chrono::duration_cast<Milliseconds>(now - at));
+    }
+
+    bool containsAll(const PromptPartQuarantine::Parts& parts, const PromptPartQuarantine::Parts& wanted)
+    {
+        return std::all_of(wanted.begin(), wanted.end(),
+            [&](PromptPartId part) { return std::find(parts.begin(), parts.end(), part) != parts.end(); });
+    }
+
+}
+
+void PromptPartQuarantine::recordBrokenStart(
+    std::uint64_t report, std::uint32_t endpoint, const Parts& parts, Instant now)
+{
+    if (!parts.empty() && this->addReport(report, { endpoint, parts, now, true }))
+        this->updateGroups();
+}
+
+void PromptPartQuarantine::recordSurvival(const Parts& parts, Instant now)
+{
+    bool clearsPart = false;
+    for (const PromptPartId part : parts)
+        clearsPart = this->addSurvival(part, { now, true }) || clearsPart;
+    if (clearsPart)
+        this->updateGroups();
+}
+
+void PromptPartQuarantine::merge(const PromptPartEvidence& evidence, Instant now)
+{
+    bool changed = false;
+    for (const auto& start : evidence.brokenStarts)
+        changed = this->addReport(start.report, { start.endpoint, start.parts, now - start.age, false }) || changed;
+    for (const auto& survival : evidence.survivals)
+        changed = this->addSurvival(survival.part, { now - survival.age, false }) || changed;
+    if (changed)
+        this->updateGroups();
+}
+
+bool PromptPartQuarantine::addReport(std::uint64_t report, BrokenRun run)
+{
+    const bool isNew = this->reports.try_emplace(report, std::move(run)).second;
+    if (this->reports.size() > maxReports)
+        this->discardOldestReport();
+    return isNew;
+}
+
+void PromptPartQuarantine::discardOldestReport()
+{
+    std::set<std::uint64_t> evidence;
+    for (const Group& group : this->groups)
+        evidence.insert(group.reports.begin(), group.reports.end());
+    const auto isLessUseful = [&](const auto& left, const auto& right) {
+        return std::pair(evidence.contains(left.first), left.second.at)
+            < std::pair(evidence.contains(right.first), right.second.at);
+    };
+    this->reports.erase(std::min_element(this->reports.begin(), this->reports.end(), isLessUseful));
+}
+
+bool PromptPartQuarantine::addSurvival(PromptPartId part, Survival survival)
+{
+    const auto countSuspectedRuns = [&] {
+        return std::count_if(this->reports.begin(), this->reports.end(),
+            [&](const auto& report) { return this->isSuspected(part, report.second); });
+    };
+    const auto [entry, isNew] = this->survivals.try_emplace(part, survival);
+    if (!isNew && entry->second.at >= survival.at)
+        return false;
+    if (!isNew) {
+        const auto before = countSuspectedRuns();
+        entry->second = survival;
+        return countSuspectedRuns() != before;
+    }
+    return this->countReports(part) > 0;
+}
+
+std::size_t PromptPartQuarantine::countReports(PromptPartId part) const
+{
+    const auto count = std::count_if(this->reports.begin(), this->reports.end(),
+        [&](const auto& report) { return containsAll(report.second.parts, { part }); });
+    return static_cast<std::size_t>(count);
+}
+
+void PromptPartQuarantine::expire(Instant now)
+{
+    const std::size_t before = this->reports.size();
+    std::erase_if(this->groups, [&](const Group& group) { return group.expiresAt <= now; });
+    std::set<std::uint64_t> kept;
+    for (const Group& group : this->groups)
+        kept.insert(group.reports.begin(), group.reports.end());
+    std::erase_if(this->reports, [&](const auto& entry) {
+        return !kept.contains(entry.first) && now - entry.second.at >= this->limits.quarantineTime;
+    });
+    std::erase_if(this->survivals, [&](const auto& entry) {
+        const bool isUsed = std::any_of(this->reports.begin(), this->reports.end(),
+            [&](const auto& report) { return containsAll(report.second.parts, { entry.first }); });
+        return !isUsed && now - entry.second.at > survivalMemory;
+    });
+    if (this->reports.size() != before)
+        this->updateGroups();
+}
+
+bool PromptPartQuarantine::isSuspected(PromptPartId part, const BrokenRun& run) const
+{
+    if (!containsAll(run.parts, { part }))
+        return false;
+    const auto survival = this->survivals.find(part);
+    return survival == this->survivals.end() || survival->second.at + survivalMemory < run.at;
+}
+
+PromptPartQuarantine::Parts PromptPartQuarantine::suspectedParts(const BrokenRun& run) const
+{
+    Parts suspected;
+    for (const PromptPartId part : run.parts) {
+        if (this->isSuspected(part, run))
+            suspected.push_back(part);
+    }
+    return suspected;
+}
+
+std::vector<std::uint64_t> PromptPartQuarantine::reportsOf(
+    PromptPartId part, const std::set<std::uint64_t>& among) const
+{
+    std::vector<std::uint64_t> found;
+    for (const std::uint64_t report : among) {
+        if (this->isSuspected(part, this->reports.at(report)))
+            found.push_back(report);
+    }
+    return found;
+}
+
+std::uint32_t PromptPartQuarantine::countDeaths(const std::vector<std::uint64_t>& counted) const
+{
+    std::vector<const BrokenRun*> runs;
+    for (const std::uint64_t report : counted)
+        runs.push_back(&this->reports.at(report));
+    std::ranges::sort(runs, {}, &BrokenRun::at);
+    std::uint32_t deaths = 0;
+    std::optional<Instant> lastDeath;
+    std::map<std::uint32_t, Instant> lastDeathAtEndpoint;
+    for (const BrokenRun* run : runs) {
+        const auto atEndpoint = lastDeathAtEndpoint.find(run->endpoint);
+        const bool isSameDeath = (lastDeath && run->at - *lastDeath < simultaneousDeaths)
+            || (atEndpoint != lastDeathAtEndpoint.end() && run->at - atEndpoint->second < this->limits.deathWindow);
+        if (isSameDeath)
+            continue;
+        ++deaths;
+        lastDeath = run->at;
+        lastDeathAtEndpoint[run->endpoint] = run->at;
+    }
+    return deaths;
+}
+
+std::optional<PromptPartQuarantine::Group> PromptPartQuarantine::findGroup(
+    const std::set<std::uint64_t>& unexplained) const
+{
+    std::set<PromptPartId> suspected;
+    for (const std::uint64_t report : unexplained) {
+        const Parts parts = this->suspectedParts(this->reports.at(report));
+        suspected.insert(parts.begin(), parts.end());
+    }
+    std::vector<std::uint64_t> best;
+    std::uint32_t mostDeaths = 0;
+    for (const PromptPartId part : suspected) {
+        std::vector<std::uint64_t> reportsOfPart = this->reportsOf(part, unexplained);
+        const std::uint32_t deaths = this->countDeaths(reportsOfPart);
+        if (std::pair(deaths, reportsOfPart.size()) <= std::pair(mostDeaths, best.size()))
+            continue;
+        mostDeaths = deaths;
+        best = std::move(reportsOfPart);
+    }
+    if (mostDeaths < deathLimit)
+        return std::nullopt;
+    Group group { {}, best, Instant {} };
+    for (const PromptPartId part : suspected) {
+        const bool isInAll = std::all_of(best.begin(), best.end(),
+            [&](std::uint64_t report) { return this->isSuspected(part, this->reports.at(report)); });
+        if (isInAll)
+            group.parts.push_back(part);
+    }
+    for (const std::uint64_t report : best)
+        group.expiresAt = std::max(group.expiresAt, this->reports.at(report).at + this->limits.quarantineTime);
+    return group;
+}
+
+void PromptPartQuarantine::updateGroups()
+{
+    std::set<std::uint64_t> unexplained;
+    for (const auto& [report, run] : this->reports)
+        unexplained.insert(report);
+    std::vector<Group> found;
+    while (auto group = this->findGroup(unexplained)) {
+        for (const std::uint64_t report : group->reports)
+            unexplained.erase(report);
+        const bool isKnown = std::any_of(
+            this->groups.begin(), this->groups.end(), [&](const Group& known) { return known.parts == group->parts; });
+        if (!isKnown)
+            this->newlyQuarantined.push_back(group->parts);
+        found.push_back(std::move(*group));
+    }
+    this->groups = std::move(found);
+}
+
+Milliseconds PromptPartQuarantine::remainingQuarantine(const Parts& parts, Instant now) const
+{
+    Instant expiresAt = now;
+    for (const Group& group : this->groups) {
+        if (containsAll(parts, group.parts))
+            expiresAt = std::max(expiresAt, group.expiresAt);
+    }
+    return std::chrono::ceil<Milliseconds>(expiresAt - now);
+}
+
+bool PromptPartQuarantine::isSuspect(const Parts& parts) const
+{
+    std::set<std::uint64_t> all;
+    for (const auto& [report, run] : this->reports)
+        all.insert(report);
+    return std::any_of(parts.begin(), parts.end(),
+        [&](PromptPartId part) { return this->countDeaths(this->reportsOf(part, all)) >= suspectDeaths; });
+}
+
+std::vector<PromptPartQuarantine::Parts> PromptPartQuarantine::takeQuarantined()
+{
+    return std::exchange(this->newlyQuarantined, {});
+}
+
+void PromptPartQuarantine::addEvidence(PromptPartEvidence& evidence, std::uint64_t report, Instant now) const
+{
+    const bool isAdded = std::any_of(evidence.brokenStarts.begin(), evidence.brokenStarts.end(),
+        [&](const auto& start) { return start.report == report; });
+    if (isAdded || evidence.brokenStarts.size() == maxSentReports)
+        return;
+    const BrokenRun& run = this->reports.at(report);
+    evidence.brokenStarts.push_back({ report, run.endpoint, ageOf(run.at, now), run.parts });
+}
+
+void PromptPartQuarantine::addSurvivals(PromptPartEvidence& evidence, Instant now) const
+{
+    std::vector<std::pair<std::size_t, PromptPartEvidence::Survival>> needed;
+    for (const auto& [part, survival] : this->survivals) {
+        const std::size_t count = survival.isOwn ? this->countReports(part) : 0;
+        if (count > 0)
+            needed.push_back({ count, { part, ageOf(survival.at, now) } });
+    }
+    std::ranges::sort(needed, std::greater<> {}, [](const auto& entry) { return entry.first; });
+    for (const auto& [count, survival] : needed) {
+        if (evidence.survivals.size() < maxSentSurvivals)
+            evidence.survivals.push_back(survival);
+    }
+}
+
+PromptPartEvidence PromptPartQuarantine::recentEvidence(Instant now) const
+{
+    PromptPartEvidence evidence;
+    std::vector<std::pair<Instant, std::uint64_t>> newestFirst;
+    for (const auto& [report, run] : this->reports) {
+        if (run.isOwn && now - run.at < announcementTime && !this->suspectedParts(run).empty())
+            newestFirst.emplace_back(run.at, report);
+    }
+    std::ranges::sort(newestFirst, std::greater<> {});
+    for (const auto& [at, report] : newestFirst)
+        this->addEvidence(evidence, report, now);
+    this->addSurvivals(evidence, now);
+    return evidence;
+}
+
+PromptPartEvidence PromptPartQuarantine::allEvidence(Instant now) const
+{
+    PromptPartEvidence evidence = this->recentEvidence(now);
+    for (const Group& group : this->groups) {
+        for (const std::uint64_t report : group.reports)
+            this->addEvidence(evidence, report, now);
+    }
+    return evidence;
+}
+
+}
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -15,8 +15,6 @@
 using ExchangeId = Id<struct ExchangeTag, std::uint64_t>;
 /** Identifies a copy of a running request's KV cache at an engine. */
 using KvCacheHandle = Id<struct KvCacheHandleTag, std::string>;
-/** Identifies a part of a prompt by the XXH3 hash of the name that requests with this part give it. */
-using PromptPartId = Id<struct PromptPartTag, std::uint64_t>;
 
 /** A caller's request without its body. */
 struct GatewayRequest {
--- a/src/ports/Ids.h
+++ b/src/ports/Ids.h
@@ -58,6 +58,8 @@
 using Incarnation = Id<struct IncarnationTag, std::uint64_t>;
 /** Position in the sequence of accepted release notes. Zero when no release is known. */
 using ReleaseVersion = Id<struct ReleaseVersionTag, std::uint64_t>;
+/** Identifies a part of a prompt by the XXH3 hash of the name that requests with this part give it. */
+using PromptPartId = Id<struct PromptPartTag, std::uint64_t>;
 /** XXH3 hash of a request's content, identical at every entry. */
 using Fingerprint = Id<struct FingerprintTag, std::uint64_t>;
 /** Matches an operation on the platform with its reply. */
--- a/src/ports/PeerMessages.h
+++ b/src/ports/PeerMessages.h
@@ -25,6 +25,34 @@
     bool operator==(const EndpointUsage&) const = default;
 };
 
+/** Evidence on which parts of prompts crash engines. */
+struct PromptPartEvidence {
+    /** A run that broke before it got past its start. */
+    struct BrokenStart {
+        /** Random id of the report. */
+        std::uint64_t report { 0 };
+        /** Lower 32 bits of the XXH3 hash of the endpoint's id. */
+        std::uint32_t endpoint { 0 };
+        /** Time since the run broke. */
+        Milliseconds age { 0 };
+        std::vector<PromptPartId> parts;
+
+        bool operator==(const BrokenStart&) const = default;
+    };
+    /** A run with the part got past its start. */
+    struct Survival {
+        PromptPartId part;
+        /** Time since the last such run. */
+        Milliseconds age { 0 };
+
+        bool operator==(const Survival&) const = default;
+    };
+    std::vector<BrokenStart> brokenStarts;
+    std::vector<Survival> survivals;
+
+    bool operator==(const PromptPartEvidence&) const = default;
+};
+
 /**
  * State that a gateway sends to the others several times a second. The latest usage of an endpoint replaces earlier
  * ones, so the next full message corrects the effect of a lost one.
@@ -41,6 +69,7 @@
     bool isPartial { false };
     std::vector<EndpointUsage> usages;
     QuarantineDelivery suspects;
+    PromptPartEvidence promptParts {};
 
     bool operator==(const GossipMessage&) const = default;
 };
--- a/test/correctness/GatewaysShareTheirLoad.cpp
+++ b/test/correctness/GatewaysShareTheirLoad.cpp
@@ -133,6 +133,8 @@
     GossipMessage message = messageFrom("a", 3, 4);
     message.isDraining = true;
     message.suspects.suspects.push_back({ Fingerprint(5), 2, Milliseconds(900) });
+    message.promptParts.brokenStarts.push_back({ 6, 77, Milliseconds(20), { PromptPartId(8), PromptPartId(9) } });
+    message.promptParts.survivals.push_back({ PromptPartId(8), Milliseconds(400) });
     CHECK(decodeGossip(encodeGossip(message)) == message);
     message.isPartial = true;
     CHECK_FALSE(decodeGossip(encodeGossip(message)) == message);
--- /dev/null
+++ b/test/correctness/PromptPartsAreSuspectedByTheirRuns.cpp
@@ -0,0 +1,120 @@
+#include "core/gateway/PromptPartQuarantine.h"
+
+#include <doctest/doctest.h>
+
+using namespace teaselfold;
+
+namespace {
+
+using Parts = PromptPartQuarantine::Parts;
+
+const PromptPartId first(1);
+const PromptPartId second(2);
+const PromptPartId other(3);
+
+/** Reports of broken runs at one gateway, each at another endpoint and a second after the one before. */
+class Reports {
+public:
+    void breakRun(const Parts& parts, Milliseconds after = Milliseconds(1000))
+    {
+        this->now += after;
+        ++this->last;
+        this->quarantine.recordBrokenStart(this->last, static_cast<std::uint32_t>(this->last), parts, this->now);
+    }
+    bool refuses(const Parts& parts) const
+    {
+        return this->quarantine.remainingQuarantine(parts, this->now) > Milliseconds(0);
+    }
+
+    PromptPartQuarantine quarantine { RouterLimits {} };
+    Instant now { Seconds(1000) };
+
+private:
+    std::uint64_t last { 0 };
+};
+
+}
+
+TEST_CASE("Parts that broke runs together are refused only together, until a run clears one of them")
+{
+    Reports reports;
+    for (int death = 0; death < 3; ++death)
+        reports.breakRun({ first, second });
+    CHECK(reports.refuses({ first, second, other }));
+    CHECK_FALSE(reports.refuses({ first }));
+    CHECK_FALSE(reports.refuses({ second, other }));
+    reports.quarantine.recordSurvival({ first }, reports.now);
+    CHECK_FALSE(reports.refuses({ first }));
+    CHECK(reports.refuses({ second, other }));
+}
+
+TEST_CASE("The part that all broken runs share is refused, whatever else they contain")
+{
+    Reports reports;
+    reports.breakRun({ first, second });
+    reports.breakRun({ PromptPartId(11), second });
+    reports.breakRun({ PromptPartId(12), second });
+    CHECK(reports.refuses({ PromptPartId(13), second }));
+    CHECK_FALSE(reports.refuses({ first }));
+    CHECK(reports.quarantine.takeQuarantined() == std::vector<Parts> { { second } });
+    CHECK(reports.quarantine.takeQuarantined().empty());
+}
+
+TEST_CASE("A part that recently got past the start of a run is not blamed for later broken ones")
+{
+    Reports reports;
+    reports.quarantine.recordSurvival({ first }, reports.now);
+    for (int death = 0; death < 4; ++death)
+        reports.breakRun({ first });
+    CHECK_FALSE(reports.refuses({ first }));
+    reports.now += Seconds(20);
+    for (int death = 0; death < 3; ++death)
+        reports.breakRun({ first });
+    CHECK(reports.refuses({ first }));
+}
+
+TEST_CASE("Runs that break at the same time stand for one death")
+{
+    Reports reports;
+    for (int run = 0; run < 10; ++run)
+        reports.breakRun({ first }, Milliseconds(20));
+    CHECK_FALSE(reports.refuses({ first }));
+    CHECK_FALSE(reports.quarantine.isSuspect({ first }));
+    reports.breakRun({ first });
+    CHECK(reports.quarantine.isSuspect({ first }));
+}
+
+TEST_CASE("A quarantine ends a while after the last death")
+{
+    Reports reports;
+    for (int death = 0; death < 3; ++death)
+        reports.breakRun({ first });
+    reports.now += RouterLimits {}.quarantineTime - Milliseconds(1);
+    reports.quarantine.expire(reports.now);
+    CHECK(reports.refuses({ first }));
+    reports.now += Milliseconds(1);
+    reports.quarantine.expire(reports.now);
+    CHECK_FALSE(reports.refuses({ first }));
+    CHECK(reports.quarantine.allEvidence(reports.now).brokenStarts.empty());
+}
+
+TEST_CASE("A gateway that receives another one's evidence comes to the same result, however often it arrives")
+{
+    Reports reports;
+    PromptPartQuarantine receiver { RouterLimits {} };
+    for (int death = 0; death < 3; ++death) {
+        reports.breakRun({ first, second });
+        receiver.merge(reports.quarantine.recentEvidence(reports.now), reports.now);
+        receiver.merge(reports.quarantine.recentEvidence(reports.now), reports.now);
+    }
+    CHECK(receiver.remainingQuarantine({ first, second }, reports.now) > Milliseconds(0));
+    reports.quarantine.recordSurvival({ first }, reports.now);
+    receiver.merge(reports.quarantine.recentEvidence(reports.now), reports.now);
+    CHECK(receiver.remainingQuarantine({ second }, reports.now) > Milliseconds(0));
+
+    reports.now += Seconds(30);
+    CHECK(reports.quarantine.recentEvidence(reports.now).brokenStarts.empty());
+    PromptPartQuarantine late { RouterLimits {} };
+    late.merge(reports.quarantine.allEvidence(reports.now), reports.now);
+    CHECK(late.remainingQuarantine({ first, second }, reports.now) > Milliseconds(0));
+}
--- /dev/null
+++ b/test/support/EngineFleet.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "core/gateway/Gateway.h"
+#include "emulator/SeededRandomness.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace teaselfold {
+
+/**
+ * Several gateways before engines that crash, in simulated time, with the datagrams between the gateways. An engine
+ * crashes when it is about to send the first event of a request with a deadly prompt part, and is back after a while.
+ */
+class EngineFleet {
+public:
+    struct Options {
+        std::size_t gateways { 5 };
+        std::size_t engines { 14 };
+        std::uint64_t seed { 1 };
+        /** Share of the datagrams that are lost, from 0 to 1. */
+        double loss { 0 };
+    };
+
+    explicit EngineFleet(Options options);
+
+    void advance(Milliseconds time);
+    Milliseconds now() const { return this->time; }
+
+    /** Sends a request with these shared prompt parts to a gateway chosen at random. */
+    void send(const std::vector<PromptPartId>& parts);
+    /** Makes every engine crash that is about to send the first event of a request with the part. */
+    void setDeadlyPart(PromptPartId part) { this->deadlyPart = part; }
+    /** Crashes a share of the engines now, whatever they run. */
+    void crashEngines(double share);
+    /** Breaks single connections of engines at random. @param share of the responses that break at a random event. */
+    void setBrokenShare(double share) { this->brokenShare = share; }
+    /** Ends a gateway's process without notice and starts a new one. */
+    void restartGateway(std::size_t gateway);
+
+    /** @return the times at which engines crashed under the deadly part. */
+    const std::vector<Milliseconds>& crashes() const { return this->crashTimes; }
+    /** @return the times at which requests with the deadly part were sent to engines. */
+    const std::vector<Milliseconds>& deadlyArrivals() const { return this->deadlyArrivalTimes; }
+
+    /** What became of the requests that were sent in a span of time. */
+    struct Outcome {
+        std::size_t sent { 0 };
+        std::size_t quarantined { 0 };
+        std::size_t completed { 0 };
+    };
+    /** @return the outcome of the requests without the deadly part that were sent in [from, to) and have the part. */
+    Outcome outcomeOf(PromptPartId part, Milliseconds from, Milliseconds to) const;
+    /** @return the outcome of all requests without the deadly part. */
+    Outcome outcome() const;
+
+private:
+    struct Request {
+        std::vector<PromptPartId> parts;
+        Milliseconds sentAt { 0 };
+        bool isQuarantined { false };
+        bool isCompleted { false };
+    };
+    struct Node {
+        GatewayIdentity identity;
+        Address address;
+        std::unique_ptr<Gateway> gateway;
+        std::map<RequestId, std::size_t> requests;
+    };
+    struct Run {
+        std::size_t node { 0 };
+        ExchangeId exchange;
+        std::size_t request { 0 };
+        EndpointId engine;
+        Milliseconds nextEventAt { 0 };
+        std::uint64_t lastEvent { 0 };
+        std::uint64_t events { 0 };
+    };
+    struct Datagram {
+        Milliseconds dueAt { 0 };
+        std::size_t receiver { 0 };
+        GossipMessage message;
+    };
+    struct Engine {
+        EndpointRecord record;
+        Milliseconds backAt { 0 };
+    };
+
+    Instant instant() const { return Instant(Seconds(1000) + this->time); }
+    bool isDeadly(const Request& request) const;
+    double draw();
+    void startGateway(Node& node);
+    void introduce(Node& node);
+    void handle(std::size_t node, const GatewayEvent& event);
+    void execute(std::size_t node, const GatewayActions& actions);
+    void startRun(std::size_t node, const ExchangeParameters& parameters);
+    void sendDatagrams(const SendGossip& gossip);
+    void step();
+    void advanceRun(std::size_t run);
+    void endRun(std::size_t run, ExchangeEnd end);
+    void crash(const EndpointId& engine);
+
+    Options options;
+    SeededRandomness randomness;
+    Milliseconds time { 0 };
+    std::vector<Node> nodes;
+    std::map<EndpointId, Engine> engines;
+    std::vector<Request> requests;
+    std::vector<Run> runs;
+    std::deque<Datagram> datagrams;
+    std::optional<PromptPartId> deadlyPart;
+    double brokenShare { 0 };
+    std::uint64_t lastRequest { 0 };
+    std::vector<Milliseconds> crashTimes;
+    std::vector<Milliseconds> deadlyArrivalTimes;
+};
+
+}
