Abort a stream whose resumption is answered with an error

Cause: the answer to a resumption was relayed like the first answer of a request. A status of 500 counts as the result of a run; the stream's request may have run, so it was not repeated but relayed, and the caller's chunked response was completed.

Ruled out: the quarantine of prompt parts, which refused nothing in this play.

Change: once a response has started, only a successful stream continues it; any other answer is a rejected resumption, which aborts the response where there is no further copy. The new test failed before: the answer was relayed in both of its cases.

--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -231,7 +231,10 @@
     if (response.load)
         this->state.endpoints.recordLoad(exchange.endpoint, *response.load, now);
     active->mayHaveRun = active->mayHaveRun || !response.notExecuted;
-    const bool isRunResult = response.isSigned && !response.notExecuted && !promisesNotExecuted(response.status);
+    // A response that has started can only be continued by a stream.
+    const bool fitsResponse = !active->responseStarted || (isSuccess(response) && response.isStream);
+    const bool isRunResult
+        = response.isSigned && !response.notExecuted && !promisesNotExecuted(response.status) && fitsResponse;
     if (isRunResult && (response.status < firstServerError || !this->reserveRetry(*active, now))) {
         if (isSuccess(response)) {
             this->state.endpoints.recordSuccess(exchange.endpoint);
--- a/test/correctness/StreamsSurviveEngineLoss.cpp
+++ b/test/correctness/StreamsSurviveEngineLoss.cpp
@@ -107,6 +107,23 @@
     CHECK_FALSE(scenario.lastAction<StartExchange>());
 }
 
+// Guards against an error body that is appended to a caller's stream and ends it as if it were complete.
+TEST_CASE("A stream is aborted when the engine at which it resumes answers with an error or without a stream")
+{
+    ResponseSummary plainSuccess = GatewayScenario::success();
+    plainSuccess.isStream = false;
+    for (const ResponseSummary& answer : { GatewayScenario::failure(500), plainSuccess }) {
+        GatewayScenario scenario;
+        startStream(scenario);
+        scenario.endExchange(ExchangeEnd::Broken);
+        REQUIRE(scenario.lastExchange()->resume);
+        scenario.clearActions();
+        scenario.respond(answer);
+        CHECK_FALSE(scenario.lastAction<RelayResponse>());
+        CHECK(scenario.lastAction<AbortResponse>());
+    }
+}
+
 TEST_CASE("A migration ends when the caller disconnects")
 {
     GatewayScenario scenario;
