Test the quarantine of prompt parts over real processes

The tests of drive decision objects only: nothing showed that three gateway processes share what they learn by gossip, nor that a gateway which is killed and started again learns it from the others.

The test runs three gateways in two zones before six engines. An engine closes its connections and its listener as it is about to send the first event of a prompt with a deadly part, and is back after 2 s under the same id. No two prompts are alike; the harmless ones share their key and first part.

The store's stand-in answers with a running clock, as several gateways need to date announcements, and with the true version of a write. Its servers keep their port while they do not listen.

--- a/test/process/lib/gateway_session.py
+++ b/test/process/lib/gateway_session.py
@@ -37,16 +37,23 @@
 
 
 class Gateway:
-    def __init__(self, binaries, store):
+    def __init__(self, binaries, store, instance="gateway-1", zone="north"):
         self.callers, self.status, self.metrics = (free_address(socket.SOCK_STREAM) for _ in range(3))
-        settings = {"instance": "gateway-1", "zone": "north", "callers": self.callers, "readiness": self.status,
+        settings = {"instance": instance, "zone": zone, "callers": self.callers, "readiness": self.status,
                     "metrics": self.metrics, "peers": free_address(socket.SOCK_DGRAM), "store": store.address}
         self.file = tempfile.NamedTemporaryFile("w", suffix=".yaml")
         self.file.write("".join("%s: \"%s\"\n" % item for item in settings.items()))
         self.file.flush()
         self.log = tempfile.NamedTemporaryFile("w+")
-        self.process = subprocess.Popen([os.path.join(binaries, "teaselfold-gateway"), "--config", self.file.name],
-                                        stdout=self.log, stderr=self.log)
+        self.program = os.path.join(binaries, "teaselfold-gateway")
+        self.start()
+
+    def start(self):
+        self.process = subprocess.Popen([self.program, "--config", self.file.name], stdout=self.log, stderr=self.log)
+
+    def logged(self):
+        with open(self.log.name) as log:
+            return log.read()
 
     def get(self, address, path):
         try:
@@ -63,11 +70,13 @@
     def connect(self):
         return http.client.HTTPConnection(self.callers, timeout=LONGEST_WAIT_S)
 
-    def post(self, path, body=b"x", key=KEY, connection=None, chunked=False):
+    def post(self, path, body=b"x", key=KEY, connection=None, chunked=False, prompt=""):
         connection = connection or self.connect()
         headers = {"Host": "host.example", "X-Teaselfold-Attempt-Id": "id" + str(time.monotonic_ns()),
                    "X-Teaselfold-Deadline-Ms": "15000", "X-Api-Key": key, "X-Teaselfold-Tenant": "forged",
                    "X-Teaselfold-Token-Usage": "1000,400"}
+        if prompt:
+            headers["X-Teaselfold-Prefix-Hash"] = prompt
         connection.request("POST", path, iter([body]) if chunked else body, headers, encode_chunked=chunked)
         return connection.getresponse()
 
@@ -203,8 +212,7 @@
         require("metrics show calls by team", 'team="team-a"' in gateway.get(gateway.metrics, "/metrics")[1])
         check_planned_stop(gateway)
     except BaseException:
-        gateway.log.seek(0)
-        sys.stdout.write("".join(gateway.log.readlines()[-60:]))
+        sys.stdout.write("".join(gateway.logged().splitlines(True)[-60:]))
         raise
     finally:
         if gateway.process.poll() is None:
--- a/test/process/lib/prepared_platform.py
+++ b/test/process/lib/prepared_platform.py
@@ -7,6 +7,8 @@
 import urllib.parse
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
+RESTART_TIME_S = 2
+
 
 class SilentHandler(BaseHTTPRequestHandler):
     """Keeps connections open between requests and writes no log."""
@@ -28,24 +30,56 @@
         return self.rfile.read(int(self.headers.get("Content-Length", 0)))
 
 
+class Listener(ThreadingHTTPServer):
+    """Accepts connections until it is closed, and closes them with itself."""
+
+    request_queue_size = 512
+
+    def __init__(self, address, handler):
+        self.connections = set()
+        super().__init__(address, handler)
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    def process_request(self, request, address):
+        self.connections.add(request)
+        super().process_request(request, address)
+
+    def shutdown_request(self, request):
+        self.connections.discard(request)
+        super().shutdown_request(request)
+
+    def handle_error(self, request, address):
+        """The tests disconnect during responses on purpose; the errors that follow are ignored."""
+
+    def close(self):
+        self.socket.shutdown(socket.SHUT_RDWR)
+        self.shutdown()
+        self.server_close()
+        for connection in list(self.connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:  # already closed
+                pass
+
+
 class Server:
     """An HTTP server on its own threads."""
 
     def __init__(self, handler):
-        class BoundHandler(handler):
-            owner = self
+        self.handler = type("BoundHandler", (handler,), {"owner": self})
+        # Keeps the port from other processes while the server does not listen.
+        self.reservation = socket.socket()
+        self.reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.reservation.bind(("127.0.0.1", 0))
+        self.address = "127.0.0.1:%d" % self.reservation.getsockname()[1]
+        self.listen()
 
-        ThreadingHTTPServer.request_queue_size = 512
-        self.http = ThreadingHTTPServer(("127.0.0.1", 0), BoundHandler)
-        # The tests disconnect during responses on purpose; the errors that follow are ignored.
-        self.http.handle_error = lambda request, address: None
-        self.http.daemon_threads = True
-        self.address = "127.0.0.1:%d" % self.http.server_port
-        threading.Thread(target=self.http.serve_forever, daemon=True).start()
+    def listen(self):
+        self.http = Listener(self.reservation.getsockname(), self.handler)
 
-    def close(self):
-        self.http.shutdown()
-        self.http.server_close()
+
+def now_ms():
+    return int(time.monotonic() * 1000)
 
 
 class Store(Server):
@@ -79,7 +113,7 @@
     def read(self, table):
         with self.changed:
             found = sorted((row for (name, _), row in self.rows.items() if name == table), key=lambda row: row["key"])
-            return {"rows": found, "hasMore": False, "rowVersion": self.version, "nowMs": 0}
+            return {"rows": found, "hasMore": False, "rowVersion": self.version, "nowMs": now_ms()}
 
     def changes_since(self, table, since, wait):
         until = time.monotonic() + wait
@@ -88,7 +122,7 @@
                 changes = [row for row in self.log if row["table"] == table and row["rowVersion"] > since]
                 remaining = until - time.monotonic()
                 if changes or remaining <= 0 or self.is_down:
-                    return {"rows": changes, "rowVersion": self.version, "nowMs": 0}
+                    return {"rows": changes, "rowVersion": self.version, "nowMs": now_ms()}
                 self.changed.wait(remaining)
 
 
@@ -111,20 +145,20 @@
             self.owner.put(row["table"], row["key"], base64.b64decode(row["value"]))
         for row in change["remove"]:
             self.owner.delete(row["table"], row["key"])
-        self.reply(200, b'{"rowVersion":1,"nowMs":0}')
+        self.reply(200, json.dumps({"rowVersion": self.owner.version, "nowMs": now_ms()}).encode())
 
 
 class Endpoint(Server):
     """Acts as a plain endpoint and as a model engine, and records the requests it ran."""
 
-    def __init__(self, name, event_interval=0.03, events=20):
+    def __init__(self, name, event_interval=0.03, events=20, handler=None):
         self.name = name
         self.event_interval = event_interval
         self.events = events
         self.ran = []
         self.streams = 0
         self.crash_event = None
-        super().__init__(EndpointHandler)
+        super().__init__(handler or EndpointHandler)
 
 
 class EndpointHandler(SilentHandler):
@@ -172,6 +206,45 @@
         self.wfile.write(b"0\r\n\r\n")
 
 
+class CrashingEngine(Endpoint):
+    """A model engine that crashes before the first event of a response to a prompt with a certain part."""
+
+    def __init__(self, name, zone, store, events, deadly_part):
+        self.zone = zone
+        self.store = store
+        self.deadly_part = deadly_part
+        self.lock = threading.Lock()
+        self.crashes = []
+        self.deadly_requests = []
+        super().__init__(name, events=events, handler=CrashingEngineHandler)
+        self.register()
+
+    def register(self):
+        self.store.put("servers", self.name, record(self, "engines", zone=self.zone, born=int(time.time() * 1000)))
+
+    def crash(self, listener):
+        """Crashes and starts again, unless the listener is that of a previous incarnation."""
+        with self.lock:
+            if listener is not self.http:
+                return
+            self.http = None
+        self.crashes.append(time.monotonic())
+        listener.close()
+        time.sleep(RESTART_TIME_S)
+        with self.lock:
+            self.listen()
+        self.register()
+
+
+class CrashingEngineHandler(EndpointHandler):
+    def write_events(self, last):
+        prompt = self.headers.get("X-Teaselfold-Prefix-Hash", "")
+        if self.owner.deadly_part not in [part.split(":")[0] for part in prompt.split(",")]:
+            return super().write_events(last)
+        self.owner.deadly_requests.append((time.monotonic(), prompt))
+        self.owner.crash(self.server)
+
+
 def configuration(version, keys):
     """Returns a configuration with non-idempotent and streaming routes, a plain service and engines with replicas."""
 
@@ -190,6 +263,6 @@
             "tenants": [{"name": "team-a", "apiKeys": keys}]}
 
 
-def record(endpoint, service, state="ready"):
-    return {"service": service, "address": endpoint.address, "zone": "north", "slots": 8, "state": state,
-            "coldLeftMs": 0, "born": 1}
+def record(endpoint, service, state="ready", zone="north", born=1):
+    return {"service": service, "address": endpoint.address, "zone": zone, "slots": 8, "state": state,
+            "coldLeftMs": 0, "born": born}
