Reset a caller's connection when a stream without chunks breaks

Callers that speak HTTP/1.0 get a stream with neither a length nor chunks, so only the end of their connection marks its end. A stream that was broken off, or whose gateway exited, was closed in the same orderly way as a complete one: the caller took the first half of an answer for all of it.

Cause: CallerConnections::abortResponse relied on a missing last chunk or a missing rest of the length, which such a response does not have.

The socket of such a response now resets its connection on every close, until the whole response has been written; an aborted response is written as far as it was queued and then closed without a shutdown. Responses with a length or chunks close as before.

--- a/src/adapters/net/SocketLoop.cpp
+++ b/src/adapters/net/SocketLoop.cpp
@@ -385,7 +385,9 @@
     this->updatePollMode(*connection);
     if (!connection->outbound.empty())
         return;
-    if (connection->closing)
+    if (connection->closesWithoutShutdown)
+        this->fail(id, "finished");
+    else if (connection->closing)
         this->shutDownWriting(*connection);
     else
         this->handler->drained(id);
@@ -394,6 +396,8 @@
 void SocketLoop::shutDownWriting(Connection& connection)
 {
     try {
+        if (connection.resetsOnClose)
+            connection.socket.setLinger(false, 0);
         connection.socket.shutdownSend();
     } catch (const Poco::Exception&) {
         // The peer closed first: the next tick closes the connection.
@@ -440,6 +444,26 @@
     this->pendingFlush.insert(id);
 }
 
+void SocketLoop::resetOnClose(ConnectionId id)
+{
+    Connection* connection = this->find(id);
+    if (!connection)
+        return;
+    try {
+        connection->socket.setLinger(true, 0);
+        connection->resetsOnClose = true;
+    } catch (const Poco::Exception&) {
+        // The connection has already failed; the next read reports it.
+    }
+}
+
+void SocketLoop::closeAfterWriting(ConnectionId id)
+{
+    this->closeGracefully(id);
+    if (Connection* connection = this->find(id))
+        connection->closesWithoutShutdown = true;
+}
+
 void SocketLoop::close(ConnectionId id)
 {
     Connection* connection = this->find(id);
--- a/src/adapters/net/SocketLoop.h
+++ b/src/adapters/net/SocketLoop.h
@@ -94,6 +94,13 @@
     void setReadEnabled(ConnectionId connection, bool enabled);
     /** Writes what is queued, shuts down sending and waits up to 1 s for the peer to close. `closed` follows. */
     void closeGracefully(ConnectionId connection);
+    /**
+     * Makes every later close of the connection a reset, also the one at the end of this process, unless
+     * `closeGracefully` has written all that was queued. The peer then detects that what it received is incomplete.
+     */
+    void resetOnClose(ConnectionId connection);
+    /** Writes what is queued within 1 s, then closes the connection. `closed` follows. */
+    void closeAfterWriting(ConnectionId connection);
     /** @return 1-based index of the accepting listener in the order of `listen`; 0 for an outgoing connection. */
     std::size_t listenerIndex(ConnectionId connection) const;
     /** Closes a connection immediately; `closed` is not called. */
@@ -115,6 +122,10 @@
         bool readDisabled { false };
         /** Graceful close: queued bytes are still written, received bytes are dropped. */
         bool closing { false };
+        /** The graceful close ends without a shutdown of the sending side. */
+        bool closesWithoutShutdown { false };
+        /** The socket resets the connection when it is closed. */
+        bool resetsOnClose { false };
         /** Bytes beyond the outbound limit were dropped; the next flush closes the connection. */
         bool overflowed { false };
         /** Events registered with the poll set; 0 when the socket is not in it. */
--- a/src/adapters/traffic/CallerConnections.cpp
+++ b/src/adapters/traffic/CallerConnections.cpp
@@ -227,9 +227,11 @@
     request->closeAfterResponse = request->closeAfterResponse || this->draining;
     if (length)
         head.fields.push_back({ "Content-Length", std::to_string(*length) });
-    else if (request->head.isHttp10)
+    else if (request->head.isHttp10) {
         request->closeAfterResponse = true;
-    else {
+        request->endsWithConnection = true;
+        this->context.loop.resetOnClose(request->connection);
+    } else {
         request->isChunked = true;
         head.fields.push_back({ "Transfer-Encoding", "chunked" });
     }
@@ -293,10 +295,15 @@
     if (!request)
         return;
     const ConnectionId connection = request->connection;
+    const bool endsWithConnection = request->endsWithConnection;
     this->requests.erase(id);
     this->callers.at(connection).phase = Phase::Closing;
-    // The missing last chunk or rest of the declared length tells the caller that the response is incomplete.
-    this->context.loop.closeGracefully(connection);
+    // A missing last chunk, a missing rest of the declared length or a reset tells the caller that the response is
+    // incomplete.
+    if (endsWithConnection)
+        this->context.loop.closeAfterWriting(connection);
+    else
+        this->context.loop.closeGracefully(connection);
 }
 
 std::size_t CallerConnections::queuedBytes(RequestId id) const
--- a/src/adapters/traffic/CallerConnections.h
+++ b/src/adapters/traffic/CallerConnections.h
@@ -18,6 +18,8 @@
     bool closeAfterResponse { false };
     bool responseStarted { false };
     bool isChunked { false };
+    /** Only the end of the connection marks the end of the response. */
+    bool endsWithConnection { false };
 };
 
 /** Manages the connections of callers: reads their requests and writes the responses. */
@@ -54,7 +56,7 @@
     void completeResponse(RequestId request);
     /** Responds to a request with a failure. */
     void sendFailure(RequestId request, const Failure& failure);
-    /** Closes the connection in the middle of a response, so that the caller detects that it is incomplete. */
+    /** Ends the connection in the middle of a response, so that the caller detects that it is incomplete. */
     void abortResponse(RequestId request);
     /** @return number of bytes queued for the caller. */
     std::size_t queuedBytes(RequestId request) const;
--- a/test/support/RawServer.cpp
+++ b/test/support/RawServer.cpp
@@ -21,12 +21,8 @@
     try {
         std::string head;
         while (!head.ends_with(headEnd)) {
-            while (!this->socket.poll(toTimespan(pollInterval), Poco::Net::Socket::SELECT_READ)) {
-                if (this->server.stopping)
-                    return std::nullopt;
-            }
             char byte = 0;
-            if (this->socket.receiveBytes(&byte, 1) <= 0)
+            if (!this->readByte(byte))
                 return std::nullopt;
             head.push_back(byte);
         }
@@ -36,6 +32,32 @@
     }
 }
 
+std::optional<std::string> RawServer::Connection::readBody(const std::string& head)
+{
+    try {
+        std::string body;
+        const std::string length = headField(head, "Content-Length");
+        while (body.size() < (length.empty() ? 0 : std::stoul(length))) {
+            char byte = 0;
+            if (!this->readByte(byte))
+                return std::nullopt;
+            body.push_back(byte);
+        }
+        return body;
+    } catch (const Poco::Exception&) {
+        return std::nullopt;
+    }
+}
+
+bool RawServer::Connection::readByte(char& byte)
+{
+    while (!this->socket.poll(toTimespan(pollInterval), Poco::Net::Socket::SELECT_READ)) {
+        if (this->server.stopping)
+            return false;
+    }
+    return this->socket.receiveBytes(&byte, 1) > 0;
+}
+
 bool RawServer::Connection::send(const std::string& bytes)
 {
     try {
@@ -73,6 +95,18 @@
         Poco::Thread::sleep(1);
 }
 
+void RawServer::Connection::waitUntil(const std::function<bool()>& condition)
+{
+    while (!this->server.stopping && !condition())
+        Poco::Thread::sleep(1);
+}
+
+void RawServer::Connection::reset()
+{
+    this->socket.setLinger(true, 0);
+    this->socket.close();
+}
+
 RawServer::RawServer(std::function<void(Connection&)> serveConnection)
     : serve(std::move(serveConnection))
     , listener(Poco::Net::SocketAddress("127.0.0.1", 0))
--- a/test/support/RawServer.h
+++ b/test/support/RawServer.h
@@ -29,13 +29,22 @@
 
         /** Reads up to the end of a message head. Bytes of a body are left for the next call. */
         std::optional<std::string> readHead();
+        /** Reads the body of the last head, as its length declares. */
+        std::optional<std::string> readBody(const std::string& head);
         bool send(const std::string& bytes);
         /** Sends the bytes again and again until the peer closes or the limit is reached. */
         void sendWithoutEnd(const std::string& bytes, std::size_t maxBytes);
         /** Waits while the server runs. */
         void wait(Milliseconds time);
+        /** Waits until the condition holds or the server stops. */
+        void waitUntil(const std::function<bool()>& condition);
+        /** Resets the connection instead of closing it in an orderly way. */
+        void reset();
 
     private:
+        /** @return false when the peer has closed the connection or the server stops. */
+        bool readByte(char& byte);
+
         Poco::Net::StreamSocket socket;
         RawServer& server;
     };
--- a/test/support/TrafficHarness.cpp
+++ b/test/support/TrafficHarness.cpp
@@ -44,6 +44,11 @@
     this->server->start();
 }
 
+void TrafficHarness::changeEndpoint(const EndpointRecord& endpoint)
+{
+    this->server->ring().push(EndpointsChanged { { endpoint }, {} });
+}
+
 Poco::Net::StreamSocket TrafficHarness::connect() const
 {
     Poco::Net::StreamSocket socket(Poco::Net::SocketAddress(this->callers.host, this->callers.port));
--- a/test/support/TrafficHarness.h
+++ b/test/support/TrafficHarness.h
@@ -22,6 +22,8 @@
     TrafficHarness(const TrafficHarness&) = delete;
     TrafficHarness& operator=(const TrafficHarness&) = delete;
 
+    /** Adds or changes an endpoint beside the one given to the constructor. */
+    void changeEndpoint(const EndpointRecord& endpoint);
     /** @return a new connection of a caller. */
     Poco::Net::StreamSocket connect() const;
     /** Sends a request on the connection. @param id the caller's id of the request. */
