Resume unframed streams that are stopped for a migration

The last copy call of a live migration stops the run, and its engine closes the stream without its end. Where the stream had neither a length nor chunks, an orderly close after a whole event was taken for the end: the caller got a complete answer that lacked the rest of its events, and the copy was dropped.

Cause: the adapter alone decided that the stream was complete, though whether such a close is the end depends on what the engine was asked to do, which only the decisions know.

The adapter now reports such a close as ExchangeEnd::Closed and leaves the caller's response open. The core completes it with CompleteResponse unless the run may have been stopped: from the call that stops it on, until the engine states that it has no such run or that another call is in progress. While the call is open the end waits for its answer, as a broken stream did before; with no answer, or no room for the rest, the stream resumes from the last copy. A close that was asked for is no evidence of a crash.

Added to the test of unframed answers: a migration whose last call is answered before or after the close, with each outcome, by callers of HTTP/1.1 and 1.0; to the random session, streams that end with their connection, and the check that no request is completed after its end or beside a running exchange.

--- a/src/adapters/traffic/BodyDecoder.h
+++ b/src/adapters/traffic/BodyDecoder.h
@@ -40,6 +40,8 @@
     /** Marks the end of input, which completes a body framed by `BodyKind::UntilClose`. */
     void connectionClosed();
     bool isComplete() const;
+    /** @return true when only the end of the connection marks the end of the body. */
+    bool endsWithConnection() const { return this->framing.kind == BodyKind::UntilClose; }
     /** @return true when the framing is malformed, so that nothing further on the connection can be trusted. */
     bool isMalformed() const { return this->malformed; }
 
--- a/src/adapters/traffic/EndpointConnections.cpp
+++ b/src/adapters/traffic/EndpointConnections.cpp
@@ -236,8 +236,11 @@
             this->fail(connection, ExchangeEnd::Broken);
             return false;
         }
-        this->callers.completeResponse(channel.parameters.request);
-        this->context.events.emplace_back(ExchangeEnded { channel.parameters.exchange, ExchangeEnd::Complete });
+        const bool endsWithConnection = channel.decoder->endsWithConnection();
+        if (!endsWithConnection)
+            this->callers.completeResponse(channel.parameters.request);
+        this->context.events.emplace_back(ExchangeEnded {
+            channel.parameters.exchange, endsWithConnection ? ExchangeEnd::Closed : ExchangeEnd::Complete });
         this->release(connection, channel);
         return false;
     }
--- a/src/adapters/traffic/TrafficServer.cpp
+++ b/src/adapters/traffic/TrafficServer.cpp
@@ -28,8 +28,9 @@
     {
         static const HandlerTable<TrafficServer, void, GatewayAction> table(&TrafficServer::startExchange,
             &TrafficServer::cancelExchange, &TrafficServer::relayResponse, &TrafficServer::refuseRequest,
-            &TrafficServer::abortResponse, &TrafficServer::startMigration, &TrafficServer::sendGossip,
-            &TrafficServer::sendReading, &TrafficServer::readStore, &TrafficServer::log, &TrafficServer::observe);
+            &TrafficServer::completeResponse, &TrafficServer::abortResponse, &TrafficServer::startMigration,
+            &TrafficServer::sendGossip, &TrafficServer::sendReading, &TrafficServer::readStore, &TrafficServer::log,
+            &TrafficServer::observe);
         return table;
     }
 };
@@ -173,6 +174,8 @@
     this->callers.sendFailure(action.request, action.failure);
 }
 
+void TrafficServer::completeResponse(const CompleteResponse& action) { this->callers.completeResponse(action.request); }
+
 void TrafficServer::abortResponse(const AbortResponse& action) { this->callers.abortResponse(action.request); }
 
 void TrafficServer::startMigration(const StartMigration& action) { this->endpoints.startMigration(action); }
--- a/src/adapters/traffic/TrafficServer.h
+++ b/src/adapters/traffic/TrafficServer.h
@@ -69,6 +69,7 @@
     void cancelExchange(const CancelExchange& action);
     void relayResponse(const RelayResponse& action);
     void refuseRequest(const RefuseRequest& action);
+    void completeResponse(const CompleteResponse& action);
     void abortResponse(const AbortResponse& action);
     void startMigration(const StartMigration& action);
     void sendGossip(const SendGossip& action);
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -263,8 +263,10 @@
 {
     // The rejected run never began, so there is no replica of its KV cache.
     active.replicaEngine.reset();
-    if (active.responseStarted)
+    if (active.responseStarted) {
+        StreamMigrator::streamEnded(active, ExchangeEnd::Broken);
         return this->recoverOrFail(active, now, actions);
+    }
     if (!response.notExecuted || response.isMisdirected)
         this->state.endpoints.recordFailure(exchange.endpoint, now);
     const bool canRedispatch
@@ -286,14 +288,12 @@
     ActiveRequest* active = this->findRequest(exchange->request);
     internalCheck(active, "an exchange belongs to an active request");
     active->exchange.reset();
-    if (event.end == ExchangeEnd::Complete) {
-        this->state.quarantine.clear(active->request.fingerprint);
-        if (exchange->firstEventAt)
-            this->state.promptParts.recordSurvival(active->request.sharedPromptParts, now);
-        actions.emplace_back(Internal::completedLogEvent(*active, now));
-        Internal::observeCompleted(actions, *active, now);
-        return this->removeRequest(*active, now, actions);
-    }
+    if (exchange->firstEventAt && (event.end == ExchangeEnd::Complete || event.end == ExchangeEnd::Closed))
+        this->state.promptParts.recordSurvival(active->request.sharedPromptParts, now);
+    if (event.end == ExchangeEnd::Complete)
+        return this->completeRequest(*active, now, actions);
+    if (event.end == ExchangeEnd::Closed)
+        return this->streamClosed(*active, now, actions);
     if (event.end == ExchangeEnd::Broken) {
         actions.emplace_back(Internal::brokenExchangeLogEvent(*active, *exchange, now));
         this->recordBrokenStart(*active, *exchange, now);
@@ -307,9 +307,27 @@
         active->replicaEngine.reset();
     else
         active->mayHaveRun = true;
+    StreamMigrator::streamEnded(*active, event.end);
     this->recoverOrFail(*active, now, actions);
 }
 
+void ExchangeDispatcher::completeRequest(const ActiveRequest& active, Instant now, GatewayActions& actions)
+{
+    this->state.quarantine.clear(active.request.fingerprint);
+    actions.emplace_back(Internal::completedLogEvent(active, now));
+    Internal::observeCompleted(actions, active, now);
+    this->removeRequest(active, now, actions);
+}
+
+void ExchangeDispatcher::streamClosed(ActiveRequest& active, Instant now, GatewayActions& actions)
+{
+    StreamMigrator::streamEnded(active, ExchangeEnd::Closed);
+    if (StreamMigrator::mayBeStopped(active))
+        return this->recoverOrFail(active, now, actions);
+    actions.emplace_back(CompleteResponse { active.request.id });
+    this->completeRequest(active, now, actions);
+}
+
 void ExchangeDispatcher::recordBrokenStart(ActiveRequest& active, const Exchange& exchange, Instant now)
 {
     if (exchange.isPastStart)
@@ -352,7 +370,7 @@
 bool ExchangeDispatcher::tryFailover(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
     const EndpointId target = active.migration ? active.migration->target : EndpointId();
-    if (const auto point = this->migrator.streamBroke(active))
+    if (const auto point = StreamMigrator::takeResumePoint(active))
         return this->resume(active, target, *point, now, actions);
     if (StreamMigrator::isAwaitingAnswer(active))
         return true;
@@ -385,7 +403,10 @@
     const auto resumable = this->migrator.migrationResponseReceived(event, now, actions);
     if (!resumable)
         return;
-    this->recoverOrFail(*this->findRequest(*resumable), now, actions);
+    ActiveRequest& active = *this->findRequest(*resumable);
+    if (StreamMigrator::isOver(active))
+        return this->streamClosed(active, now, actions);
+    this->recoverOrFail(active, now, actions);
 }
 
 void ExchangeDispatcher::eventsRelayed(const EventsRelayed& event, Instant now, GatewayActions& actions)
--- a/src/core/gateway/ExchangeDispatcher.h
+++ b/src/core/gateway/ExchangeDispatcher.h
@@ -54,6 +54,10 @@
         const ActiveRequest& active, const Exchange& exchange, ExchangeEnd end, Instant now, GatewayActions& actions);
     /** Dispatches a request again after an attempt that did not reach its endpoint and is therefore not counted. */
     void redispatch(ActiveRequest& active, Instant now, GatewayActions& actions);
+    /** Ends a request whose response is complete. */
+    void completeRequest(const ActiveRequest& active, Instant now, GatewayActions& actions);
+    /** Handles a stream that ended with its connection: completes it, unless its run may have been stopped. */
+    void streamClosed(ActiveRequest& active, Instant now, GatewayActions& actions);
     /** Recovers from a broken exchange: resumes a stream that has a copy; otherwise retries or fails the request. */
     void recoverOrFail(ActiveRequest& active, Instant now, GatewayActions& actions);
     /** @return true if the stream resumes elsewhere or waits for the response to a copy call. */
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -42,8 +42,10 @@
     std::uint64_t tokens { 0 };
     /** Handle of the last copy at the target. */
     std::optional<KvCacheHandle> copy;
-    /** The source's stream ended, and all of its events were relayed to the caller. */
-    bool streamEnded { false };
+    /** The source was asked to stop the run, and did not state that it left the run alone. */
+    bool mayBeStopped { false };
+    /** How the source's stream ended. All of its events were relayed to the caller. */
+    std::optional<ExchangeEnd> streamEnd;
 };
 
 /** A request that waits for an endpoint or has an exchange in progress. */
--- a/src/core/gateway/StreamMigrator.cpp
+++ b/src/core/gateway/StreamMigrator.cpp
@@ -105,7 +105,7 @@
     if (!target)
         return false;
     active.migration = StreamMigration { MigrationPhase::Copying, *active.exchange, source, exchange.address,
-        target->record.id, target->record.address, now, 0, active.tokens, std::nullopt, false };
+        target->record.id, target->record.address, now, 0, active.tokens, std::nullopt, false, std::nullopt };
     this->state.endpoints.addCopy(target->record.id, active.tokens);
     this->requestByExchange[*active.exchange] = active.request.id;
     this->sendCopyCall(active, now, actions);
@@ -119,6 +119,7 @@
     migration.lastCallAt = now;
     ++migration.callCount;
     const bool stopsSource = migration.phase == MigrationPhase::Finishing;
+    migration.mayBeStopped = stopsSource;
     actions.emplace_back(StartMigration { migration.exchange, migration.sourceAddress, active.request.callerRequestId,
         migration.targetAddress, stopsSource });
 }
@@ -139,7 +140,9 @@
     const bool copied = event.outcome == MigrationOutcome::Copied;
     if (copied)
         migration.copy = event.handle;
-    if (migration.phase == MigrationPhase::Copying && copied && !migration.streamEnded
+    if (event.outcome == MigrationOutcome::NoSuchRun || event.outcome == MigrationOutcome::InProgress)
+        migration.mayBeStopped = false;
+    if (migration.phase == MigrationPhase::Copying && copied && !migration.streamEnd
         && migration.callCount < maxCopyCalls) {
         if (now - migration.lastCallAt < fastCopyThreshold)
             migration.phase = MigrationPhase::Finishing;
@@ -147,7 +150,7 @@
         return std::nullopt;
     }
     const EndpointId source = migration.source;
-    const bool streamEnded = migration.streamEnded;
+    const bool streamEnded = migration.streamEnd.has_value();
     if (!copied) {
         ++active.failedMigrations;
         active.failedTargets.insert(migration.target);
@@ -180,12 +183,29 @@
 
 bool StreamMigrator::isAwaitingAnswer(const ActiveRequest& active)
 {
-    return active.migration && active.migration->phase != MigrationPhase::Done && active.migration->streamEnded;
+    return active.migration && active.migration->phase != MigrationPhase::Done && active.migration->streamEnd;
+}
+
+bool StreamMigrator::mayBeStopped(const ActiveRequest& active)
+{
+    return active.migration && active.migration->mayBeStopped;
+}
+
+void StreamMigrator::streamEnded(ActiveRequest& active, ExchangeEnd end)
+{
+    if (active.migration)
+        active.migration->streamEnd = end;
+}
+
+bool StreamMigrator::isOver(const ActiveRequest& active)
+{
+    return active.migration && active.migration->streamEnd == ExchangeEnd::Closed && !mayBeStopped(active);
 }
 
 std::optional<ResumePoint> StreamMigrator::takeResumePoint(ActiveRequest& active)
 {
-    if (!active.migration || !active.migration->copy)
+    // The response to the outstanding copy call shows whether there is a copy.
+    if (!active.migration || active.migration->phase != MigrationPhase::Done || !active.migration->copy)
         return std::nullopt;
     const ResumePoint point { active.migration->targetAddress, *active.migration->copy, active.lastEventId };
     active.migration.reset();
@@ -194,17 +214,6 @@
     return point;
 }
 
-std::optional<ResumePoint> StreamMigrator::streamBroke(ActiveRequest& active)
-{
-    if (!active.migration)
-        return std::nullopt;
-    active.migration->streamEnded = true;
-    // The response to the outstanding copy call shows whether there is a copy.
-    if (active.migration->phase != MigrationPhase::Done)
-        return std::nullopt;
-    return takeResumePoint(active);
-}
-
 void StreamMigrator::discard(const ActiveRequest& active, Instant now, GatewayActions& actions)
 {
     if (!active.migration)
--- a/src/core/gateway/StreamMigrator.h
+++ b/src/core/gateway/StreamMigrator.h
@@ -26,11 +26,17 @@
     /** Handles the response to a copy call. @return the request whose broken stream waited for it, if any. */
     std::optional<RequestId> migrationResponseReceived(
         const MigrationResponseReceived& event, Instant now, GatewayActions& actions);
+    /** Handles the end of a stream at its engine, other than ExchangeEnd::Complete. */
+    static void streamEnded(ActiveRequest& active, ExchangeEnd end);
+    /** @return true if the engine may have stopped the run for a migration, so that its stream ends early. */
+    static bool mayBeStopped(const ActiveRequest& active);
+    /** @return true if the stream ended with its connection, and its engine has stated that it did not stop the run. */
+    static bool isOver(const ActiveRequest& active);
     /**
-     * Handles a stream that broke before it was complete.
+     * Ends the migration of a stream that ended early.
      * @return the point at which it resumes; unset if it has no copy or the response to a copy call is outstanding.
      */
-    std::optional<ResumePoint> streamBroke(ActiveRequest& active);
+    static std::optional<ResumePoint> takeResumePoint(ActiveRequest& active);
     /** @return true if the stream ended and waits for the response to a copy call. */
     static bool isAwaitingAnswer(const ActiveRequest& active);
     /** Removes draining engines without a stream. */
@@ -47,8 +53,6 @@
     /** Sends the copy call of the migration's phase. */
     void sendCopyCall(ActiveRequest& active, Instant now, GatewayActions& actions);
     bool isWorthMigrating(const ActiveRequest& active) const;
-    /** Ends the migration of a stopped stream. @return the point at which it resumes, if there is a copy. */
-    static std::optional<ResumePoint> takeResumePoint(ActiveRequest& active);
     /** Releases the tokens reserved at the target, and lets the source migrate its next run. */
     void endMigration(const StreamMigration& migration);
 
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -77,6 +77,11 @@
 /** How an exchange ended. */
 enum class ExchangeEnd : std::uint8_t {
     Complete,
+    /**
+     * The endpoint closed the connection of a stream after a whole event, and nothing else marks the stream's end. It
+     * is the end unless the run was stopped; CompleteResponse then completes the caller's response.
+     */
+    Closed,
     /** No connection could be established, so nothing was sent. */
     NotConnected,
     /** The connection broke, or the data received was not a valid response. */
@@ -204,6 +209,11 @@
     Failure failure;
 };
 
+/** Completes the caller's response after ExchangeEnd::Closed. */
+struct CompleteResponse {
+    RequestId request;
+};
+
 /** Closes the caller's connection, so that the caller can detect the incomplete response. */
 struct AbortResponse {
     RequestId request;
@@ -219,8 +229,8 @@
     bool stopsSource { false };
 };
 
-using GatewayAction = std::variant<StartExchange, CancelExchange, RelayResponse, RefuseRequest, AbortResponse,
-    StartMigration, SendGossip, SendReading, ReadStore, LogEvent, Observation>;
+using GatewayAction = std::variant<StartExchange, CancelExchange, RelayResponse, RefuseRequest, CompleteResponse,
+    AbortResponse, StartMigration, SendGossip, SendReading, ReadStore, LogEvent, Observation>;
 using GatewayActions = std::vector<GatewayAction>;
 
 }
--- a/test/correctness/StreamsSurviveEngineLoss.cpp
+++ b/test/correctness/StreamsSurviveEngineLoss.cpp
@@ -240,3 +240,42 @@
     REQUIRE(scenario.lastAction<StartExchange>());
     CHECK(scenario.lastExchange()->resume->handle == KvCacheHandle("h" + std::to_string(calls)));
 }
+
+TEST_CASE("A stream that its engine stops and closes after a whole event is resumed, not completed")
+{
+    for (const bool isAnsweredFirst : { true, false }) {
+        CAPTURE(isAnsweredFirst);
+        GatewayScenario scenario;
+        const EndpointId first = startStream(scenario);
+        const ExchangeId exchange = scenario.lastExchange()->exchange;
+        const MigrationResponseReceived stopped { exchange, MigrationOutcome::Copied, KvCacheHandle("h2") };
+        drainReplicaEngine(scenario);
+        scenario.handle(drainingChange(first))
+            .handle(MigrationResponseReceived { exchange, MigrationOutcome::Copied, KvCacheHandle("h1") });
+        REQUIRE(scenario.lastAction<StartMigration>()->stopsSource);
+        scenario.clearActions();
+        if (isAnsweredFirst)
+            scenario.handle(stopped);
+        scenario.handle(ExchangeEnded { exchange, ExchangeEnd::Closed });
+        if (!isAnsweredFirst) {
+            CHECK_FALSE(scenario.lastAction<StartExchange>());
+            scenario.handle(stopped);
+        }
+        CHECK_FALSE(scenario.lastAction<CompleteResponse>());
+        REQUIRE(scenario.lastAction<StartExchange>());
+        CHECK(scenario.lastExchange()->resume->handle == KvCacheHandle("h2"));
+    }
+}
+
+TEST_CASE("A stream that ends with its connection is complete while its run is only copied")
+{
+    GatewayScenario scenario;
+    const EndpointId first = startStream(scenario);
+    const ExchangeId exchange = scenario.lastExchange()->exchange;
+    drainReplicaEngine(scenario);
+    scenario.handle(drainingChange(first)).clearActions();
+    scenario.handle(ExchangeEnded { exchange, ExchangeEnd::Closed });
+    CHECK(scenario.lastAction<CompleteResponse>());
+    scenario.handle(MigrationResponseReceived { exchange, MigrationOutcome::NoSuchRun, {} });
+    CHECK_FALSE(scenario.lastAction<StartExchange>());
+}
--- a/test/error/BrokenUnframedAnswersNeverLookComplete.cpp
+++ b/test/error/BrokenUnframedAnswersNeverLookComplete.cpp
@@ -144,6 +144,117 @@
     return TrafficHarness::readResponse(socket);
 }
 
+/** What an engine and the engine that holds the copy of its run do during a live migration. */
+struct Migration {
+    /** The engine's answer to the call that stops the run; empty when it closes the connection instead. */
+    std::string finalAnswer;
+    /** The answer arrives before the stream ends. */
+    bool isAnsweredFirst { false };
+    /** What the engine sends after the first two events, before it ends the connection of the stream. */
+    std::string lastBytes;
+    /** The answer of the engine that holds the copy. */
+    std::string resumedAnswer;
+};
+
+/** An engine's answer to the call that stops a run. */
+struct FinalAnswer {
+    std::string name;
+    std::string response;
+};
+
+struct MigrationResult {
+    Received received;
+    std::vector<std::string> resumeHeads;
+};
+
+/** Plays the migration of an unframed stream from an engine that drains. */
+class MigrationScene {
+public:
+    explicit MigrationScene(const Migration& migration)
+        : migration(migration)
+        , source([this](RawServer::Connection& connection) { this->serveSource(connection); })
+        , target([this](RawServer::Connection& connection) { this->serveTarget(connection); })
+        , harness(this->source.address())
+    {
+    }
+
+    MigrationResult play(const std::string& version)
+    {
+        Caller caller(this->harness, version);
+        caller.requestDraft();
+        caller.receiveUntil(event(2));
+        EndpointRecord holder = GatewayScenario::engineEndpoint("e2");
+        holder.address = this->target.address();
+        this->harness.changeEndpoint(holder);
+        EndpointRecord leaving = GatewayScenario::engineEndpoint("e1");
+        leaving.address = this->source.address();
+        leaving.isDraining = true;
+        this->harness.changeEndpoint(leaving);
+        MigrationResult result { caller.receiveAll(), {} };
+        const std::lock_guard lock(this->mutex);
+        result.resumeHeads = this->resumeHeads;
+        return result;
+    }
+
+private:
+    void serveSource(RawServer::Connection& connection)
+    {
+        const auto head = connection.readHead();
+        const auto body = head ? connection.readBody(*head) : std::nullopt;
+        if (!body)
+            return;
+        if (head->starts_with("POST /v1/kv-move"))
+            return this->answerCopyCall(connection, *body);
+        connection.send(unframedStreamHead + event(1) + event(2));
+        connection.waitUntil([this] { return this->isFinalCalled.load(); });
+        if (this->migration.isAnsweredFirst) {
+            connection.waitUntil([this] { return this->isFinalAnswered.load(); });
+            connection.wait(deliveryTime);
+        }
+        connection.send(this->migration.lastBytes);
+        this->isStreamOver = true;
+    }
+
+    void answerCopyCall(RawServer::Connection& connection, const std::string& body)
+    {
+        if (body.find("\"final\":true") == std::string::npos) {
+            connection.send(answerWithLength("HTTP/1.1 200 OK", R"({"session":"h1","created":2})"));
+            return;
+        }
+        this->isFinalCalled = true;
+        if (!this->migration.isAnsweredFirst) {
+            connection.waitUntil([this] { return this->isStreamOver.load(); });
+            connection.wait(deliveryTime);
+        }
+        connection.send(this->migration.finalAnswer);
+        this->isFinalAnswered = true;
+    }
+
+    void serveTarget(RawServer::Connection& connection)
+    {
+        const auto head = connection.readHead();
+        if (!head)
+            return;
+        const std::lock_guard lock(this->mutex);
+        this->resumeHeads.push_back(*head);
+        connection.send(this->migration.resumedAnswer);
+    }
+
+    Migration migration;
+    std::atomic<bool> isFinalCalled { false };
+    std::atomic<bool> isFinalAnswered { false };
+    std::atomic<bool> isStreamOver { false };
+    std::mutex mutex;
+    std::vector<std::string> resumeHeads;
+    RawServer source;
+    RawServer target;
+    TrafficHarness harness;
+};
+
+const std::string copiedBody = R"({"session":"h2","created":3})";
+const std::string copied = answerWithLength("HTTP/1.1 200 OK", copiedBody);
+const std::string resumedToTheEnd = unframedStreamHead + event(4) + event(5);
+
 }
 
 // Guards against the loss of an answer whose length only the end of its connection tells.
@@ -360,6 +471,73 @@
     }
 }
 
+// Guards against a stream that is taken for complete because its engine stopped it for a migration and closed it.
+TEST_CASE("A stream without framing that is stopped for a migration goes on from the copy")
+{
+    const std::vector<FinalAnswer> answers { { "copied", copied },
+        { "copied, without framing", "HTTP/1.1 200 OK\r\n\r\n" + copiedBody },
+        { "no room for the rest", answerWithLength("HTTP/1.1 503 Service Unavailable", R"({"session":"h3"})") },
+        { "no answer", "" }, { "an answer that is cut off", "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{" } };
+    for (const FinalAnswer& answer : answers) {
+        for (const bool isAnsweredFirst : { false, true }) {
+            for (const std::string& lastBytes : { event(3), event(3) + "id: 4\nda" }) {
+                for (const std::string& version : httpVersions) {
+                    CAPTURE(answer.name);
+                    CAPTURE(isAnsweredFirst);
+                    CAPTURE(lastBytes);
+                    CAPTURE(version);
+                    MigrationScene scene({ answer.response, isAnsweredFirst, lastBytes, resumedToTheEnd });
+                    const MigrationResult result = scene.play(version);
+                    CHECK(result.received.eventIds() == std::vector { 1, 2, 3, 4, 5 });
+                    CHECK(result.received.looksComplete());
+                    REQUIRE(result.resumeHeads.size() == 1);
+                    CHECK(headField(result.resumeHeads[0], "Last-Event-Id") == "3");
+                    const std::string handle = answer.name.starts_with("copied") ? "/h2" : "/h1";
+                    CHECK(headField(result.resumeHeads[0], "Kv-From").ends_with(handle));
+                }
+            }
+        }
+    }
+}
+
+// Guards against a stopped stream that is taken for complete because the engine with its copy refuses it.
+TEST_CASE("A stream without framing that is stopped for a migration and cannot go on is broken off")
+{
+    const std::string refusal
+        = answerWithLength("HTTP/1.1 503 Service Unavailable\r\nX-Teaselfold-Not-Executed: 1", "");
+    for (const bool isAnsweredFirst : { false, true }) {
+        for (const std::string& version : httpVersions) {
+            CAPTURE(isAnsweredFirst);
+            CAPTURE(version);
+            MigrationScene scene({ copied, isAnsweredFirst, event(3), refusal });
+            const MigrationResult result = scene.play(version);
+            CHECK(result.received.eventIds() == std::vector { 1, 2, 3 });
+            CHECK_FALSE(result.received.looksComplete());
+        }
+    }
+}
+
+// Guards against a run that is begun again at its end, because its migration was about to stop it when it ended.
+TEST_CASE("A stream without framing that ends before its migration stops it is complete")
+{
+    const std::vector<FinalAnswer> answers { { "no such run", answerWithLength("HTTP/1.1 404 Not Found", "{}") },
+        { "not stopped, as another call is in progress", answerWithLength("HTTP/1.1 409 Conflict", "{}") } };
+    for (const FinalAnswer& answer : answers) {
+        for (const bool isAnsweredFirst : { false, true }) {
+            for (const std::string& version : httpVersions) {
+                CAPTURE(answer.name);
+                CAPTURE(isAnsweredFirst);
+                CAPTURE(version);
+                MigrationScene scene({ answer.response, isAnsweredFirst, event(3), resumedToTheEnd });
+                const MigrationResult result = scene.play(version);
+                CHECK(result.received.eventIds() == std::vector { 1, 2, 3 });
+                CHECK(result.received.looksComplete());
+                CHECK(result.resumeHeads.empty());
+            }
+        }
+    }
+}
+
 // Guards against streams of a leaving engine that are cut off, or taken for complete when its process is gone.
 TEST_CASE("A stream without framing at an engine that leaves ends as elsewhere when there is no engine to go to")
 {
--- a/test/golden/GatewayUnderRandomFaults.cpp
+++ b/test/golden/GatewayUnderRandomFaults.cpp
@@ -77,7 +77,7 @@
         std::advance(entry, static_cast<std::ptrdiff_t>(this->randomBelow(this->running.size())));
         const auto [exchange, request] = *entry;
         TrackedRequest& tracked = this->requests[request];
-        const std::uint64_t kind = this->randomBelow(6);
+        const std::uint64_t kind = this->randomBelow(7);
         if (kind == 0) {
             this->scenario.handle(ResponseReceived { exchange, GatewayScenario::notRunRefusal() });
         } else if (kind == 1) {
@@ -90,6 +90,12 @@
         } else if (kind == 3) {
             tracked.mayHaveRun = true;
             this->scenario.handle(ResponseReceived { exchange, GatewayScenario::failure(500) });
+        } else if (kind == 4) {
+            tracked.mayHaveRun = true;
+            this->running.erase(exchange);
+            this->scenario.handle(ResponseReceived { exchange, GatewayScenario::streamStart() });
+            this->scenario.handle(EventsRelayed { exchange, ++this->lastEvent });
+            this->scenario.handle(ExchangeEnded { exchange, ExchangeEnd::Closed });
         } else {
             tracked.mayHaveRun = true;
             this->scenario.handle(ResponseReceived { exchange, GatewayScenario::streamStart() });
@@ -137,6 +143,8 @@
                 this->check(*started);
             else if (const auto* refused = std::get_if<RefuseRequest>(&action))
                 this->check(*refused);
+            else if (const auto* completed = std::get_if<CompleteResponse>(&action))
+                this->check(*completed);
             else if (const auto* cancelled = std::get_if<CancelExchange>(&action))
                 this->running.erase(cancelled->exchange);
             else if (const auto* aborted = std::get_if<AbortResponse>(&action))
@@ -165,6 +173,15 @@
         tracked.isOver = true;
     }
 
+    void check(const CompleteResponse& completed)
+    {
+        TrackedRequest& tracked = this->requests[completed.request];
+        CHECK_FALSE(tracked.isOver);
+        for (const auto& [exchange, request] : this->running)
+            CHECK(request != completed.request);
+        tracked.isOver = true;
+    }
+
     GatewayScenario scenario;
     SeededRandomness random;
     std::map<RequestId, TrackedRequest> requests;
