Do not count a stop for a migration as a crash of the engine

The last copy call of a live migration stops the run, and its engine closes the stream without its end. This counted as a broken exchange: as a failure of the engine, as a suspicion against the request, and, within a second of the first event, as a broken start of the run and evidence against the parts of its prompt. A stream that was migrated twice soon after its start, as in a rolling release, was not resumed but cut off; its caller lost the answer although a copy of the run was ready.

Cause: exchangeEnded judged the end by the connection alone, not by what the engine had been asked to do.

An end of a stream that may have been stopped now goes the way of a closed stream: it is resumed and is no evidence. An end without a stop, and one after the engine's statement that it did not stop the run, count as before.

Before the change:

TEST CASE: A stream that is migrated twice soon after its start goes on ERROR: CHECK_FALSE( scenario.lastAction<AbortResponse>() ) is NOT correct! FATAL ERROR: REQUIRE( scenario.lastAction<StartExchange>() ) is NOT correct!

--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -292,8 +292,8 @@
         this->state.promptParts.recordSurvival(active->request.sharedPromptParts, now);
     if (event.end == ExchangeEnd::Complete)
         return this->completeRequest(*active, now, actions);
-    if (event.end == ExchangeEnd::Closed)
-        return this->streamClosed(*active, now, actions);
+    if (event.end == ExchangeEnd::Closed || StreamMigrator::mayBeStopped(*active))
+        return this->streamClosed(*active, event.end, now, actions);
     if (event.end == ExchangeEnd::Broken) {
         actions.emplace_back(Internal::brokenExchangeLogEvent(*active, *exchange, now));
         this->recordBrokenStart(*active, *exchange, now);
@@ -319,9 +319,10 @@
     this->removeRequest(active, now, actions);
 }
 
-void ExchangeDispatcher::streamClosed(ActiveRequest& active, Instant now, GatewayActions& actions)
+void ExchangeDispatcher::streamClosed(ActiveRequest& active, ExchangeEnd end, Instant now, GatewayActions& actions)
 {
-    StreamMigrator::streamEnded(active, ExchangeEnd::Closed);
+    StreamMigrator::streamEnded(active, end);
+    // An early end that was asked for is no evidence of a crash.
     if (StreamMigrator::mayBeStopped(active))
         return this->recoverOrFail(active, now, actions);
     actions.emplace_back(CompleteResponse { active.request.id });
@@ -405,7 +406,7 @@
         return;
     ActiveRequest& active = *this->findRequest(*resumable);
     if (StreamMigrator::isOver(active))
-        return this->streamClosed(active, now, actions);
+        return this->streamClosed(active, ExchangeEnd::Closed, now, actions);
     this->recoverOrFail(active, now, actions);
 }
 
--- a/src/core/gateway/ExchangeDispatcher.h
+++ b/src/core/gateway/ExchangeDispatcher.h
@@ -56,8 +56,8 @@
     void redispatch(ActiveRequest& active, Instant now, GatewayActions& actions);
     /** Ends a request whose response is complete. */
     void completeRequest(const ActiveRequest& active, Instant now, GatewayActions& actions);
-    /** Handles a stream that ended with its connection: completes it, unless its run may have been stopped. */
-    void streamClosed(ActiveRequest& active, Instant now, GatewayActions& actions);
+    /** Completes a stream that ended with its connection, or resumes one whose run may have been stopped. */
+    void streamClosed(ActiveRequest& active, ExchangeEnd end, Instant now, GatewayActions& actions);
     /** Recovers from a broken exchange: resumes a stream that has a copy; otherwise retries or fails the request. */
     void recoverOrFail(ActiveRequest& active, Instant now, GatewayActions& actions);
     /** @return true if the stream resumes elsewhere or waits for the response to a copy call. */
--- a/test/correctness/StreamsSurviveEngineLoss.cpp
+++ b/test/correctness/StreamsSurviveEngineLoss.cpp
@@ -24,10 +24,25 @@
     return { { record }, {} };
 }
 
+/** Migrates the stream of the last exchange away from its engine, which closes it before the end. */
+void migrate(GatewayScenario& scenario, const std::string& handle)
+{
+    const EndpointId source = scenario.lastExchange()->endpoint;
+    const ExchangeId exchange = scenario.lastExchange()->exchange;
+    scenario.clearActions();
+    scenario.handle(drainingChange(source))
+        .handle(MigrationResponseReceived { exchange, MigrationOutcome::Copied, KvCacheHandle("h") });
+    const auto finishing = scenario.lastAction<StartMigration>();
+    REQUIRE(finishing);
+    REQUIRE(finishing->stopsSource);
+    scenario.handle(MigrationResponseReceived { exchange, MigrationOutcome::Copied, KvCacheHandle(handle) })
+        .handle(ExchangeEnded { exchange, ExchangeEnd::Broken });
+}
+
 /** Drains the engine that holds the stream's replica, so that the replica cannot be used. */
 void drainReplicaEngine(GatewayScenario& scenario)
 {
-    for (const char* name : { "e1", "e2", "e3" }) {
+    for (const char* name : { "e1", "e2", "e3", "e7", "e8" }) {
         const EndpointRecord record = GatewayScenario::engineEndpoint(name);
         if (record.address == scenario.lastExchange()->replicaAddress)
             scenario.handle(drainingChange(record.id));
@@ -279,3 +294,23 @@
     scenario.handle(MigrationResponseReceived { exchange, MigrationOutcome::NoSuchRun, {} });
     CHECK_FALSE(scenario.lastAction<StartExchange>());
 }
+
+// Guards against streams that are cut off because the stops of their migrations count as crashes of their engines.
+TEST_CASE("A stream that is migrated twice soon after its start goes on")
+{
+    GatewayScenario scenario;
+    startStream(scenario);
+    for (const char* name : { "e7", "e8" })
+        scenario.handle(EndpointsChanged { { GatewayScenario::engineEndpoint(name) }, {} });
+    drainReplicaEngine(scenario);
+    migrate(scenario, "h1");
+    REQUIRE(scenario.lastAction<StartExchange>());
+    CHECK(scenario.lastExchange()->resume->handle == KvCacheHandle("h1"));
+    scenario.respond(GatewayScenario::streamStart());
+    scenario.handle(EventsRelayed { scenario.lastExchange()->exchange, 6 });
+    drainReplicaEngine(scenario);
+    migrate(scenario, "h2");
+    CHECK_FALSE(scenario.lastAction<AbortResponse>());
+    REQUIRE(scenario.lastAction<StartExchange>());
+    CHECK(scenario.lastExchange()->resume->handle == KvCacheHandle("h2"));
+}
