Correct the time of reports that reached a suspended gateway late

Callers would see: a gateway that was suspended for some seconds goes on crashing engines with a prompt part that all others refuse.

Cause: a report's time is the time of arrival less the age in the datagram. Datagrams that wait for a suspended process are read together, so their reports seem to tell of one moment, which counts as one death; later datagrams give the right age, but the report was known and its time never changed.

Change: a report that is repeated with an earlier time takes it, beyond a tolerance for ordinary delays.

--- a/src/core/gateway/PromptPartQuarantine.cpp
+++ b/src/core/gateway/PromptPartQuarantine.cpp
@@ -18,6 +18,8 @@
     constexpr Milliseconds survivalMemory(10000);
     /** Time for which a report is repeated in every message, because datagrams may be lost. */
     constexpr Milliseconds announcementTime(3000);
+    /** Datagrams of one report differ by less than this in the time that they give it, unless one was held up. */
+    constexpr Milliseconds reportTimeTolerance(100);
     constexpr std::size_t maxReports = 64;
     constexpr std::size_t maxSentReports = 6;
     constexpr std::size_t maxSentSurvivals = 8;
@@ -64,10 +66,15 @@
 
 bool PromptPartQuarantine::addReport(std::uint64_t report, BrokenRun run)
 {
-    const bool isNew = this->reports.try_emplace(report, std::move(run)).second;
+    const Instant at = run.at;
+    const auto [known, isNew] = this->reports.try_emplace(report, std::move(run));
+    // A datagram that waited, for example while this process was suspended, makes its reports look too new.
+    const bool isCorrected = at + reportTimeTolerance < known->second.at;
+    if (isCorrected)
+        known->second.at = at;
     if (this->reports.size() > maxReports)
         this->discardOldestReport();
-    return isNew;
+    return isNew || isCorrected;
 }
 
 void PromptPartQuarantine::discardOldestReport()
--- a/src/core/gateway/PromptPartQuarantine.h
+++ b/src/core/gateway/PromptPartQuarantine.h
@@ -85,7 +85,7 @@
     std::optional<Group> findGroup(const std::set<std::uint64_t>& unexplained) const;
     /** Determines the groups anew after the evidence changed. */
     void updateGroups();
-    /** @return true if the report was not known. */
+    /** Adds a report or corrects the time of a known one. @return true if that changed anything. */
     bool addReport(std::uint64_t report, BrokenRun run);
     /** @return true if the survival clears the part in a report. */
     bool addSurvival(PromptPartId part, Survival survival);
--- a/test/correctness/PromptPartsAreSuspectedByTheirRuns.cpp
+++ b/test/correctness/PromptPartsAreSuspectedByTheirRuns.cpp
@@ -149,3 +149,22 @@
     late.merge(reports.quarantine.allEvidence(reports.now), reports.now);
     CHECK(late.remainingQuarantine({ first, second }, reports.now) > Milliseconds(0));
 }
+
+// Guards against reports that waited for a suspended gateway and seem to tell of one crash, since they arrive together.
+TEST_CASE("A report that arrived late gets the time that a later datagram gives it")
+{
+    Reports reports;
+    PromptPartQuarantine receiver { RouterLimits {} };
+    std::vector<PromptPartEvidence> waiting;
+    for (int death = 0; death < 3; ++death) {
+        reports.breakRun({ first });
+        waiting.push_back(reports.quarantine.recentEvidence(reports.now));
+        waiting.back().brokenStarts.resize(1);
+    }
+    reports.now += Seconds(5);
+    for (const PromptPartEvidence& evidence : waiting)
+        receiver.merge(evidence, reports.now);
+    CHECK(receiver.remainingQuarantine({ first }, reports.now) == Milliseconds(0));
+    receiver.merge(reports.quarantine.allEvidence(reports.now), reports.now);
+    CHECK(receiver.remainingQuarantine({ first }, reports.now) > Milliseconds(0));
+}
--- a/test/error/PromptPartsThatCrashEnginesAreQuarantined.cpp
+++ b/test/error/PromptPartsThatCrashEnginesAreQuarantined.cpp
@@ -163,3 +163,28 @@
         fleet.send({ sharedPart, session, deadlyPart });
     CHECK(fleet.deadlyArrivals().size() == arrivals);
 }
+
+// Guards against a gateway that was suspended, reads the reports that waited for it all at once, takes the crashes for
+// a single one and goes on sending requests with the deadly part.
+TEST_CASE("A gateway that was suspended learns from the others which prompt parts are quarantined")
+{
+    for (const double share : { 0.15, 0.4 }) {
+        for (const std::uint64_t seed : { 1, 2, 3 }) {
+            CAPTURE(share);
+            CAPTURE(seed);
+            EngineFleet fleet({ 5, 14, seed, 0.02 });
+            Traffic(fleet, 13, 0, seed).play(Milliseconds(4000));
+            fleet.setDeadlyPart(deadlyPart);
+            fleet.suspendGateway(0);
+            Traffic(fleet, 13, share, seed + 10).play(Milliseconds(6000));
+            fleet.continueGateway(0);
+            Traffic(fleet, 13, 0, seed + 20).play(Milliseconds(3000));
+            const std::size_t arrivals = fleet.deadlyArrivals().size();
+            for (int request = 0; request < 10; ++request) {
+                fleet.sendTo(0, { sharedPart, session, deadlyPart });
+                fleet.advance(Milliseconds(100));
+            }
+            CHECK(fleet.deadlyArrivals().size() == arrivals);
+        }
+    }
+}
--- a/test/support/EngineFleet.cpp
+++ b/test/support/EngineFleet.cpp
@@ -86,7 +86,23 @@
 
 void EngineFleet::send(const std::vector<PromptPartId>& parts)
 {
-    const std::size_t node = this->randomness.next() % this->nodes.size();
+    std::size_t node = this->randomness.next() % this->nodes.size();
+    while (this->nodes[node].isSuspended)
+        node = this->randomness.next() % this->nodes.size();
+    this->sendTo(node, parts);
+}
+
+void EngineFleet::continueGateway(std::size_t gateway)
+{
+    Node& node = this->nodes[gateway];
+    node.isSuspended = false;
+    for (const GossipMessage& message : std::exchange(node.waitingDatagrams, {}))
+        this->handle(gateway, GossipReceived { message });
+    this->introduce(node);
+}
+
+void EngineFleet::sendTo(std::size_t node, const std::vector<PromptPartId>& parts)
+{
     GatewayRequest request;
     request.id = RequestId(++this->lastRequest);
     request.callerRequestId = "caller-" + std::to_string(this->lastRequest);
@@ -161,11 +177,15 @@
     while (!this->datagrams.empty() && this->datagrams.front().dueAt <= this->time) {
         const Datagram datagram = std::move(this->datagrams.front());
         this->datagrams.pop_front();
+        if (this->nodes[datagram.receiver].isSuspended) {
+            this->nodes[datagram.receiver].waitingDatagrams.push_back(datagram.message);
+            continue;
+        }
         this->handle(datagram.receiver, GossipReceived { datagram.message });
     }
     std::vector<std::pair<std::size_t, ExchangeId>> due;
     for (const Run& run : this->runs) {
-        if (run.nextEventAt <= this->time)
+        if (run.nextEventAt <= this->time && !this->nodes[run.node].isSuspended)
             due.emplace_back(run.node, run.exchange);
     }
     for (const auto& [node, exchange] : due) {
@@ -177,6 +197,8 @@
             this->advanceRun(static_cast<std::size_t>(run - this->runs.begin()));
     }
     for (std::size_t node = 0; node < this->nodes.size(); ++node) {
+        if (this->nodes[node].isSuspended)
+            continue;
         if (this->time.count() % tickPeriod.count() == 0)
             this->execute(node, this->nodes[node].gateway->tick(this->instant()));
         if (this->time.count() % storePeriod.count() == 0)
--- a/test/support/EngineFleet.h
+++ b/test/support/EngineFleet.h
@@ -32,8 +32,9 @@
     void advance(Milliseconds time);
     Milliseconds now() const { return this->time; }
 
-    /** Sends a request with these shared prompt parts to a gateway chosen at random. */
+    /** Sends a request with these shared prompt parts to a gateway chosen at random among those that run. */
     void send(const std::vector<PromptPartId>& parts);
+    void sendTo(std::size_t gateway, const std::vector<PromptPartId>& parts);
     /** Makes every engine crash that is about to send the first event of a request with the part. */
     void setDeadlyPart(PromptPartId part) { this->deadlyPart = part; }
     /** Crashes a share of the engines now, whatever they run. */
@@ -42,6 +43,9 @@
     void setBrokenShare(double share) { this->brokenShare = share; }
     /** Ends a gateway's process without notice and starts a new one. */
     void restartGateway(std::size_t gateway);
+    /** Suspends a gateway's process; datagrams to it wait, and are received together when it goes on. */
+    void suspendGateway(std::size_t gateway) { this->nodes[gateway].isSuspended = true; }
+    void continueGateway(std::size_t gateway);
 
     /** @return the times at which engines crashed under the deadly part. */
     const std::vector<Milliseconds>& crashes() const { return this->crashTimes; }
@@ -71,6 +75,8 @@
         Address address;
         std::unique_ptr<Gateway> gateway;
         std::map<RequestId, std::size_t> requests;
+        bool isSuspended { false };
+        std::vector<GossipMessage> waitingDatagrams;
     };
     struct Run {
         std::size_t node { 0 };
