Send reports that suffice for a quarantine to gateways that missed it

Callers would see: a gateway that restarts after a prompt part was quarantined crashes engines with it again, though all others refuse the part.

Cause: a full message holds six reports, and always the same ones: those with the lowest ids. In a large fleet 15 to 60 reports stand behind a quarantine and most are of one moment; six of those count as one or two deaths.

Change: a full message begins with the reports of three deaths; the other places go to other reports each second, since they narrow down the parts.

Before: the new test fails.

--- a/src/core/gateway/PromptPartQuarantine.cpp
+++ b/src/core/gateway/PromptPartQuarantine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <ranges>
 #include <utility>
 
 namespace teaselfold {
@@ -161,28 +162,32 @@
     return found;
 }
 
-std::uint32_t PromptPartQuarantine::countDeaths(const std::vector<std::uint64_t>& counted) const
+std::vector<std::uint64_t> PromptPartQuarantine::selectDeaths(const std::vector<std::uint64_t>& among) const
 {
-    std::vector<const BrokenRun*> runs;
-    for (const std::uint64_t report : counted)
-        runs.push_back(&this->reports.at(report));
-    std::ranges::sort(runs, {}, &BrokenRun::at);
-    std::uint32_t deaths = 0;
+    std::vector<std::uint64_t> oldestFirst = among;
+    std::ranges::sort(oldestFirst, {}, [&](std::uint64_t report) { return this->reports.at(report).at; });
+    std::vector<std::uint64_t> deaths;
     std::optional<Instant> lastDeath;
     std::map<std::uint32_t, Instant> lastDeathAtEndpoint;
-    for (const BrokenRun* run : runs) {
-        const auto atEndpoint = lastDeathAtEndpoint.find(run->endpoint);
-        const bool isSameDeath = (lastDeath && run->at - *lastDeath < simultaneousDeaths)
-            || (atEndpoint != lastDeathAtEndpoint.end() && run->at - atEndpoint->second < this->limits.deathWindow);
+    for (const std::uint64_t report : oldestFirst) {
+        const BrokenRun& run = this->reports.at(report);
+        const auto atEndpoint = lastDeathAtEndpoint.find(run.endpoint);
+        const bool isSameDeath = (lastDeath && run.at - *lastDeath < simultaneousDeaths)
+            || (atEndpoint != lastDeathAtEndpoint.end() && run.at - atEndpoint->second < this->limits.deathWindow);
         if (isSameDeath)
             continue;
-        ++deaths;
-        lastDeath = run->at;
-        lastDeathAtEndpoint[run->endpoint] = run->at;
+        deaths.push_back(report);
+        lastDeath = run.at;
+        lastDeathAtEndpoint[run.endpoint] = run.at;
     }
     return deaths;
 }
 
+std::uint32_t PromptPartQuarantine::countDeaths(const std::vector<std::uint64_t>& among) const
+{
+    return static_cast<std::uint32_t>(this->selectDeaths(among).size());
+}
+
 std::set<PromptPartId> PromptPartQuarantine::suspectedPartsOf(const std::set<std::uint64_t>& among) const
 {
     std::set<PromptPartId> suspected;
@@ -329,10 +334,17 @@
 PromptPartEvidence PromptPartQuarantine::allEvidence(Instant now) const
 {
     PromptPartEvidence evidence = this->recentEvidence(now);
+    std::vector<std::uint64_t> others;
     for (const Group& group : this->groups) {
-        for (const std::uint64_t report : group.reports)
+        const std::vector<std::uint64_t> deaths = this->selectDeaths(group.reports);
+        for (const std::uint64_t report : deaths | std::views::take(deathLimit))
             this->addEvidence(evidence, report, now);
+        others.insert(others.end(), group.reports.begin(), group.reports.end());
     }
+    // The rest tells receivers which parts all of the runs share. Other reports are sent each second until all were.
+    const auto begin = static_cast<std::size_t>(std::chrono::floor<Seconds>(now).time_since_epoch().count());
+    for (std::size_t index = 0; index < others.size(); ++index)
+        this->addEvidence(evidence, others[(begin * maxSentReports + index) % others.size()], now);
     return evidence;
 }
 
--- a/src/core/gateway/PromptPartQuarantine.h
+++ b/src/core/gateway/PromptPartQuarantine.h
@@ -47,7 +47,10 @@
 
     /** @return the evidence that other gateways may not have received yet. */
     PromptPartEvidence recentEvidence(Instant now) const;
-    /** @return the recent evidence, and older evidence for what is quarantined, for gateways that missed it. */
+    /**
+     * @return the recent evidence, and older evidence for what is quarantined, for gateways that missed it: enough for
+     * the quarantine, and some of the other reports, different ones each second.
+     */
     PromptPartEvidence allEvidence(Instant now) const;
 
 private:
@@ -74,8 +77,9 @@
     Parts suspectedParts(const BrokenRun& run) const;
     /** @return the given reports of runs with the part, while it is suspected. */
     std::vector<std::uint64_t> reportsOf(PromptPartId part, const std::set<std::uint64_t>& among) const;
-    /** @return the number of crashes that the reports stand for. */
-    std::uint32_t countDeaths(const std::vector<std::uint64_t>& reports) const;
+    /** @return the first report of each crash that the reports stand for, oldest first. */
+    std::vector<std::uint64_t> selectDeaths(const std::vector<std::uint64_t>& among) const;
+    std::uint32_t countDeaths(const std::vector<std::uint64_t>& among) const;
     std::set<PromptPartId> suspectedPartsOf(const std::set<std::uint64_t>& among) const;
     /** @return the reports, in order, with the part that explains most deaths; empty if it explains too few. */
     std::vector<std::uint64_t> findReports(const std::set<std::uint64_t>& unexplained) const;
--- a/test/correctness/PromptPartsAreSuspectedByTheirRuns.cpp
+++ b/test/correctness/PromptPartsAreSuspectedByTheirRuns.cpp
@@ -168,3 +168,19 @@
     receiver.merge(reports.quarantine.allEvidence(reports.now), reports.now);
     CHECK(receiver.remainingQuarantine({ first }, reports.now) > Milliseconds(0));
 }
+
+// Guards against a restarted gateway that gets the same few reports of one moment in every message, which are one
+// death.
+TEST_CASE("A gateway that starts late learns of a quarantine that many reports led to")
+{
+    Reports reports;
+    for (int run = 0; run < 10; ++run)
+        reports.breakRun({ first, second }, Milliseconds(20));
+    reports.breakRun({ first });
+    reports.breakRun({ first });
+    REQUIRE(reports.refuses({ first }));
+    reports.now += Seconds(30);
+    PromptPartQuarantine late { RouterLimits {} };
+    late.merge(reports.quarantine.allEvidence(reports.now), reports.now);
+    CHECK(late.remainingQuarantine({ first }, reports.now) > Milliseconds(0));
+}
