Abort streams whose connection closes before any event

Callers would see: an empty stream that looks complete, when an engine that frames its answers by the close of the connection ends just after the head.

Cause: the end of such a body is the end of the connection, also when the engine crashed. With no event begun, the stream counted as complete. A crash at the start of an answer was then no broken run either, so that it was no evidence against the prompt.

Change: a stream that only its connection ends is broken if it brought no event.

An engine that closes in order between two events cannot be told from one that has finished.

--- a/src/adapters/traffic/EndpointConnections.cpp
+++ b/src/adapters/traffic/EndpointConnections.cpp
@@ -231,8 +231,8 @@
     if (channel.isStream) {
         if (!channel.isRelaying)
             return false;
-        const bool isIntact = !channel.events->hasPartialEvent() && !channel.events->hasGap();
-        if (!isIntact) {
+        const bool isEmpty = channel.decoder->endsWithConnection() && !channel.events->hasEvents();
+        if (isEmpty || channel.events->hasPartialEvent() || channel.events->hasGap()) {
             this->fail(connection, ExchangeEnd::Broken);
             return false;
         }
--- a/src/adapters/traffic/EventStreamFilter.cpp
+++ b/src/adapters/traffic/EventStreamFilter.cpp
@@ -48,7 +48,10 @@
         const std::string_view event = std::string_view(this->pending).substr(begin, next - begin);
         if (this->acceptEvent(event)) {
             completeEvents.append(event);
-            this->bytesWithoutData = hasData(event) ? 0 : this->bytesWithoutData;
+            if (hasData(event)) {
+                this->bytesWithoutData = 0;
+                this->returnedData = true;
+            }
         }
         begin = next;
     }
--- a/src/adapters/traffic/EventStreamFilter.h
+++ b/src/adapters/traffic/EventStreamFilter.h
@@ -24,6 +24,8 @@
     bool hasGap() const { return this->gap; }
     /** @return true when too many bytes arrived without an event that carries data. */
     bool isRunaway() const { return this->bytesWithoutData > maxBytesWithoutData; }
+    /** @return true when an event that carries data was returned. */
+    bool hasEvents() const { return this->returnedData; }
     /** @return true when an incomplete event is buffered. */
     bool hasPartialEvent() const { return !this->pending.empty(); }
 
@@ -37,6 +39,7 @@
     std::optional<std::uint64_t> newestId;
     std::size_t bytesWithoutData { 0 };
     bool gap { false };
+    bool returnedData { false };
 };
 
 }
--- a/test/support/TrafficHarness.cpp
+++ b/test/support/TrafficHarness.cpp
@@ -82,6 +82,19 @@
     return response;
 }
 
+std::string TrafficHarness::readChunkedResponse(Poco::Net::StreamSocket& socket)
+{
+    std::string response;
+    char byte = 0;
+    try {
+        while (!response.ends_with("\r\n0\r\n\r\n") && socket.receiveBytes(&byte, 1) > 0)
+            response.push_back(byte);
+    } catch (const Poco::Net::ConnectionResetException&) {
+        // A reset ends a connection too.
+    }
+    return response;
+}
+
 std::string TrafficHarness::readUntilClosed(Poco::Net::StreamSocket& socket)
 {
     std::string text;
--- a/test/support/TrafficHarness.h
+++ b/test/support/TrafficHarness.h
@@ -30,6 +30,9 @@
     static void sendRequest(Poco::Net::StreamSocket& socket, const std::string& path, const std::string& id);
     /** @return the next response with a declared length; what was received if the connection closed before its end. */
     static std::string readResponse(Poco::Net::StreamSocket& socket);
+    /** @return the next response in chunks up to its last chunk; what was received if the connection closed before it.
+     */
+    static std::string readChunkedResponse(Poco::Net::StreamSocket& socket);
     /** @return everything up to the end of the connection. */
     static std::string readUntilClosed(Poco::Net::StreamSocket& socket);
 
