Remember that a run got past its start when it is resumed

Callers would see: long streams given up with their engine, though another engine holds their copy, and harmless prompts refused for minutes, when several engines fail one after the other.

Cause: whether a run got past its start was known of each exchange only. A stream that had run for long, was resumed and broke again within a second was evidence against its prompt, as long as no other run cleared the parts within 10 s; and a stream whose parts were suspected, possibly because of another request with a deadly part beside them, was not resumed although its own run proves them harmless.

Change: the request keeps the mark. Its later breaks are no evidence, and it is resumed whatever its parts are suspected of.

Before: both new tests fail (a stream past its start is not resumed). Now they pass.

--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -331,7 +331,7 @@
 
 void ExchangeDispatcher::recordBrokenStart(ActiveRequest& active, const Exchange& exchange, Instant now)
 {
-    if (exchange.isPastStart)
+    if (active.isPastStart)
         return;
     ++active.brokenStarts;
     const auto endpoint = static_cast<std::uint32_t>(hashOf(exchange.endpoint.get()));
@@ -392,7 +392,10 @@
 {
     if (!this->state.endpoints.acceptsRequests(endpoint))
         return false;
-    if (active.brokenStarts >= maxBrokenStarts || this->state.promptParts.isSuspect(active.request.sharedPromptParts))
+    const bool mayCrashEngine = !active.isPastStart
+        && (active.brokenStarts >= maxBrokenStarts
+            || this->state.promptParts.isSuspect(active.request.sharedPromptParts));
+    if (mayCrashEngine)
         return false;
     this->startExchange(active, *this->state.endpoints.find(endpoint), point, now, actions);
     return true;
@@ -428,6 +431,7 @@
     internalCheck(active, "an exchange belongs to an active request");
     if (!running.isPastStart && now - *running.firstEventAt >= startPeriod) {
         running.isPastStart = true;
+        active->isPastStart = true;
         this->state.promptParts.recordSurvival(active->request.sharedPromptParts, now);
     }
     if (active->lastEventAt)
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -82,6 +82,8 @@
     std::optional<StreamMigration> migration;
     /** Engines at which the run broke before it got past its start. */
     std::uint32_t brokenStarts { 0 };
+    /** The run got past its start at an engine, so its prompt crashes none. */
+    bool isPastStart { false };
     std::uint32_t failedMigrations { 0 };
     /** Targets of the failed migrations, excluded until the stream resumes elsewhere. */
     std::set<EndpointId> failedTargets;
