--- a/src/core/gateway/PromptPartQuarantine.cpp
+++ b/src/core/gateway/PromptPartQuarantine.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <ranges>
 #include <utility>
 
 namespace teaselfold {
@@ -340,8 +339,9 @@
     PromptPartEvidence evidence = this->recentEvidence(now);
     std::vector<std::uint64_t> others;
     for (const Group& group : this->groups) {
-        const std::vector<std::uint64_t> deaths = this->selectDeaths(group.reports);
-        for (const std::uint64_t report : deaths | std::views::take(deathLimit))
+        std::vector<std::uint64_t> deaths = this->selectDeaths(group.reports);
+        deaths.resize(std::min<std::size_t>(deaths.size(), deathLimit));
+        for (const std::uint64_t report : deaths)
             this->addEvidence(evidence, report, now);
         others.insert(others.end(), group.reports.begin(), group.reports.end());
     }
