Name the terms of the prompt part quarantine

For a reader who is new to it: RouterLimits::deathLimit (2, for whole requests) and the local deathLimit (3, for parts) had one name; the second is now quarantineDeaths, beside suspectDeaths. No change of behaviour.

--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -106,7 +106,7 @@
     Instant startedAt;
     /** When this exchange's first event was relayed; earlier exchanges of a resumed stream do not count. */
     std::optional<Instant> firstEventAt;
-    /** The run went on for a while after its first event, so its prompt does not crash the engine. */
+    /** This exchange went on for a while after its first event; `ActiveRequest::isPastStart` holds for all of a run. */
     bool isPastStart { false };
 };
 
--- a/src/core/gateway/PromptPartQuarantine.cpp
+++ b/src/core/gateway/PromptPartQuarantine.cpp
@@ -9,7 +9,7 @@
 namespace {
 
     /** Deaths with a common part after which it is quarantined. Fewer can be chance when many engines crash. */
-    constexpr std::uint32_t deathLimit = 3;
+    constexpr std::uint32_t quarantineDeaths = 3;
     /** Deaths with a common part after which a broken run is not resumed at a further engine. */
     constexpr std::uint32_t suspectDeaths = 2;
     /** Deaths closer together have a common cause outside of the requests, such as the loss of a zone. */
@@ -204,10 +204,10 @@
     };
     std::vector<Candidate> candidates;
     for (const auto& [part, reportsOfPart] : index) {
-        if (reportsOfPart.size() < deathLimit)
+        if (reportsOfPart.size() < quarantineDeaths)
             continue;
         const std::uint32_t deaths = this->countDeaths(reportsOfPart);
-        if (deaths >= deathLimit)
+        if (deaths >= quarantineDeaths)
             candidates.push_back({ deaths, reportsOfPart });
     }
     if (candidates.empty())
@@ -340,7 +340,7 @@
     std::vector<std::uint64_t> others;
     for (const Group& group : this->groups) {
         std::vector<std::uint64_t> deaths = this->selectDeaths(group.reports);
-        deaths.resize(std::min<std::size_t>(deaths.size(), deathLimit));
+        deaths.resize(std::min<std::size_t>(deaths.size(), quarantineDeaths));
         for (const std::uint64_t report : deaths)
             this->addEvidence(evidence, report, now);
         others.insert(others.end(), group.reports.begin(), group.reports.end());
--- a/src/core/gateway/PromptPartQuarantine.h
+++ b/src/core/gateway/PromptPartQuarantine.h
@@ -12,9 +12,10 @@
 
 /**
  * Finds the parts of prompts that crash engines, and refuses requests with such parts. No two of these requests need to
- * be alike otherwise. A part is suspected when a run with it breaks before it got past its start, and cleared when
- * another run with it gets past its start. Suspected parts that occurred in the same broken runs cannot be told apart;
- * only requests with all of them are refused, so that other requests can clear the harmless ones.
+ * be alike otherwise. A part is suspected when a run with it breaks before it got past its start (a death of its
+ * engine, as far as a gateway can tell), and cleared when another run with it gets past its start (a survival).
+ * Suspected parts that occurred in the same broken runs cannot be told apart; only requests with all of them are
+ * refused, so that other requests can clear the harmless ones.
  */
 class PromptPartQuarantine {
 public:
@@ -28,7 +29,7 @@
     /**
      * Records a run at this gateway that broke before it got past its start.
      * @param report random id of the report, by which gateways recognize it.
-     * @param endpoint hash of the endpoint's id.
+     * @param endpoint lower 32 bits of the hash of the endpoint's id.
      */
     void recordBrokenStart(std::uint64_t report, std::uint32_t endpoint, const Parts& parts, Instant now);
     /** Records a run at this gateway that got past its start, so that none of its parts crashes engines. */
@@ -40,7 +41,7 @@
 
     /** @return the time for which requests with these parts are refused; zero when they may run. */
     Milliseconds remainingQuarantine(const Parts& parts, Instant now) const;
-    /** @return true if a suspected part among these occurred in broken runs at different times or endpoints. */
+    /** @return true if one of the parts is suspected of two deaths or more; a quarantine takes three. */
     bool isSuspect(const Parts& parts) const;
     /** @return the sets of parts that were quarantined since the last call. */
     std::vector<Parts> takeQuarantined();
