Ignore reports from engines that break any run

Callers would see: sound requests refused for minutes, because their prompt parts were sent to engines that break every run at its start (found by the review, by trial).

Cause: each broken start counts against the parts of its prompt, also at an endpoint where unrelated prompts break one after the other.

Change: reports of an endpoint count only while the runs that broke there at three or more moments have a part in common. An engine that crashes under a deadly part has one; the others supply the deaths when it has not.

--- a/src/core/gateway/PromptPartQuarantine.cpp
+++ b/src/core/gateway/PromptPartQuarantine.cpp
@@ -12,6 +12,8 @@
     constexpr std::uint32_t quarantineDeaths = 3;
     /** Deaths with a common part after which a broken run is not resumed at a further engine. */
     constexpr std::uint32_t suspectDeaths = 2;
+    /** An endpoint at which runs broke at this many times the moments that a part is common to breaks any run. */
+    constexpr std::size_t unrelatedMoments = 3;
     /** Deaths closer together have a common cause outside of the requests, such as the loss of a zone. */
     constexpr Milliseconds simultaneousDeaths(250);
     /** A survival clears a part of deaths up to this long after it. A part may become harmful, but not at once. */
@@ -239,6 +241,43 @@
     return group;
 }
 
+bool PromptPartQuarantine::areUnrelated(const std::vector<std::uint64_t>& reportsOfEndpoint) const
+{
+    std::vector<Instant> moments;
+    std::map<PromptPartId, std::size_t> momentsByPart;
+    std::set<PromptPartId> partsOfMoment;
+    std::vector<std::uint64_t> oldestFirst = reportsOfEndpoint;
+    std::ranges::sort(oldestFirst, {}, [&](std::uint64_t report) { return this->reports.at(report).at; });
+    for (const std::uint64_t report : oldestFirst) {
+        const BrokenRun& run = this->reports.at(report);
+        if (moments.empty() || run.at - moments.back() >= simultaneousDeaths) {
+            moments.push_back(run.at);
+            partsOfMoment.clear();
+        }
+        for (const PromptPartId part : this->suspectedParts(run)) {
+            if (partsOfMoment.insert(part).second)
+                ++momentsByPart[part];
+        }
+    }
+    std::size_t mostCommon = 0;
+    for (const auto& [part, count] : momentsByPart)
+        mostCommon = std::max(mostCommon, count);
+    return moments.size() >= unrelatedMoments && mostCommon * unrelatedMoments <= moments.size();
+}
+
+std::set<std::uint64_t> PromptPartQuarantine::usableReports() const
+{
+    std::map<std::uint32_t, std::vector<std::uint64_t>> reportsByEndpoint;
+    for (const auto& [report, run] : this->reports)
+        reportsByEndpoint[run.endpoint].push_back(report);
+    std::set<std::uint64_t> usable;
+    for (const auto& [endpoint, reportsOfEndpoint] : reportsByEndpoint) {
+        if (!this->areUnrelated(reportsOfEndpoint))
+            usable.insert(reportsOfEndpoint.begin(), reportsOfEndpoint.end());
+    }
+    return usable;
+}
+
 bool PromptPartQuarantine::isExplained(const BrokenRun& run, const Group& group) const
 {
     return std::any_of(group.reports.begin(), group.reports.end(), [&](std::uint64_t report) {
@@ -249,9 +288,7 @@
 
 void PromptPartQuarantine::updateGroups()
 {
-    std::set<std::uint64_t> unexplained;
-    for (const auto& [report, run] : this->reports)
-        unexplained.insert(report);
+    std::set<std::uint64_t> unexplained = this->usableReports();
     std::vector<Group> found;
     while (auto group = this->findGroup(unexplained)) {
         std::erase_if(
@@ -277,11 +314,9 @@
 
 bool PromptPartQuarantine::isSuspect(const Parts& parts) const
 {
-    std::set<std::uint64_t> all;
-    for (const auto& [report, run] : this->reports)
-        all.insert(report);
+    const std::set<std::uint64_t> usable = this->usableReports();
     return std::any_of(parts.begin(), parts.end(),
-        [&](PromptPartId part) { return this->countDeaths(this->reportsOf(part, all)) >= suspectDeaths; });
+        [&](PromptPartId part) { return this->countDeaths(this->reportsOf(part, usable)) >= suspectDeaths; });
 }
 
 std::vector<PromptPartQuarantine::Parts> PromptPartQuarantine::takeQuarantined()
--- a/src/core/gateway/PromptPartQuarantine.h
+++ b/src/core/gateway/PromptPartQuarantine.h
@@ -86,6 +86,10 @@
     ReportsByPart indexByPart(const std::set<std::uint64_t>& among) const;
     /** @return the reports, in order, with the part that explains most deaths; empty if it explains too few. */
     std::vector<std::uint64_t> findReports(const ReportsByPart& index) const;
+    /** @return the reports of all endpoints but those that break runs whatever their prompts are. */
+    std::set<std::uint64_t> usableReports() const;
+    /** @return true if the reports are of several moments that have no prompt part in common. */
+    bool areUnrelated(const std::vector<std::uint64_t>& reportsOfEndpoint) const;
     /** @return true if the run broke in a crash that the group explains. */
     bool isExplained(const BrokenRun& run, const Group& group) const;
     /** @return the parts that explain most of the deaths; unset if too few deaths have a common part. */
--- a/test/error/PromptPartsThatCrashEnginesAreQuarantined.cpp
+++ b/test/error/PromptPartsThatCrashEnginesAreQuarantined.cpp
@@ -148,6 +148,21 @@
     }
 }
 
+// Guards against prompts that are refused because they were sent to engines that break everything.
+TEST_CASE("Engines that break every run at its start quarantine no prompt part")
+{
+    for (const std::size_t greyEngines : { 2, 4, 7 }) {
+        for (const std::uint64_t seed : { 1, 2, 3, 4 }) {
+            CAPTURE(greyEngines);
+            CAPTURE(seed);
+            EngineFleet fleet({ 5, 14, seed, 0 });
+            fleet.makeGrey(greyEngines);
+            Traffic(fleet, 13, 0, seed).play(Seconds(40));
+            CHECK(fleet.outcome().quarantined == 0);
+        }
+    }
+}
+
 // Guards against a restarted gateway that sends engines what the others have learned to refuse.
 TEST_CASE("A gateway that restarts learns from the others which prompt parts are quarantined")
 {
--- a/test/support/EngineFleet.cpp
+++ b/test/support/EngineFleet.cpp
@@ -217,6 +217,8 @@
         this->crashTimes.push_back(this->time);
         return this->crash(engine);
     }
+    if (isFirst && this->engines.at(engine).isGrey)
+        return this->endRun(index, ExchangeEnd::Broken);
     if (this->draw() < this->brokenShare / static_cast<double>(maxEvents))
         return this->endRun(index, ExchangeEnd::Broken);
     const std::size_t node = run.node;
@@ -264,6 +266,12 @@
     }
 }
 
+void EngineFleet::makeGrey(std::size_t count)
+{
+    for (auto engine = this->engines.begin(); engine != this->engines.end() && count > 0; ++engine, --count)
+        engine->second.isGrey = true;
+}
+
 EngineFleet::Outcome EngineFleet::outcomeOf(PromptPartId part, Milliseconds from, Milliseconds to) const
 {
     Outcome outcome;
--- a/test/support/EngineFleet.h
+++ b/test/support/EngineFleet.h
@@ -39,6 +39,8 @@
     void setDeadlyPart(PromptPartId part) { this->deadlyPart = part; }
     /** Crashes a share of the engines now, whatever they run. */
     void crashEngines(double share);
+    /** Makes a number of engines break every run when it is about to send its first event, but go on. */
+    void makeGrey(std::size_t engines);
     /** Breaks single connections of engines at random. @param share of the responses that break at a random event. */
     void setBrokenShare(double share) { this->brokenShare = share; }
     /** Ends a gateway's process without notice and starts a new one. */
@@ -95,6 +97,7 @@
     struct Engine {
         EndpointRecord record;
         Milliseconds backAt { 0 };
+        bool isGrey { false };
     };
 
     Instant instant() const { return Instant(Seconds(1000) + this->time); }
