Test that deaths seen by different entries add up

An entry adds its own death to the count it merged, so deaths one after the other count in full. Deaths at the same time are merged to one, and the next one reaches the limit.

Seen beside it, not changed: the agent that relays a report counts as the endpoint of that death, so a death there within two seconds counts once ("a death reported by both the entry and the agent counts once" requires it). That costs one more death at most.

--- a/test/error/CrashingRequestIsQuarantined.cpp
+++ b/test/error/CrashingRequestIsQuarantined.cpp
@@ -124,3 +124,31 @@
     harness.deliverFromAgent("a-2", release);
     CHECK(harness.sentToAgents<QuarantineDelivery>().size() == 2);
 }
+
+TEST_CASE("deaths that different entries saw one after the other add up")
+{
+    RouterHarness harness({ "a-1", "a-2", "a-3" });
+    for (const char* id : { "a-1", "a-2", "a-3" })
+        harness.connect(id);
+    harness.requestCompletion("crash");
+    const std::string endpoint = harness.sentToAgents<SubmitGeneration>().back().first;
+    const std::string relay = endpoint == "a-1" ? "a-2" : "a-1";
+    harness.deliverFromAgent(relay, QuarantineDelivery { { { lastFingerprint(harness), 1, Seconds(60) } } });
+    failGenerationsAt(harness, endpoint);
+    CHECK(harness.sentToAgents<SubmitGeneration>().size() == 1);
+    CHECK(harness.sentToAgents<QuarantineDelivery>().back().second.suspects.front().deaths == 2);
+}
+
+TEST_CASE("deaths that different entries saw at the same time add up at the next one")
+{
+    RouterHarness harness({ "a-1", "a-2", "a-3" });
+    for (const char* id : { "a-1", "a-2", "a-3" })
+        harness.connect(id);
+    harness.requestCompletion("crash");
+    const auto first = harness.sentToAgents<SubmitGeneration>().back();
+    failGenerationsAt(harness, first.first);
+    harness.deliverFromAgent(first.first, QuarantineDelivery { { { lastFingerprint(harness), 1, Seconds(60) } } });
+    REQUIRE(harness.sentToAgents<SubmitGeneration>().size() == 2);
+    failGenerationsAt(harness, harness.sentToAgents<SubmitGeneration>().back().first);
+    CHECK(harness.sentToAgents<SubmitGeneration>().size() == 2);
+}
