Count the crashes of a request across gateways

Callers would see: a request that crashes the endpoints it runs at comes again at other gateways, and endpoints crash one after the other, with all that they run.

Causes, of one class (evidence of several processes is not joined): - A crash counted only if the gateway whose connection broke was itself refused one by that endpoint within 3 s. With many gateways that is rare; another gateway was refused, and neither counted it. - A message holds 16 suspects, in the order of their fingerprints. Bystanders of crashes filled it, and the request itself was never sent if its fingerprint was high. - Suspects in a partial message were ignored if its sender was not known yet. - A request was checked at its admission only, not when it was sent again or resumed.

Change: gateways share the endpoints that refused them a connection, and each confirms its broken connections by them. Own recent suspects come first in a message, then those that are refused. A suspect that completes, or a stream past its start, is cleared at all gateways, since more crashes are recognized now and sound requests that are repeated must not stay suspects. A run that is past its start does not make a suspect.

Ruled out: merging by the larger count. A gateway adds its own death to what it merged, so deaths one after the other add up.

The third and fourth causes have no test of their own.

--- a/src/adapters/peers/GossipCodec.cpp
+++ b/src/adapters/peers/GossipCodec.cpp
@@ -96,8 +96,12 @@
     const auto startVector = starts.empty() ? 0 : builder.CreateVector(starts);
     const auto survivals = encodeSurvivals(gossip.promptParts);
     const auto survivalVector = survivals.empty() ? 0 : builder.CreateVectorOfStructs(survivals);
+    std::vector<peerwire::Refusal> refusals;
+    for (const RefusedConnection& refused : gossip.refusedConnections)
+        refusals.emplace_back(refused.endpoint, static_cast<std::uint32_t>(refused.age.count()));
+    const auto refusalVector = refusals.empty() ? 0 : builder.CreateVectorOfStructs(refusals);
     const auto root = peerwire::CreateNews(builder, instance, gossip.incarnation.get(), gossip.sequence,
-        gossip.isDraining, loadVector, suspectVector, gossip.isPartial, startVector, survivalVector);
+        gossip.isDraining, loadVector, suspectVector, gossip.isPartial, startVector, survivalVector, refusalVector);
     builder.Finish(root, peerwire::NewsIdentifier());
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
@@ -130,6 +134,10 @@
             { Fingerprint(suspect->fingerprint()), suspect->deaths(), Milliseconds(suspect->remaining_ms()) });
     }
     gossip.promptParts = decodeEvidence(*root);
+    for (flatbuffers::uoffset_t index = 0; root->refusals() && index < root->refusals()->size(); ++index) {
+        const auto* refusal = root->refusals()->Get(index);
+        gossip.refusedConnections.push_back({ refusal->endpoint(), Milliseconds(refusal->age_ms()) });
+    }
     return gossip;
 }
 
--- a/src/adapters/peers/Peers_generated.h
+++ b/src/adapters/peers/Peers_generated.h
@@ -25,6 +25,8 @@
 struct BrokenStart;
 struct BrokenStartBuilder;
 
+struct Refusal;
+
 struct News;
 struct NewsBuilder;
 
@@ -120,6 +122,29 @@
 };
 FLATBUFFERS_STRUCT_END(Survival, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) Refusal FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t endpoint_;
+  uint32_t age_ms_;
+
+ public:
+  Refusal()
+      : endpoint_(0),
+        age_ms_(0) {
+  }
+  Refusal(uint32_t _endpoint, uint32_t _age_ms)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)) {
+  }
+  uint32_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Refusal, 8);
+
 struct BrokenStart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef BrokenStartBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -218,7 +243,8 @@
     VT_SUSPECTS = 14,
     VT_PARTIAL = 16,
     VT_BROKEN_STARTS = 18,
-    VT_SURVIVALS = 20
+    VT_SURVIVALS = 20,
+    VT_REFUSALS = 22
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -247,6 +273,9 @@
   const flatbuffers::Vector<const teaselfold::peerwire::Survival *> *survivals() const {
     return GetPointer<const flatbuffers::Vector<const teaselfold::peerwire::Survival *> *>(VT_SURVIVALS);
   }
+  const flatbuffers::Vector<const teaselfold::peerwire::Refusal *> *refusals() const {
+    return GetPointer<const flatbuffers::Vector<const teaselfold::peerwire::Refusal *> *>(VT_REFUSALS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCE) &&
@@ -264,6 +293,8 @@
            verifier.VerifyVectorOfTables(broken_starts()) &&
            VerifyOffset(verifier, VT_SURVIVALS) &&
            verifier.VerifyVector(survivals()) &&
+           VerifyOffset(verifier, VT_REFUSALS) &&
+           verifier.VerifyVector(refusals()) &&
            verifier.EndTable();
   }
 };
@@ -299,6 +330,9 @@
   void add_survivals(flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Survival *>> survivals) {
     fbb_.AddOffset(News::VT_SURVIVALS, survivals);
   }
+  void add_refusals(flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Refusal *>> refusals) {
+    fbb_.AddOffset(News::VT_REFUSALS, refusals);
+  }
   explicit NewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -320,10 +354,12 @@
     flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Suspect *>> suspects = 0,
     bool partial = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<teaselfold::peerwire::BrokenStart>>> broken_starts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Survival *>> survivals = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Survival *>> survivals = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Refusal *>> refusals = 0) {
   NewsBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_refusals(refusals);
   builder_.add_survivals(survivals);
   builder_.add_broken_starts(broken_starts);
   builder_.add_suspects(suspects);
@@ -344,12 +380,14 @@
     const std::vector<teaselfold::peerwire::Suspect> *suspects = nullptr,
     bool partial = false,
     const std::vector<flatbuffers::Offset<teaselfold::peerwire::BrokenStart>> *broken_starts = nullptr,
-    const std::vector<teaselfold::peerwire::Survival> *survivals = nullptr) {
+    const std::vector<teaselfold::peerwire::Survival> *survivals = nullptr,
+    const std::vector<teaselfold::peerwire::Refusal> *refusals = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Load>(*loads) : 0;
   auto suspects__ = suspects ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Suspect>(*suspects) : 0;
   auto broken_starts__ = broken_starts ? _fbb.CreateVector<flatbuffers::Offset<teaselfold::peerwire::BrokenStart>>(*broken_starts) : 0;
   auto survivals__ = survivals ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Survival>(*survivals) : 0;
+  auto refusals__ = refusals ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Refusal>(*refusals) : 0;
   return teaselfold::peerwire::CreateNews(
       _fbb,
       instance__,
@@ -360,7 +398,8 @@
       suspects__,
       partial,
       broken_starts__,
-      survivals__);
+      survivals__,
+      refusals__);
 }
 
 inline const teaselfold::peerwire::News *GetNews(const void *buf) {
--- a/src/core/entry/Quarantine.cpp
+++ b/src/core/entry/Quarantine.cpp
@@ -1,11 +1,17 @@
 #include "core/entry/Quarantine.h"
 
 #include <algorithm>
+#include <functional>
+#include <tuple>
+#include <vector>
 
 namespace teaselfold {
 
 namespace {
 
+    /** Time for which a change is repeated in every message, because datagrams may be lost. */
+    constexpr Milliseconds announcementTime(3000);
+
     Milliseconds timeLeft(Instant expiresAt, Instant now) { return std::chrono::ceil<Milliseconds>(expiresAt - now); }
 
 }
@@ -26,10 +32,19 @@
     suspect.expiresAt = now + this->limits.quarantineTime;
     suspect.lastEndpoint = endpoint;
     suspect.lastDeath = now;
+    suspect.isOwn = true;
 }
 
 bool Quarantine::clear(Fingerprint fingerprint) { return this->suspects.erase(fingerprint) > 0; }
 
+bool Quarantine::recordSurvival(Fingerprint fingerprint, Instant now)
+{
+    const bool wasSuspect = this->clear(fingerprint);
+    if (wasSuspect)
+        this->survivals[fingerprint] = now;
+    return wasSuspect;
+}
+
 bool Quarantine::merge(const EndpointId& source, const QuarantineDelivery& delivery, Instant now)
 {
     bool changed = false;
@@ -38,6 +53,8 @@
             changed = this->clear(reported.fingerprint) || changed;
             continue;
         }
+        if (this->survivals.contains(reported.fingerprint))
+            continue;
         Suspect& suspect = this->suspects[reported.fingerprint];
         if (reported.deaths <= suspect.deaths)
             continue;
@@ -45,6 +62,7 @@
         suspect.expiresAt = now + std::min(reported.remaining, this->limits.quarantineTime);
         suspect.lastEndpoint = source;
         suspect.lastDeath = now;
+        suspect.isOwn = false;
         changed = true;
     }
     return changed;
@@ -67,6 +85,7 @@
 void Quarantine::expire(Instant now)
 {
     std::erase_if(this->suspects, [&](const auto& item) { return item.second.expiresAt <= now; });
+    std::erase_if(this->survivals, [&](const auto& item) { return now - item.second > announcementTime; });
 }
 
 QuarantineDelivery Quarantine::delivery(Instant now) const
@@ -78,4 +97,31 @@
     return delivery;
 }
 
+QuarantineDelivery Quarantine::recentDelivery(Instant now, std::size_t limit) const
+{
+    struct Candidate {
+        bool isRecent;
+        Instant changedAt;
+        QuarantineDelivery::Suspect suspect;
+    };
+    std::vector<Candidate> candidates;
+    for (const auto& [fingerprint, survivedAt] : this->survivals)
+        candidates.push_back({ true, survivedAt, { fingerprint, 0, Milliseconds(0) } });
+    for (const auto& [fingerprint, suspect] : this->suspects) {
+        const bool isRecent = suspect.isOwn && now - suspect.lastDeath <= announcementTime;
+        if (isRecent || suspect.deaths >= this->limits.deathLimit)
+            candidates.push_back(
+                { isRecent, suspect.lastDeath, { fingerprint, suspect.deaths, timeLeft(suspect.expiresAt, now) } });
+    }
+    std::ranges::sort(candidates, std::greater<> {}, [](const Candidate& candidate) {
+        return std::tuple(candidate.isRecent, candidate.changedAt, candidate.suspect.fingerprint.get());
+    });
+    QuarantineDelivery delivery;
+    for (const Candidate& candidate : candidates) {
+        if (delivery.suspects.size() < limit)
+            delivery.suspects.push_back(candidate.suspect);
+    }
+    return delivery;
+}
+
 }
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -81,10 +81,14 @@
             { ErrorCode::StoreUnavailable, "keys cannot be checked now", executedStateOf(active), retryAfter }, now,
             actions);
     }
-    const Milliseconds quarantinedFor
+    const Milliseconds partQuarantinedFor
         = this->state.promptParts.remainingQuarantine(active.request.sharedPromptParts, now);
+    if (partQuarantinedFor > Milliseconds(0))
+        return this->refuseQuarantined(active, "prompt part quarantined", partQuarantinedFor, now, actions);
+    // Since its admission, the request may have become a suspect of further crashes.
+    const Milliseconds quarantinedFor = this->state.quarantine.remainingQuarantine(active.request.fingerprint, now);
     if (quarantinedFor > Milliseconds(0))
-        return this->refuseQuarantined(active, quarantinedFor, now, actions);
+        return this->refuseQuarantined(active, "request quarantined", quarantinedFor, now, actions);
     if (GatewayEndpoint* endpoint = this->pickEndpoint(active, active.triedEndpoints, now)) {
         this->state.waiting.erase(active.request.id);
         return this->startExchange(active, *endpoint, std::nullopt, now, actions);
@@ -93,16 +97,15 @@
 }
 
 void ExchangeDispatcher::refuseQuarantined(
-    ActiveRequest& active, Milliseconds quarantinedFor, Instant now, GatewayActions& actions)
+    ActiveRequest& active, const std::string& reason, Milliseconds quarantinedFor, Instant now, GatewayActions& actions)
 {
     auto line = Internal::requestLogEvent("refused", active, now);
-    line.fields.push_back({ "reason", "prompt part quarantined" });
+    line.fields.push_back({ "reason", reason });
     line.fields.push_back({ "prompt_parts", Internal::promptPartsText(active.request.sharedPromptParts) });
     actions.emplace_back(std::move(line));
     this->failRequest(active,
-        { ErrorCode::Quarantined, "engines crashed under a part of this prompt", executedStateOf(active),
-            quarantinedFor },
-        now, actions);
+        { ErrorCode::Quarantined, "endpoints crashed: " + reason, executedStateOf(active), quarantinedFor }, now,
+        actions);
 }
 
 std::optional<Address> ExchangeDispatcher::placeReplica(
@@ -313,7 +316,7 @@
 
 void ExchangeDispatcher::completeRequest(const ActiveRequest& active, Instant now, GatewayActions& actions)
 {
-    this->state.quarantine.clear(active.request.fingerprint);
+    this->state.quarantine.recordSurvival(active.request.fingerprint, now);
     actions.emplace_back(Internal::completedLogEvent(active, now));
     Internal::observeCompleted(actions, active, now);
     this->removeRequest(active, now, actions);
@@ -342,9 +345,12 @@
 void ExchangeDispatcher::detectCrash(
     const ActiveRequest& active, const Exchange& exchange, ExchangeEnd end, Instant now, GatewayActions& actions)
 {
-    if (end == ExchangeEnd::Broken)
-        return this->state.crashDetector.recordBrokenConnection(exchange.endpoint, active.request.fingerprint, now);
-    const std::size_t suspects = this->state.crashDetector.recordRefusedConnection(exchange.endpoint, now);
+    // The run went well for a while, so it is not what crashed the endpoint.
+    if (end == ExchangeEnd::Broken && active.isPastStart)
+        return;
+    const std::size_t suspects = end == ExchangeEnd::Broken
+        ? this->state.crashDetector.recordBrokenConnection(exchange.endpoint, active.request.fingerprint, now)
+        : this->state.crashDetector.recordRefusedConnection(exchange.endpoint, now);
     if (suspects > 0) {
         actions.emplace_back(LogEvent { "endpoint_crashed",
             { { "endpoint", exchange.endpoint.get() }, { "suspects", std::to_string(suspects) } } });
@@ -394,7 +400,8 @@
         return false;
     const bool mayCrashEngine = !active.isPastStart
         && (active.brokenStarts >= maxBrokenStarts
-            || this->state.promptParts.isSuspect(active.request.sharedPromptParts));
+            || this->state.promptParts.isSuspect(active.request.sharedPromptParts)
+            || this->state.quarantine.remainingQuarantine(active.request.fingerprint, now) > Milliseconds(0));
     if (mayCrashEngine)
         return false;
     this->startExchange(active, *this->state.endpoints.find(endpoint), point, now, actions);
@@ -432,6 +439,7 @@
     if (!running.isPastStart && now - *running.firstEventAt >= startPeriod) {
         running.isPastStart = true;
         active->isPastStart = true;
+        this->state.quarantine.recordSurvival(active->request.fingerprint, now);
         this->state.promptParts.recordSurvival(active->request.sharedPromptParts, now);
     }
     if (active->lastEventAt)
--- a/src/core/gateway/ExchangeDispatcher.h
+++ b/src/core/gateway/ExchangeDispatcher.h
@@ -39,8 +39,9 @@
      */
     bool resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now,
         GatewayActions& actions);
-    /** Refuses a request because of a quarantined part of its prompt. */
-    void refuseQuarantined(ActiveRequest& active, Milliseconds quarantinedFor, Instant now, GatewayActions& actions);
+    /** Refuses a request that is quarantined, or that has a quarantined part of a prompt. */
+    void refuseQuarantined(ActiveRequest& active, const std::string& reason, Milliseconds quarantinedFor, Instant now,
+        GatewayActions& actions);
     GatewayEndpoint* pickEndpoint(const ActiveRequest& active, const std::set<EndpointId>& excluded, Instant now) const;
     /** Withdraws one retry from the budget if the request may be repeated. @return true if a retry may be sent. */
     bool reserveRetry(const ActiveRequest& active, Instant now);
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+    /** Keeps the datagrams within one Ethernet frame. */
+    constexpr std::size_t maxSentSuspects = 16;
+
     RouterLimits sharedLimitsOf(const GatewayLimits& limits)
     {
         RouterLimits shared;
@@ -193,11 +196,15 @@
             { "sharing", std::to_string(this->state.peers.gatewayCount()) } } });
 }
 
-void Gateway::gossipReceived(const GossipReceived& event, Instant now, GatewayActions&)
+void Gateway::gossipReceived(const GossipReceived& event, Instant now, GatewayActions& actions)
 {
     this->state.promptParts.merge(event.gossip.promptParts, now);
-    if (const auto sender = this->state.peers.receive(event.gossip, now))
-        this->state.quarantine.merge(EndpointId(sender->get()), event.gossip.suspects, now);
+    // First, so that a crash that both gateways noticed counts once.
+    const std::size_t suspects = this->state.crashDetector.merge(event.gossip.refusedConnections, now);
+    if (suspects > 0)
+        actions.emplace_back(LogEvent { "endpoint_crashed", { { "suspects", std::to_string(suspects) } } });
+    this->state.quarantine.merge(EndpointId(), event.gossip.suspects, now);
+    this->state.peers.receive(event.gossip, now);
 }
 
 void Gateway::storeReadingReceived(const StoreReadingReceived& event, Instant now, GatewayActions& actions)
@@ -215,9 +222,10 @@
 
 void Gateway::sendGossip(Instant now, GatewayActions& actions)
 {
-    const GossipContent content { this->state.endpoints.usages(), this->state.quarantine.delivery(now),
-        this->state.stopRequestedAt.has_value(), this->state.peers.receiverCount(),
-        this->state.promptParts.recentEvidence(now), this->state.promptParts.allEvidence(now) };
+    const GossipContent content { this->state.endpoints.usages(),
+        this->state.quarantine.recentDelivery(now, maxSentSuspects), this->state.stopRequestedAt.has_value(),
+        this->state.peers.receiverCount(), this->state.promptParts.recentEvidence(now),
+        this->state.promptParts.allEvidence(now), this->state.crashDetector.refusedConnections(now) };
     if (auto message = this->gossip.compose(content, now))
         actions.emplace_back(SendGossip { std::move(*message), this->state.peers.receiverAddresses() });
 }
--- a/src/core/gateway/GossipComposer.cpp
+++ b/src/core/gateway/GossipComposer.cpp
@@ -13,6 +13,8 @@
     /** Encoded size of a broken run without its parts. */
     constexpr std::size_t brokenStartBytes = 36;
     constexpr std::size_t survivalBytes = 16;
+    constexpr std::size_t suspectBytes = 16;
+    constexpr std::size_t refusalBytes = 8;
     /** Time in which an empty token bucket is filled. */
     constexpr Milliseconds burstTime(500);
 
@@ -36,8 +38,9 @@
 
 void GossipComposer::spend(const GossipMessage& message, std::size_t receiverCount)
 {
-    std::size_t bytes
-        = headerBytes + message.usages.size() * usageBytes + message.promptParts.survivals.size() * survivalBytes;
+    std::size_t bytes = headerBytes + message.usages.size() * usageBytes
+        + message.promptParts.survivals.size() * survivalBytes + message.suspects.suspects.size() * suspectBytes
+        + message.refusedConnections.size() * refusalBytes;
     for (const auto& start : message.promptParts.brokenStarts)
         bytes += brokenStartBytes + start.parts.size() * sizeof(std::uint64_t);
     this->availableBytes -= static_cast<double>(bytes * receiverCount);
@@ -74,7 +77,7 @@
     for (const auto& start : evidence.brokenStarts)
         this->lastReports.insert(start.report);
     GossipMessage message { this->self, this->incarnation, ++this->sequence, content.isDraining, false,
-        std::move(usages), content.suspects, evidence };
+        std::move(usages), content.suspects, evidence, content.refusedConnections };
     this->spend(message, content.receiverCount);
     return message;
 }
--- a/src/core/gateway/GossipComposer.h
+++ b/src/core/gateway/GossipComposer.h
@@ -23,6 +23,7 @@
     PromptPartEvidence recentEvidence {};
     /** Sent with full messages. */
     PromptPartEvidence allEvidence {};
+    std::vector<RefusedConnection> refusedConnections {};
 };
 
 /**
--- a/src/ports/PeerMessages.h
+++ b/src/ports/PeerMessages.h
@@ -53,6 +53,16 @@
     bool operator==(const PromptPartEvidence&) const = default;
 };
 
+/** A connection to an endpoint could not be established. */
+struct RefusedConnection {
+    /** Lower 32 bits of the XXH3 hash of the endpoint's id. */
+    std::uint32_t endpoint { 0 };
+    /** Time since the last such attempt. */
+    Milliseconds age { 0 };
+
+    bool operator==(const RefusedConnection&) const = default;
+};
+
 /**
  * State that a gateway sends to the others several times a second. The latest usage of an endpoint replaces earlier
  * ones, so the next full message corrects the effect of a lost one.
@@ -70,6 +80,8 @@
     std::vector<EndpointUsage> usages;
     QuarantineDelivery suspects;
     PromptPartEvidence promptParts {};
+    /** Recent ones of the sender, by which others recognize that their connections broke because of a crash. */
+    std::vector<RefusedConnection> refusedConnections {};
 
     bool operator==(const GossipMessage&) const = default;
 };
--- a/test/correctness/GatewaysShareTheirLoad.cpp
+++ b/test/correctness/GatewaysShareTheirLoad.cpp
@@ -135,6 +135,7 @@
     message.suspects.suspects.push_back({ Fingerprint(5), 2, Milliseconds(900) });
     message.promptParts.brokenStarts.push_back({ 6, 77, Milliseconds(20), { PromptPartId(8), PromptPartId(9) } });
     message.promptParts.survivals.push_back({ PromptPartId(8), Milliseconds(400) });
+    message.refusedConnections.push_back({ 77, Milliseconds(150) });
     CHECK(decodeGossip(encodeGossip(message)) == message);
     message.isPartial = true;
     CHECK_FALSE(decodeGossip(encodeGossip(message)) == message);
--- a/test/support/EngineFleet.cpp
+++ b/test/support/EngineFleet.cpp
@@ -1,5 +1,7 @@
 #include "support/EngineFleet.h"
 
+#include "adapters/peers/GossipCodec.h"
+#include "core/entry/Rendezvous.h"
 #include "support/GatewayScenario.h"
 
 #include <algorithm>
@@ -26,7 +28,9 @@
     , randomness(fleetOptions.seed)
 {
     for (std::size_t index = 0; index < this->options.engines; ++index) {
-        EndpointRecord record = GatewayScenario::engineEndpoint("e" + std::to_string(index));
+        const std::string id = "e" + std::to_string(index);
+        EndpointRecord record
+            = this->sendsStreams() ? GatewayScenario::engineEndpoint(id) : GatewayScenario::plainEndpoint(id);
         record.address = { "10.0.2." + std::to_string(index), 80 };
         record.slots = 24;
         this->engines[record.id] = { record, Milliseconds(0) };
@@ -80,16 +84,31 @@
 
 bool EngineFleet::isDeadly(const Request& request) const
 {
+    if (this->deadlyRequests.contains(request.fingerprint))
+        return true;
     return this->deadlyPart
         && std::find(request.parts.begin(), request.parts.end(), *this->deadlyPart) != request.parts.end();
 }
 
-void EngineFleet::send(const std::vector<PromptPartId>& parts)
+void EngineFleet::send(const std::vector<PromptPartId>& parts) { this->sendTo(this->randomGateway(), parts); }
+
+void EngineFleet::sendTo(std::size_t gateway, const std::vector<PromptPartId>& parts)
+{
+    this->sendRequest(gateway, Fingerprint(hashOf(std::to_string(this->lastRequest))), parts);
+}
+
+void EngineFleet::sendDeadly(Fingerprint fingerprint, const std::vector<PromptPartId>& parts)
+{
+    this->deadlyRequests.try_emplace(fingerprint);
+    this->sendRequest(this->randomGateway(), fingerprint, parts);
+}
+
+std::size_t EngineFleet::randomGateway()
 {
     std::size_t node = this->randomness.next() % this->nodes.size();
     while (this->nodes[node].isSuspended)
         node = this->randomness.next() % this->nodes.size();
-    this->sendTo(node, parts);
+    return node;
 }
 
 void EngineFleet::continueGateway(std::size_t gateway)
@@ -101,22 +120,22 @@
     this->introduce(node);
 }
 
-void EngineFleet::sendTo(std::size_t node, const std::vector<PromptPartId>& parts)
+void EngineFleet::sendRequest(std::size_t node, Fingerprint fingerprint, const std::vector<PromptPartId>& parts)
 {
     GatewayRequest request;
     request.id = RequestId(++this->lastRequest);
     request.callerRequestId = "caller-" + std::to_string(this->lastRequest);
     request.method = "POST";
     request.host = "host.example";
-    request.path = "/draft/1";
+    request.path = this->options.path;
     request.key = "key-a";
     request.callerTimeout = Milliseconds(39000);
     request.promptTokens = 1000;
     request.maxOutputTokens = 400;
-    request.fingerprint = Fingerprint(this->lastRequest);
+    request.fingerprint = fingerprint;
     request.sharedPromptParts = parts;
     this->nodes[node].requests[request.id] = this->requests.size();
-    this->requests.push_back({ parts, this->time, false, false });
+    this->requests.push_back({ parts, fingerprint, this->time, false, false });
     this->handle(node, RequestArrived { std::move(request) });
 }
 
@@ -148,19 +167,24 @@
         this->deadlyArrivalTimes.push_back(this->time);
     const std::uint64_t lastEvent = parameters.resume ? parameters.resume->lastEventId : 0;
     const std::uint64_t events = lastEvent + minEvents + this->randomness.next() % (maxEvents - minEvents);
-    const Milliseconds prefill = parameters.resume ? eventInterval : prefillTime;
+    const bool isDown = this->engines.at(parameters.endpoint).backAt > this->time;
+    const auto deadly = this->deadlyRequests.find(this->requests[request].fingerprint);
+    if (deadly != this->deadlyRequests.end() && !isDown)
+        deadly->second.arrivals.push_back(this->time);
+    const Milliseconds prefill = isDown ? stepTime : parameters.resume ? eventInterval : prefillTime;
     this->runs.push_back(
         { node, parameters.exchange, request, parameters.endpoint, this->time + prefill, lastEvent, events });
 }
 
 void EngineFleet::sendDatagrams(const SendGossip& gossip)
 {
+    const GossipMessage message = decodeGossip(encodeGossip(gossip.gossip)).value();
     for (const Address& address : gossip.receivers) {
         const auto receiver = std::find_if(
             this->nodes.begin(), this->nodes.end(), [&](const Node& node) { return node.address == address; });
         if (receiver != this->nodes.end() && this->draw() >= this->options.loss)
-            this->datagrams.push_back({ this->time + datagramDelay,
-                static_cast<std::size_t>(receiver - this->nodes.begin()), gossip.gossip });
+            this->datagrams.push_back(
+                { this->time + datagramDelay, static_cast<std::size_t>(receiver - this->nodes.begin()), message });
     }
 }
 
@@ -215,6 +239,9 @@
     const bool isFirst = run.lastEvent == 0;
     if (isFirst && this->isDeadly(this->requests[run.request])) {
         this->crashTimes.push_back(this->time);
+        const auto deadly = this->deadlyRequests.find(this->requests[run.request].fingerprint);
+        if (deadly != this->deadlyRequests.end())
+            deadly->second.crashes.push_back(this->time);
         return this->crash(engine);
     }
     if (isFirst && this->engines.at(engine).isGrey)
@@ -224,12 +251,15 @@
     const std::size_t node = run.node;
     const ExchangeId exchange = run.exchange;
     const std::uint64_t lastEvent = ++run.lastEvent;
-    const bool isLast = lastEvent >= run.events;
+    const bool isLast = !this->sendsStreams() || lastEvent >= run.events;
     run.nextEventAt = this->time + eventInterval;
     const std::size_t request = run.request;
-    if (isFirst)
+    if (!this->sendsStreams())
+        this->handle(node, ResponseReceived { exchange, GatewayScenario::success() });
+    else if (isFirst)
         this->handle(node, ResponseReceived { exchange, GatewayScenario::streamStart() });
-    this->handle(node, EventsRelayed { exchange, lastEvent });
+    if (this->sendsStreams())
+        this->handle(node, EventsRelayed { exchange, lastEvent });
     if (!isLast)
         return;
     this->requests[request].isCompleted = true;
--- a/test/support/EngineFleet.h
+++ b/test/support/EngineFleet.h
@@ -14,8 +14,8 @@
 namespace teaselfold {
 
 /**
- * Several gateways before engines that crash, in simulated time, with the datagrams between the gateways. An engine
- * crashes when it is about to send the first event of a request with a deadly prompt part, and is back after a while.
+ * Several gateways before endpoints that crash, in simulated time, with the datagrams between the gateways. An endpoint
+ * crashes when it is about to answer a deadly request or one with a deadly prompt part, and is back after a while.
  */
 class EngineFleet {
 public:
@@ -25,6 +25,8 @@
         std::uint64_t seed { 1 };
         /** Share of the datagrams that are lost, from 0 to 1. */
         double loss { 0 };
+        /** Path of the requests: "/draft/1" for streams of engines, "/read/1" or "/write/1" for plain endpoints. */
+        std::string path { "/draft/1" };
     };
 
     explicit EngineFleet(Options options);
@@ -35,6 +37,8 @@
     /** Sends a request with these shared prompt parts to a gateway chosen at random among those that run. */
     void send(const std::vector<PromptPartId>& parts);
     void sendTo(std::size_t gateway, const std::vector<PromptPartId>& parts);
+    /** Sends a request with these shared prompt parts that crashes every endpoint at which it is about to begin. */
+    void sendDeadly(Fingerprint fingerprint, const std::vector<PromptPartId>& parts);
     /** Makes every engine crash that is about to send the first event of a request with the part. */
     void setDeadlyPart(PromptPartId part) { this->deadlyPart = part; }
     /** Crashes a share of the engines now, whatever they run. */
@@ -53,6 +57,10 @@
     const std::vector<Milliseconds>& crashes() const { return this->crashTimes; }
     /** @return the times at which requests with the deadly part were sent to engines. */
     const std::vector<Milliseconds>& deadlyArrivals() const { return this->deadlyArrivalTimes; }
+    /** @return the times at which endpoints crashed under a deadly request. */
+    const std::vector<Milliseconds>& crashesOf(Fingerprint deadly) { return this->deadlyRequests[deadly].crashes; }
+    /** @return the times at which a deadly request was sent to endpoints that accepted its connection. */
+    const std::vector<Milliseconds>& arrivalsOf(Fingerprint deadly) { return this->deadlyRequests[deadly].arrivals; }
 
     /** What became of the requests that were sent in a span of time. */
     struct Outcome {
@@ -68,6 +76,7 @@
 private:
     struct Request {
         std::vector<PromptPartId> parts;
+        Fingerprint fingerprint;
         Milliseconds sentAt { 0 };
         bool isQuarantined { false };
         bool isCompleted { false };
@@ -89,6 +98,10 @@
         std::uint64_t lastEvent { 0 };
         std::uint64_t events { 0 };
     };
+    struct DeadlyRequest {
+        std::vector<Milliseconds> crashes;
+        std::vector<Milliseconds> arrivals;
+    };
     struct Datagram {
         Milliseconds dueAt { 0 };
         std::size_t receiver { 0 };
@@ -102,12 +115,16 @@
 
     Instant instant() const { return Instant(Seconds(1000) + this->time); }
     bool isDeadly(const Request& request) const;
+    bool sendsStreams() const { return this->options.path == "/draft/1"; }
     double draw();
     void startGateway(Node& node);
     void introduce(Node& node);
     void handle(std::size_t node, const GatewayEvent& event);
     void execute(std::size_t node, const GatewayActions& actions);
     void startRun(std::size_t node, const ExchangeParameters& parameters);
+    void sendRequest(std::size_t node, Fingerprint fingerprint, const std::vector<PromptPartId>& parts);
+    /** @return a gateway that is not suspended. */
+    std::size_t randomGateway();
     void sendDatagrams(const SendGossip& gossip);
     void step();
     void advanceRun(std::size_t run);
@@ -127,6 +144,7 @@
     std::uint64_t lastRequest { 0 };
     std::vector<Milliseconds> crashTimes;
     std::vector<Milliseconds> deadlyArrivalTimes;
+    std::map<Fingerprint, DeadlyRequest> deadlyRequests;
 };
 
 }
