Bound the lists that a received gossip message may hold

Cause: the decoder took every entry of a list, though no gateway sends more than a few.

Change: lists of suspects, refusals and evidence are read up to 64 entries.

--- a/src/adapters/peers/GossipCodec.cpp
+++ b/src/adapters/peers/GossipCodec.cpp
@@ -11,6 +11,8 @@
     /** With `maxSuspects`, keeps the datagram, including its IP and UDP headers, within one Ethernet frame. */
     constexpr std::size_t maxUsages = 48;
     constexpr std::size_t maxSuspects = 16;
+    /** Received lists are read up to this length; no gateway sends longer ones. */
+    constexpr flatbuffers::uoffset_t maxReceivedEntries = 64;
 
     /** @return the number of usages that take as many bytes as the evidence. */
     std::size_t displacedUsages(const PromptPartEvidence& evidence)
@@ -54,18 +56,24 @@
         return survivals;
     }
 
+    /** @return the number of a vector's entries to read; zero if it is absent. */
+    template <typename Vector> flatbuffers::uoffset_t entriesOf(const Vector* vector)
+    {
+        return vector ? std::min(vector->size(), maxReceivedEntries) : 0;
+    }
+
     PromptPartEvidence decodeEvidence(const peerwire::News& news)
     {
         PromptPartEvidence evidence;
-        for (flatbuffers::uoffset_t index = 0; news.broken_starts() && index < news.broken_starts()->size(); ++index) {
+        for (flatbuffers::uoffset_t index = 0; index < entriesOf(news.broken_starts()); ++index) {
             const auto* start = news.broken_starts()->Get(index);
             std::vector<PromptPartId> parts;
-            for (flatbuffers::uoffset_t part = 0; start->parts() && part < start->parts()->size(); ++part)
+            for (flatbuffers::uoffset_t part = 0; part < entriesOf(start->parts()); ++part)
                 parts.emplace_back(start->parts()->Get(part));
             evidence.brokenStarts.push_back(
                 { start->report(), start->endpoint(), Milliseconds(start->age_ms()), std::move(parts) });
         }
-        for (flatbuffers::uoffset_t index = 0; news.survivals() && index < news.survivals()->size(); ++index) {
+        for (flatbuffers::uoffset_t index = 0; index < entriesOf(news.survivals()); ++index) {
             const auto* survival = news.survivals()->Get(index);
             evidence.survivals.push_back({ PromptPartId(survival->part()), Milliseconds(survival->age_ms()) });
         }
@@ -128,13 +136,13 @@
         const auto* load = root->loads()->Get(static_cast<flatbuffers::uoffset_t>(index));
         gossip.usages.push_back({ load->endpoint(), load->runs(), load->tokens(), load->prompt_tokens() });
     }
-    for (std::size_t index = 0; root->suspects() && index < root->suspects()->size(); ++index) {
-        const auto* suspect = root->suspects()->Get(static_cast<flatbuffers::uoffset_t>(index));
+    for (flatbuffers::uoffset_t index = 0; index < entriesOf(root->suspects()); ++index) {
+        const auto* suspect = root->suspects()->Get(index);
         gossip.suspects.suspects.push_back(
             { Fingerprint(suspect->fingerprint()), suspect->deaths(), Milliseconds(suspect->remaining_ms()) });
     }
     gossip.promptParts = decodeEvidence(*root);
-    for (flatbuffers::uoffset_t index = 0; root->refusals() && index < root->refusals()->size(); ++index) {
+    for (flatbuffers::uoffset_t index = 0; index < entriesOf(root->refusals()); ++index) {
         const auto* refusal = root->refusals()->Get(index);
         gossip.refusedConnections.push_back({ refusal->endpoint(), Milliseconds(refusal->age_ms()) });
     }
--- a/test/correctness/GatewaysShareTheirLoad.cpp
+++ b/test/correctness/GatewaysShareTheirLoad.cpp
@@ -143,6 +143,27 @@
     CHECK(decodeGossip(encodeGossip(message)) == message);
 }
 
+// Guards against a datagram that keeps a small machine busy.
+TEST_CASE("Lists of a received gossip message that are longer than any gateway sends are cut off")
+{
+    GossipMessage message = messageFrom("a", 3, 4);
+    constexpr std::size_t count = 2000;
+    for (std::uint64_t index = 0; index < count; ++index) {
+        message.promptParts.brokenStarts.push_back(
+            { index, 77, Milliseconds(20), std::vector<PromptPartId>(count / 50, PromptPartId(index)) });
+        message.promptParts.survivals.push_back({ PromptPartId(index), Milliseconds(400) });
+        message.refusedConnections.push_back({ 77, Milliseconds(20) });
+    }
+    message.promptParts.brokenStarts.front().parts.resize(count);
+    const auto decoded = decodeGossip(encodeGossip(message));
+    REQUIRE(decoded);
+    constexpr std::size_t limit = 100;
+    CHECK(decoded->promptParts.brokenStarts.size() <= limit);
+    CHECK(decoded->promptParts.survivals.size() <= limit);
+    CHECK(decoded->refusedConnections.size() <= limit);
+    CHECK(decoded->promptParts.brokenStarts.front().parts.size() <= limit);
+}
+
 TEST_CASE("Damaged datagrams do not crash the decoder, and random bytes are rejected")
 {
     CHECK(rc::check([] {
