Split the attribution of crashes off the dispatcher

CrashAttribution holds it in one place: how runs end, which requests must not be sent, and which runs may be resumed. No change of behaviour; the tests are untouched.

--- /dev/null
+++ b/src/core/gateway/CrashAttribution.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/gateway/GatewayState.h"
+
+namespace teaselfold {
+
+/** Why a request is refused because of crashes, and for how long. */
+struct QuarantineVerdict {
+    std::string reason;
+    Milliseconds remaining { 0 };
+};
+
+/**
+ * Attributes crashes of endpoints to requests and to parts of their prompts: reports how runs end to the quarantines,
+ * and tells which requests must not be sent.
+ */
+class CrashAttribution {
+public:
+    explicit CrashAttribution(GatewayState& state)
+        : state(state)
+    {
+    }
+
+    /** Handles a run whose connection broke. */
+    void runBroke(ActiveRequest& active, const Exchange& exchange, Instant now, GatewayActions& actions);
+    /** Handles a connection that an endpoint refused. */
+    void connectionRefused(const EndpointId& endpoint, Instant now, GatewayActions& actions);
+    /** Handles an event of a run, which may be the one that shows that it got past its start. */
+    void runAdvanced(ActiveRequest& active, Exchange& exchange, Instant now);
+    /** Handles a request whose response is complete. */
+    void requestCompleted(const ActiveRequest& active, Instant now);
+    /** Handles a run that produced its whole output, or a response in full. */
+    void runSucceeded(const ActiveRequest& active, Instant now);
+
+    /** @return why the request must not be sent; unset if it may be. */
+    std::optional<QuarantineVerdict> quarantineOf(const ActiveRequest& active, Instant now) const;
+    /** @return true if a broken run may be resumed, since its request is not suspected of crashes. */
+    bool mayResume(const ActiveRequest& active, Instant now) const;
+
+private:
+    GatewayState& state;
+};
+
+}
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -1,7 +1,6 @@
 #include "core/gateway/ExchangeDispatcher.h"
 
 #include "core/common/Check.h"
-#include "core/entry/Rendezvous.h"
 #include "core/gateway/CopyPlacement.h"
 #include "core/gateway/GatewayLog.h"
 
@@ -15,10 +14,6 @@
     constexpr std::uint64_t minReplicatedEvents = 20;
     /** KV cache utilization beyond which an engine gets no replica, since it would take space from running streams. */
     constexpr double maxReplicaUtilization = 0.5;
-    /** Time after its first event during which a run's prompt may still crash its engine. */
-    constexpr Milliseconds startPeriod(1000);
-    /** A run that broke at the start at this many engines is not resumed at another one. */
-    constexpr std::uint32_t maxBrokenStarts = 2;
     constexpr std::uint16_t firstServerError = 500;
     constexpr std::uint16_t firstRedirection = 300;
     constexpr std::uint16_t firstSuccess = 200;
@@ -81,14 +76,9 @@
             { ErrorCode::StoreUnavailable, "keys cannot be checked now", executedStateOf(active), retryAfter }, now,
             actions);
     }
-    const Milliseconds partQuarantinedFor
-        = this->state.promptParts.remainingQuarantine(active.request.sharedPromptParts, now);
-    if (partQuarantinedFor > Milliseconds(0))
-        return this->refuseQuarantined(active, "prompt part quarantined", partQuarantinedFor, now, actions);
     // Since its admission, the request may have become a suspect of further crashes.
-    const Milliseconds quarantinedFor = this->state.quarantine.remainingQuarantine(active.request.fingerprint, now);
-    if (quarantinedFor > Milliseconds(0))
-        return this->refuseQuarantined(active, "request quarantined", quarantinedFor, now, actions);
+    if (const auto verdict = this->crashes.quarantineOf(active, now))
+        return this->refuseQuarantined(active, *verdict, now, actions);
     if (GatewayEndpoint* endpoint = this->pickEndpoint(active, active.triedEndpoints, now)) {
         this->state.waiting.erase(active.request.id);
         return this->startExchange(active, *endpoint, std::nullopt, now, actions);
@@ -97,15 +87,15 @@
 }
 
 void ExchangeDispatcher::refuseQuarantined(
-    ActiveRequest& active, const std::string& reason, Milliseconds quarantinedFor, Instant now, GatewayActions& actions)
+    ActiveRequest& active, const QuarantineVerdict& verdict, Instant now, GatewayActions& actions)
 {
     auto line = Internal::requestLogEvent("refused", active, now);
-    line.fields.push_back({ "reason", reason });
+    line.fields.push_back({ "reason", verdict.reason });
     line.fields.push_back({ "prompt_parts", Internal::promptPartsText(active.request.sharedPromptParts) });
     actions.emplace_back(std::move(line));
     this->failRequest(active,
-        { ErrorCode::Quarantined, "endpoints crashed: " + reason, executedStateOf(active), quarantinedFor }, now,
-        actions);
+        { ErrorCode::Quarantined, "endpoints crashed: " + verdict.reason, executedStateOf(active), verdict.remaining },
+        now, actions);
 }
 
 std::optional<Address> ExchangeDispatcher::placeReplica(
@@ -242,7 +232,7 @@
         if (isSuccess(response)) {
             this->state.endpoints.recordSuccess(exchange.endpoint);
             if (!response.isStream)
-                this->state.promptParts.recordSurvival(active->request.sharedPromptParts, now);
+                this->crashes.runSucceeded(*active, now);
         }
         active->responseStarted = true;
         actions.emplace_back(RelayResponse { event.exchange });
@@ -292,16 +282,15 @@
     internalCheck(active, "an exchange belongs to an active request");
     active->exchange.reset();
     if (exchange->firstEventAt && (event.end == ExchangeEnd::Complete || event.end == ExchangeEnd::Closed))
-        this->state.promptParts.recordSurvival(active->request.sharedPromptParts, now);
+        this->crashes.runSucceeded(*active, now);
     if (event.end == ExchangeEnd::Complete)
         return this->completeRequest(*active, now, actions);
     if (event.end == ExchangeEnd::Closed || StreamMigrator::mayBeStopped(*active))
         return this->streamClosed(*active, event.end, now, actions);
-    if (event.end == ExchangeEnd::Broken) {
-        actions.emplace_back(Internal::brokenExchangeLogEvent(*active, *exchange, now));
-        this->recordBrokenStart(*active, *exchange, now);
-    }
-    this->detectCrash(*active, *exchange, event.end, now, actions);
+    if (event.end == ExchangeEnd::Broken)
+        this->crashes.runBroke(*active, *exchange, now, actions);
+    else
+        this->crashes.connectionRefused(exchange->endpoint, now, actions);
     this->state.endpoints.recordFailure(exchange->endpoint, now);
     const bool mayResend = !active->mayHaveRun || isIdempotent(*active);
     if (event.end == ExchangeEnd::NotConnected && mayResend && !active->responseStarted)
@@ -316,7 +305,7 @@
 
 void ExchangeDispatcher::completeRequest(const ActiveRequest& active, Instant now, GatewayActions& actions)
 {
-    this->state.quarantine.recordSurvival(active.request.fingerprint, now);
+    this->crashes.requestCompleted(active, now);
     actions.emplace_back(Internal::completedLogEvent(active, now));
     Internal::observeCompleted(actions, active, now);
     this->removeRequest(active, now, actions);
@@ -332,31 +321,6 @@
     this->completeRequest(active, now, actions);
 }
 
-void ExchangeDispatcher::recordBrokenStart(ActiveRequest& active, const Exchange& exchange, Instant now)
-{
-    if (active.isPastStart)
-        return;
-    ++active.brokenStarts;
-    const auto endpoint = static_cast<std::uint32_t>(hashOf(exchange.endpoint.get()));
-    this->state.promptParts.recordBrokenStart(
-        this->state.randomness.next(), endpoint, active.request.sharedPromptParts, now);
-}
-
-void ExchangeDispatcher::detectCrash(
-    const ActiveRequest& active, const Exchange& exchange, ExchangeEnd end, Instant now, GatewayActions& actions)
-{
-    // The run went well for a while, so it is not what crashed the endpoint.
-    if (end == ExchangeEnd::Broken && active.isPastStart)
-        return;
-    const std::size_t suspects = end == ExchangeEnd::Broken
-        ? this->state.crashDetector.recordBrokenConnection(exchange.endpoint, active.request.fingerprint, now)
-        : this->state.crashDetector.recordRefusedConnection(exchange.endpoint, now);
-    if (suspects > 0) {
-        actions.emplace_back(LogEvent { "endpoint_crashed",
-            { { "endpoint", exchange.endpoint.get() }, { "suspects", std::to_string(suspects) } } });
-    }
-}
-
 void ExchangeDispatcher::redispatch(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
     active.replicaEngine.reset();
@@ -396,13 +360,7 @@
 bool ExchangeDispatcher::resume(
     ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now, GatewayActions& actions)
 {
-    if (!this->state.endpoints.acceptsRequests(endpoint))
-        return false;
-    const bool mayCrashEngine = !active.isPastStart
-        && (active.brokenStarts >= maxBrokenStarts
-            || this->state.promptParts.isSuspect(active.request.sharedPromptParts)
-            || this->state.quarantine.remainingQuarantine(active.request.fingerprint, now) > Milliseconds(0));
-    if (mayCrashEngine)
+    if (!this->state.endpoints.acceptsRequests(endpoint) || !this->crashes.mayResume(active, now))
         return false;
     this->startExchange(active, *this->state.endpoints.find(endpoint), point, now, actions);
     return true;
@@ -433,15 +391,9 @@
     this->state.endpoints.removePendingPrompt(running.endpoint, std::exchange(running.promptTokens, 0));
     running.lastEventId = event.lastEventId;
     running.lastEventAt = now;
-    running.firstEventAt = running.firstEventAt.value_or(now);
     ActiveRequest* active = this->findRequest(running.request);
     internalCheck(active, "an exchange belongs to an active request");
-    if (!running.isPastStart && now - *running.firstEventAt >= startPeriod) {
-        running.isPastStart = true;
-        active->isPastStart = true;
-        this->state.quarantine.recordSurvival(active->request.fingerprint, now);
-        this->state.promptParts.recordSurvival(active->request.sharedPromptParts, now);
-    }
+    this->crashes.runAdvanced(*active, running, now);
     if (active->lastEventAt)
         active->longestPause = std::max(active->longestPause, now - *active->lastEventAt);
     active->lastEventAt = now;
--- a/src/core/gateway/ExchangeDispatcher.h
+++ b/src/core/gateway/ExchangeDispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/gateway/CrashAttribution.h"
 #include "core/gateway/EndpointPicker.h"
 #include "core/gateway/GatewayState.h"
 #include "core/gateway/StreamMigrator.h"
@@ -15,6 +16,7 @@
     ExchangeDispatcher(GatewayState& state, StreamMigrator& migrator)
         : state(state)
         , migrator(migrator)
+        , crashes(state)
     {
     }
 
@@ -40,8 +42,8 @@
     bool resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now,
         GatewayActions& actions);
     /** Refuses a request that is quarantined, or that has a quarantined part of a prompt. */
-    void refuseQuarantined(ActiveRequest& active, const std::string& reason, Milliseconds quarantinedFor, Instant now,
-        GatewayActions& actions);
+    void refuseQuarantined(
+        ActiveRequest& active, const QuarantineVerdict& verdict, Instant now, GatewayActions& actions);
     GatewayEndpoint* pickEndpoint(const ActiveRequest& active, const std::set<EndpointId>& excluded, Instant now) const;
     /** Withdraws one retry from the budget if the request may be repeated. @return true if a retry may be sent. */
     bool reserveRetry(const ActiveRequest& active, Instant now);
@@ -49,10 +51,6 @@
     /** Handles a response that refuses the request or is not the result of a run. */
     void handleRejection(ActiveRequest& active, const Exchange& exchange, const ResponseSummary& response, Instant now,
         GatewayActions& actions);
-    /** Records a run that broke before it got past its start as evidence against the parts of its prompt. */
-    void recordBrokenStart(ActiveRequest& active, const Exchange& exchange, Instant now);
-    void detectCrash(
-        const ActiveRequest& active, const Exchange& exchange, ExchangeEnd end, Instant now, GatewayActions& actions);
     /** Dispatches a request again after an attempt that did not reach its endpoint and is therefore not counted. */
     void redispatch(ActiveRequest& active, Instant now, GatewayActions& actions);
     /** Ends a request whose response is complete. */
@@ -77,6 +75,7 @@
 
     GatewayState& state;
     StreamMigrator& migrator;
+    CrashAttribution crashes;
 };
 
 }
