--- a/test/error/PromptPartsThatCrashEnginesAreQuarantined.cpp
+++ b/test/error/PromptPartsThatCrashEnginesAreQuarantined.cpp
@@ -3,23 +3,11 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <array>
 
 using namespace teaselfold;
 
 namespace {
 
-/** A fleet, the requests per second before it, and the platform's limit on the time to react. */
-struct Deployment {
-    std::size_t gateways;
-    std::size_t engines;
-    double requestsPerSecond;
-    Milliseconds reactionTime;
-};
-
-constexpr std::array deployments { Deployment { 5, 14, 13, Milliseconds(3000) },
-    Deployment { 26, 47, 45, Milliseconds(4000) }, Deployment { 68, 59, 54, Milliseconds(5000) } };
-
 const PromptPartId deadlyPart(1);
 /** First part of the prompts with the deadly part, which harmless prompts begin with too. */
 const PromptPartId sharedPart(100);
@@ -91,20 +79,20 @@
 TEST_CASE("Requests with a prompt part that crashes engines are refused soon after the fifth crash")
 {
     constexpr std::size_t toleratedArrivals = 3;
-    for (const Deployment& deployment : deployments) {
+    for (const FleetSize& size : fleetSizes) {
         for (const double share : { 0.05, 0.15, 0.4 }) {
             for (const std::uint64_t seed : { 1, 2, 3 }) {
-                CAPTURE(deployment.gateways);
+                CAPTURE(size.gateways);
                 CAPTURE(share);
                 CAPTURE(seed);
-                EngineFleet fleet({ deployment.gateways, deployment.engines, seed, 0.02 });
-                Traffic(fleet, deployment.requestsPerSecond, 0, seed).play(Milliseconds(4000));
+                EngineFleet fleet({ size.gateways, size.endpoints, seed, 0.02 });
+                Traffic(fleet, size.requestsPerSecond, 0, seed).play(Milliseconds(4000));
                 fleet.setDeadlyPart(deadlyPart);
                 const Milliseconds begin = fleet.now();
-                Traffic(fleet, deployment.requestsPerSecond, share, seed + 10).play(Milliseconds(22000));
-                CHECK(lateArrivals(fleet, deployment.reactionTime) <= toleratedArrivals);
+                Traffic(fleet, size.requestsPerSecond, share, seed + 10).play(Milliseconds(22000));
+                CHECK(lateArrivals(fleet, size.reactionTime) <= toleratedArrivals);
                 const auto sound
-                    = fleet.outcomeOf(sharedPart, begin + deployment.reactionTime * 2, begin + Milliseconds(22000));
+                    = fleet.outcomeOf(sharedPart, begin + size.reactionTime * 2, begin + Milliseconds(22000));
                 CHECK(sound.quarantined * 2 <= sound.sent);
             }
         }
@@ -135,15 +123,15 @@
 // Guards against prompts that are refused because engines fail for reasons of their own.
 TEST_CASE("Engines that crash and connections that break at random quarantine no prompt part")
 {
-    for (const Deployment& deployment : deployments) {
-        EngineFleet fleet({ deployment.gateways, deployment.engines, 3, 0.02 });
+    for (const FleetSize& size : fleetSizes) {
+        EngineFleet fleet({ size.gateways, size.endpoints, 3, 0.02 });
         fleet.setBrokenShare(0.2);
-        Traffic traffic(fleet, deployment.requestsPerSecond, 0, 5);
+        Traffic traffic(fleet, size.requestsPerSecond, 0, 5);
         for (int round = 0; round < 6; ++round) {
             traffic.play(Milliseconds(4000));
             fleet.crashEngines(0.3);
         }
-        CAPTURE(deployment.gateways);
+        CAPTURE(size.gateways);
         CHECK(fleet.outcome().quarantined == 0);
     }
 }
--- a/test/error/RequestsThatCrashEndpointsAreQuarantined.cpp
+++ b/test/error/RequestsThatCrashEndpointsAreQuarantined.cpp
@@ -5,23 +5,11 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <array>
 
 using namespace teaselfold;
 
 namespace {
 
-/** A fleet, the requests per second before it, and the platform's limit on the time to react. */
-struct Deployment {
-    std::size_t gateways;
-    std::size_t endpoints;
-    double requestsPerSecond;
-    Milliseconds reactionTime;
-};
-
-constexpr std::array deployments { Deployment { 5, 14, 13, Milliseconds(3000) },
-    Deployment { 26, 47, 45, Milliseconds(4000) }, Deployment { 68, 59, 54, Milliseconds(5000) } };
-
 /** Sends requests to a fleet, some of which are repetitions of a few deadly ones. */
 class Traffic {
 public:
@@ -93,22 +81,21 @@
 {
     constexpr std::size_t toleratedArrivals = 3;
     for (const char* path : { "/draft/1", "/read/1", "/write/1" }) {
-        for (const Deployment& deployment : deployments) {
+        for (const FleetSize& size : fleetSizes) {
             for (const double share : { 0.05, 0.15, 0.4 }) {
                 for (const std::uint64_t deadlyRequests : { 1, 5 }) {
                     for (const std::uint64_t seed : { 1, 2, 3 }) {
                         CAPTURE(path);
-                        CAPTURE(deployment.gateways);
+                        CAPTURE(size.gateways);
                         CAPTURE(share);
                         CAPTURE(deadlyRequests);
                         CAPTURE(seed);
-                        EngineFleet fleet({ deployment.gateways, deployment.endpoints, seed, 0.02, path });
-                        Traffic traffic(fleet, deployment.requestsPerSecond, seed);
+                        EngineFleet fleet({ size.gateways, size.endpoints, seed, 0.02, path });
+                        Traffic traffic(fleet, size.requestsPerSecond, seed);
                         traffic.play(Milliseconds(4000), 0, 1);
                         traffic.play(Milliseconds(22000), share, deadlyRequests);
                         for (std::uint64_t index = 0; index < deadlyRequests; ++index)
-                            CHECK(lateArrivals(fleet, Traffic::deadly(index), deployment.reactionTime)
-                                <= toleratedArrivals);
+                            CHECK(lateArrivals(fleet, Traffic::deadly(index), size.reactionTime) <= toleratedArrivals);
                     }
                 }
             }
@@ -119,11 +106,11 @@
 // Guards against sound requests that are refused because they were running beside a deadly one.
 TEST_CASE("Sound requests that run beside requests that crash endpoints are not refused as suspects")
 {
-    for (const Deployment& deployment : deployments) {
-        EngineFleet fleet({ deployment.gateways, deployment.endpoints, 4, 0.02, "/read/1" });
-        Traffic traffic(fleet, deployment.requestsPerSecond, 4);
+    for (const FleetSize& size : fleetSizes) {
+        EngineFleet fleet({ size.gateways, size.endpoints, 4, 0.02, "/read/1" });
+        Traffic traffic(fleet, size.requestsPerSecond, 4);
         traffic.play(Milliseconds(20000), 0.15, 1);
-        CAPTURE(deployment.gateways);
+        CAPTURE(size.gateways);
         CHECK(fleet.outcome().quarantined == 0);
     }
 }
--- a/test/support/EngineFleet.h
+++ b/test/support/EngineFleet.h
@@ -3,6 +3,7 @@
 #include "core/gateway/Gateway.h"
 #include "emulator/SeededRandomness.h"
 
+#include <array>
 #include <deque>
 #include <map>
 #include <memory>
@@ -13,6 +14,17 @@
 
 namespace teaselfold {
 
+/** A size of a fleet, the requests per second before it, and the platform's limit on the time to react. */
+struct FleetSize {
+    std::size_t gateways { 0 };
+    std::size_t endpoints { 0 };
+    double requestsPerSecond { 0 };
+    Milliseconds reactionTime { 0 };
+};
+
+inline constexpr std::array fleetSizes { FleetSize { 5, 14, 13, Milliseconds(3000) },
+    FleetSize { 26, 47, 45, Milliseconds(4000) }, FleetSize { 68, 59, 54, Milliseconds(5000) } };
+
 /**
  * Several gateways before endpoints that crash, in simulated time, with the datagrams between the gateways. An endpoint
  * crashes when it is about to answer a deadly request or one with a deadly prompt part, and is back after a while.
