Hash the ids of endpoints for gossip in one place

Found on reading the change again: three files spelled out the lower 32 bits of an endpoint's hash, which gateways must agree on; endpointHashOf is the one copy now. Beside it, a list of moments of which only the count and the last one were used. No change of behaviour; the tests are untouched.

--- a/src/core/gateway/CrashAttribution.cpp
+++ b/src/core/gateway/CrashAttribution.cpp
@@ -1,6 +1,6 @@
 #include "core/gateway/CrashAttribution.h"
 
-#include "core/entry/Rendezvous.h"
+#include "core/gateway/EndpointHash.h"
 #include "core/gateway/GatewayLog.h"
 
 namespace teaselfold {
@@ -28,9 +28,8 @@
     if (active.isPastStart)
         return;
     ++active.brokenStarts;
-    const auto endpoint = static_cast<std::uint32_t>(hashOf(exchange.endpoint.get()));
     this->state.promptParts.recordBrokenStart(
-        this->state.randomness.next(), endpoint, active.request.sharedPromptParts, now);
+        this->state.randomness.next(), endpointHashOf(exchange.endpoint), active.request.sharedPromptParts, now);
     logCrash(exchange.endpoint,
         this->state.crashDetector.recordBrokenConnection(exchange.endpoint, active.request.fingerprint, now), actions);
 }
--- a/src/core/gateway/CrashDetector.cpp
+++ b/src/core/gateway/CrashDetector.cpp
@@ -1,6 +1,6 @@
 #include "core/gateway/CrashDetector.h"
 
-#include "core/entry/Rendezvous.h"
+#include "core/gateway/EndpointHash.h"
 
 #include <algorithm>
 
@@ -17,8 +17,6 @@
     constexpr Milliseconds detectionDelay(250);
     constexpr std::size_t maxSentRefusals = 8;
 
-    std::uint32_t shortHashOf(const EndpointId& endpoint) { return static_cast<std::uint32_t>(hashOf(endpoint.get())); }
-
     bool isSameCrash(Instant brokenAt, Instant refusedAt)
     {
         return refusedAt >= brokenAt - detectionDelay && refusedAt <= brokenAt + suspicionWindow;
@@ -28,7 +26,7 @@
 
 std::size_t CrashDetector::recordBrokenConnection(const EndpointId& endpoint, Fingerprint fingerprint, Instant now)
 {
-    const EndpointHash hash = shortHashOf(endpoint);
+    const EndpointHash hash = endpointHashOf(endpoint);
     const auto refusal = this->refusals.find(hash);
     if (refusal == this->refusals.end() || !isSameCrash(now, refusal->second.at)) {
         this->brokenConnections[hash].push_back({ endpoint, fingerprint, now });
@@ -40,7 +38,7 @@
 
 std::size_t CrashDetector::recordRefusedConnection(const EndpointId& endpoint, Instant now)
 {
-    return this->addRefusal(shortHashOf(endpoint), { now, true });
+    return this->addRefusal(endpointHashOf(endpoint), { now, true });
 }
 
 std::size_t CrashDetector::merge(const std::vector<RefusedConnection>& refusedConnections, Instant now)
--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -1,6 +1,6 @@
 #include "core/gateway/EndpointDirectory.h"
 
-#include "core/entry/Rendezvous.h"
+#include "core/gateway/EndpointHash.h"
 
 #include <algorithm>
 #include <cmath>
@@ -29,7 +29,7 @@
         endpoint.eventInterval.reset();
     }
     endpoint.record = record;
-    endpoint.idHash = static_cast<std::uint32_t>(hashOf(record.id.get()));
+    endpoint.idHash = endpointHashOf(record.id);
     endpoint.removalDueAt.reset();
     endpoint.coldUntil = std::max(restarted ? now : endpoint.coldUntil, now + record.coldRemaining);
     return wasUsable && record.isDraining;
--- a/src/core/gateway/PromptPartQuarantine.cpp
+++ b/src/core/gateway/PromptPartQuarantine.cpp
@@ -243,15 +243,17 @@
 
 bool PromptPartQuarantine::areUnrelated(const std::vector<std::uint64_t>& reportsOfEndpoint) const
 {
-    std::vector<Instant> moments;
+    std::size_t moments = 0;
+    Instant lastMoment;
     std::map<PromptPartId, std::size_t> momentsByPart;
     std::set<PromptPartId> partsOfMoment;
     std::vector<std::uint64_t> oldestFirst = reportsOfEndpoint;
     std::ranges::sort(oldestFirst, {}, [&](std::uint64_t report) { return this->reports.at(report).at; });
     for (const std::uint64_t report : oldestFirst) {
         const BrokenRun& run = this->reports.at(report);
-        if (moments.empty() || run.at - moments.back() >= simultaneousDeaths) {
-            moments.push_back(run.at);
+        if (moments == 0 || run.at - lastMoment >= simultaneousDeaths) {
+            ++moments;
+            lastMoment = run.at;
             partsOfMoment.clear();
         }
         for (const PromptPartId part : this->suspectedParts(run)) {
@@ -262,7 +264,7 @@
     std::size_t mostCommon = 0;
     for (const auto& [part, count] : momentsByPart)
         mostCommon = std::max(mostCommon, count);
-    return moments.size() >= unrelatedMoments && mostCommon * unrelatedMoments <= moments.size();
+    return moments >= unrelatedMoments && mostCommon * unrelatedMoments <= moments;
 }
 
 std::set<std::uint64_t> PromptPartQuarantine::usableReports() const
