Review case 1: also show the same fault in answers

The script now also sends two lookups whose sound worker encodes a header value: the client of the first gets an empty body, and the client of the second gets bytes of the first answer's header.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,11 +1,11 @@
-"""Clients send header fields whose values hold encoded words (RFC 2047); the worker must get these values as they were sent."""
+"""Clients and workers send header fields whose values hold encoded words (RFC 2047); the other side must get them as sent."""
 import pathlib
 import sys
 import time
 
 sys.dont_write_bytecode = True
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
-from standins import Case, Client, Store, Worker, client_request, configuration, plain_service, route
+from standins import Case, Client, Store, Worker, client_request, configuration, message, plain_service, route
 
 KEYS = {"steel": ["key-steel"], "foundry": ["key-foundry"]}
 
@@ -16,10 +16,34 @@
     return "=?UTF-8?Q?" + "".join(c if c in plain else "=%02X" % ord(c) for c in text) + "?="
 
 
+class LookupWorker(Worker):
+    """Answers lookups with the subject of a document in a header field, encoded as RFC 2047 asks."""
+
+    subject = "plain subject"
+
+    def answer(self, request, connection):
+        if request.method != "GET":
+            return super().answer(request, connection)
+        connection.sendall(message("HTTP/1.1 200 OK", self.signature(request) + [("X-Subject", self.subject)],
+                                   b"document of " + request.id.encode()))
+
+
+def lookups(gateway, record):
+    """Sends two lookups on one connection. @return what each was answered."""
+    client = Client(gateway, record)
+    answers = []
+    for identity in ("read-1", "read-2"):
+        client.send(client_request("GET", "/read/" + identity, identity, "key-foundry"))
+        answers.append((identity, client.read(identity)))
+    return answers
+
+
 def play(case):
     record = case.record
     store = Store()
-    workers = [Worker("i-%d" % n, "app", store, record) for n in (1, 2)]
+    workers = [LookupWorker("i-%d" % n, "app", store, record) for n in (1, 2)]
+    if case.trouble:
+        LookupWorker.subject = encoded("a\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil")
     for worker in workers:
         worker.register()
     store.put("op", "config", configuration(
@@ -42,11 +66,18 @@
         client.send(request)
         if client.read(identity) is None:
             client = Client(gateway, record)
+    answers = lookups(gateway, record)
     time.sleep(0.5)
 
     broken = []
+    for identity, answer in answers:
+        if answer is None or answer.body != b"document of " + identity.encode():
+            broken.append("MIXED: the client of %s got %r with the body %r, which isn't the worker's" % (
+                identity, answer and answer.first, answer and answer.body))
     for worker in workers:
         for _, request in worker.runs:
+            if request.id in ("read-1", "read-2"):
+                continue
             if request.id not in notes:
                 broken.append("UNASKED: worker %s ran %s %s with id %s, which no client sent" % (
                     worker.name, request.method, request.target, request.id))
