--- a/review/5/case.py
+++ b/review/5/case.py
@@ -12,9 +12,11 @@
 CLIENTS = 6
 CUT_S = 0.7
 CALM_S = BOUNDS["contactMs"] / 1000 + 3
+# A leaving worker serves on for drainMs "and a little longer", and then exits.
+EXIT_S = BOUNDS["drainMs"] / 1000 + 0.25
 
 
-def ask(gateway, name, record, until):
+def ask(gateway, name, record, until, failed):
     """Sends registrations one after the other on a kept connection."""
     client = Client(gateway, record)
     number = 0
@@ -22,8 +24,11 @@
         number += 1
         identity = "%s-%d" % (name, number)
         client.send(client_request("POST", "/reg/" + identity, identity, "key-steel", b"release"))
-        if client.read(identity) is None:
+        answer = client.read(identity)
+        if answer is None:
             client = Client(gateway, record)
+        if answer is None or answer.status != 200:
+            failed.append(identity)
 
 
 def play(case):
@@ -47,7 +52,9 @@
     cut = proxies[1 - gateways.index(calm)]
     record.write("%s is undisturbed, the other gateway will be cut off from the store" % calm.name)
     until = [now() + 60]
-    threads = [threading.Thread(target=ask, args=(calm, "c%d" % n, record, until), daemon=True) for n in range(CLIENTS)]
+    failed = []
+    threads = [threading.Thread(target=ask, args=(calm, "c%d" % n, record, until, failed), daemon=True)
+               for n in range(CLIENTS)]
     for thread in threads:
         thread.start()
     time.sleep(CALM_S)
@@ -61,11 +68,16 @@
     time.sleep(CUT_S - 0.05)
     cut.heal()
     record.write("the other gateway reaches the store again")
-    until[0] = now() + 4
+    time.sleep(max(0.0, acknowledged + EXIT_S - now()))
+    workers[0].crash()
+    record.write("worker i-1 exits")
+    until[0] = now() + 2
     for thread in threads:
         thread.join()
 
     limit = acknowledged + BOUNDS["drainMs"] / 1000
+    lost = [request.id for _, request in workers[0].runs if request.id in failed]
+    record.write("%d registrations that worker i-1 had begun were lost with its exit: %s" % (len(lost), lost))
     late = [at - limit for at, _ in workers[0].runs if at > limit]
     record.write("worker i-1 ran %d requests after its leaving was acknowledged" % len(
         [1 for at, _ in workers[0].runs if at > acknowledged]))
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -421,7 +421,7 @@
             self.process.wait()
 
     def logged(self):
-        with open(self.log.name) as log:
+        with open(self.log.name, errors="replace") as log:
             return log.read()
 
 
