--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,7 +5,7 @@
 
 sys.dont_write_bytecode = True
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
-from standins import Case, Client, Store, Worker, client_request, configuration, message, plain_service, route
+from standins import CannotRun, Case, Client, Store, Worker, client_request, configuration, message, plain_service, route
 
 KEYS = {"steel": ["key-steel"], "foundry": ["key-foundry"]}
 
@@ -69,11 +69,13 @@
     answers = lookups(gateway, record)
     time.sleep(0.5)
 
+    if not case.trouble and sum(len(worker.runs) for worker in workers) != len(notes) + len(answers):
+        raise CannotRun("not all requests were run")
     broken = []
     for identity, answer in answers:
-        if answer is None or answer.body != b"document of " + identity.encode():
+        if answer and answer.status == 200 and answer.body != b"document of " + identity.encode():
             broken.append("MIXED: the client of %s got %r with the body %r, which isn't the worker's" % (
-                identity, answer and answer.first, answer and answer.body))
+                identity, answer.first, answer.body))
     for worker in workers:
         for _, request in worker.runs:
             if request.id in ("read-1", "read-2"):
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -6,7 +6,7 @@
 
 sys.dont_write_bytecode = True
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
-from standins import (BOUNDS, Case, Client, Proxy, Store, Worker, client_request, configuration, now, plain_service, route,
+from standins import (BOUNDS, CannotRun, Case, Client, Proxy, Store, Worker, client_request, configuration, now, plain_service, route,
                       wait_for)
 
 CLIENTS = 6
@@ -76,6 +76,8 @@
         thread.join()
 
     limit = acknowledged + BOUNDS["drainMs"] / 1000
+    if not workers[0].runs:
+        raise CannotRun("worker i-1 was never used")
     lost = [request.id for _, request in workers[0].runs if request.id in failed]
     record.write("%d registrations that worker i-1 had begun were lost with its exit: %s" % (len(lost), lost))
     late = [at - limit for at, _ in workers[0].runs if at > limit]
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -10,6 +10,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -499,6 +500,8 @@
 
     def run(self, play):
         self.record.write("with the disruption" if self.trouble else "without the disruption (TROUBLE=0)")
+        status = 2
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # ends the gateways too
         try:
             broken = play(self)
             status = 1 if broken else 0
@@ -506,9 +509,8 @@
                 self.record.write("RULE BROKEN: " + line)
             if not broken:
                 self.record.write("the rule held")
-        except (CannotRun, OSError) as error:
-            self.record.write("the case could not run: %s" % error)
-            status = 2
+        except Exception as error:
+            self.record.write("the case could not run: %r" % error)
         finally:
             for gateway in self.gateways:
                 gateway.stop()
