Forward header values as they were received

Cause: HttpHeads checked the raw lines, then took the values that POCO's MessageHeader returned, which decodes encoded words. The checked text and the forwarded text differed.

Ruled out: the codec's list of reserved fields (drops by name, works on what it gets); reuse of connections (the first request of a new one shows it).

Change: heads are parsed once, by the code that checks them, so what is forwarded is what was checked.

--- a/src/adapters/traffic/HttpHeads.cpp
+++ b/src/adapters/traffic/HttpHeads.cpp
@@ -1,14 +1,9 @@
 #include "adapters/traffic/HttpHeads.h"
 
-#include <Poco/Exception.h>
-#include <Poco/MemoryStream.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/String.h>
-
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
 
 namespace teaselfold {
 
@@ -16,7 +11,8 @@
 
     constexpr std::string_view headEnd = "\r\n\r\n";
     constexpr std::string_view lineEnd = "\r\n";
-    constexpr int maxFields = 128;
+    constexpr std::size_t maxFields = 128;
+    constexpr std::uint16_t minStatus = 100;
     constexpr std::array<std::string_view, 9> hopByHopFields { "connection", "keep-alive", "proxy-connection",
         "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade" };
 
@@ -40,11 +36,12 @@
         });
     }
 
-    /** Requires a name directly before the colon and a value without control characters; rejects folded lines. */
-    bool isFieldLine(std::string_view line)
+    std::string_view trimmed(std::string_view text)
     {
-        const std::size_t colon = line.find(':');
-        return colon != std::string_view::npos && isToken(line.substr(0, colon)) && !hasControl(line.substr(colon + 1));
+        const std::size_t first = text.find_first_not_of(" \t");
+        if (first == std::string_view::npos)
+            return {};
+        return text.substr(first, text.find_last_not_of(" \t") - first + 1);
     }
 
     std::string_view nextLine(std::string_view& text)
@@ -55,35 +52,65 @@
         return line;
     }
 
-    /** @return the first fault of the field lines, or nothing. */
-    std::optional<HeadFault> checkFields(std::string_view lines)
+    /** Requires a name directly before the colon and a value without control characters; rejects folded lines. */
+    std::optional<HeaderField> parseField(std::string_view line)
     {
-        int count = 0;
+        const std::size_t colon = line.find(':');
+        if (colon == std::string_view::npos || !isToken(line.substr(0, colon)))
+            return std::nullopt;
+        const std::string_view value = trimmed(line.substr(colon + 1));
+        if (hasControl(value))
+            return std::nullopt;
+        return HeaderField { std::string(line.substr(0, colon)), std::string(value) };
+    }
+
+    std::variant<std::vector<HeaderField>, HeadFault> parseFields(std::string_view lines)
+    {
+        std::vector<HeaderField> fields;
         while (!lines.empty()) {
-            if (!isFieldLine(nextLine(lines)))
+            auto field = parseField(nextLine(lines));
+            if (!field)
                 return HeadFault { 400, "malformed field" };
-            if (++count > maxFields)
+            if (fields.size() == maxFields)
                 return HeadFault { 431, "too many fields" };
+            fields.push_back(std::move(*field));
         }
-        return std::nullopt;
+        return fields;
     }
 
-    bool isRequestLine(std::string_view line)
+    /** @return a request head without fields; nothing when the start line is malformed. */
+    std::optional<RequestHead> parseRequestLine(std::string_view line)
     {
         const std::size_t first = line.find(' ');
         const std::size_t last = line.rfind(' ');
         if (first == std::string_view::npos || first == last)
-            return false;
+            return std::nullopt;
+        const std::string_view method = line.substr(0, first);
         const std::string_view target = line.substr(first + 1, last - first - 1);
         const std::string_view version = line.substr(last + 1);
-        const bool plainTarget = !target.empty() && target.find(' ') == std::string_view::npos && !hasControl(target);
-        return isToken(line.substr(0, first)) && plainTarget && target.front() == '/'
-            && (version == "HTTP/1.1" || version == "HTTP/1.0");
+        const bool isPlainTarget
+            = target.starts_with('/') && target.find(' ') == std::string_view::npos && !hasControl(target);
+        if (!isToken(method) || !isPlainTarget || (version != "HTTP/1.1" && version != "HTTP/1.0"))
+            return std::nullopt;
+        return RequestHead { std::string(method), std::string(target), version == "HTTP/1.0", {} };
     }
 
-    bool isStatusLine(std::string_view line)
+    /** @return a response head without fields; nothing when the start line is malformed. */
+    std::optional<ResponseHead> parseStatusLine(std::string_view line)
     {
-        return (line.starts_with("HTTP/1.1 ") || line.starts_with("HTTP/1.0 ")) && !hasControl(line);
+        constexpr std::size_t versionSize = std::string_view("HTTP/1.1 ").size();
+        constexpr std::size_t statusSize = 3;
+        const bool isKnownVersion = line.starts_with("HTTP/1.1 ") || line.starts_with("HTTP/1.0 ");
+        if (!isKnownVersion || line.size() < versionSize + statusSize || hasControl(line))
+            return std::nullopt;
+        const std::string_view digits = line.substr(versionSize, statusSize);
+        const std::string_view rest = line.substr(versionSize + statusSize);
+        std::uint16_t status = 0;
+        const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), status);
+        const bool isStatus = error == std::errc() && end == digits.data() + digits.size() && status >= minStatus;
+        if (!isStatus || (!rest.empty() && rest.front() != ' '))
+            return std::nullopt;
+        return ResponseHead { status, std::string(trimmed(rest)), {} };
     }
 
     struct CompleteHead {
@@ -102,10 +129,13 @@
         return CompleteHead { bytes.substr(0, end + lineEnd.size()), size };
     }
 
-    /** Validates a complete head, then lets POCO parse it. */
-    template <typename Message>
-    std::variant<ParsedHead<Message>, HeadIncomplete, HeadFault> parseMessage(
-        std::string_view bytes, std::size_t maxBytes, bool (*isStartLine)(std::string_view))
+    /**
+     * Parses a head into the bytes that were checked: a library that decodes values after the check may create line
+     * ends, and with them fields and messages.
+     */
+    template <typename Head>
+    std::variant<ParsedHead<Head>, HeadIncomplete, HeadFault> parseHead(
+        std::string_view bytes, std::size_t maxBytes, std::optional<Head> (*parseStartLine)(std::string_view))
     {
         const auto extracted = extractHead(bytes, maxBytes);
         if (std::holds_alternative<HeadIncomplete>(extracted))
@@ -114,28 +144,14 @@
             return *fault;
         const CompleteHead& complete = *std::get_if<CompleteHead>(&extracted);
         std::string_view lines = complete.text;
-        if (!isStartLine(nextLine(lines)))
+        auto head = parseStartLine(nextLine(lines));
+        if (!head)
             return HeadFault { 400, "malformed start line" };
-        if (const auto fault = checkFields(lines))
+        auto fields = parseFields(lines);
+        if (const auto* fault = std::get_if<HeadFault>(&fields))
             return *fault;
-        try {
-            ParsedHead<Message> parsed;
-            parsed.bytes = complete.bytes;
-            Poco::MemoryInputStream stream(bytes.data(), static_cast<std::streamsize>(complete.bytes));
-            parsed.head.setFieldLimit(maxFields);
-            parsed.head.read(stream);
-            return parsed;
-        } catch (const Poco::Exception& error) {
-            return HeadFault { 400, error.displayText() };
-        }
-    }
-
-    std::vector<HeaderField> fieldsOf(const Poco::Net::MessageHeader& message)
-    {
-        std::vector<HeaderField> fields;
-        for (const auto& [name, value] : message)
-            fields.push_back({ name, value });
-        return fields;
+        head->fields = std::move(*std::get_if<std::vector<HeaderField>>(&fields));
+        return ParsedHead<Head> { std::move(*head), complete.bytes };
     }
 
     std::string serializeFields(const std::vector<HeaderField>& fields)
@@ -151,14 +167,6 @@
         return text;
     }
 
-    std::string_view trimmed(std::string_view text)
-    {
-        const std::size_t first = text.find_first_not_of(" \t");
-        if (first == std::string_view::npos)
-            return {};
-        return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-    }
-
     /** Calls a function with each element of a comma-separated list. */
     template <typename Function> void forEachToken(std::string_view list, const Function& function)
     {
@@ -181,29 +189,13 @@
 std::variant<ParsedHead<RequestHead>, HeadIncomplete, HeadFault> parseRequestHead(
     std::string_view bytes, std::size_t maxBytes)
 {
-    auto read = parseMessage<Poco::Net::HTTPRequest>(bytes, maxBytes, &isRequestLine);
-    if (std::holds_alternative<HeadIncomplete>(read))
-        return HeadIncomplete {};
-    if (const auto* fault = std::get_if<HeadFault>(&read))
-        return *fault;
-    const auto& parsed = *std::get_if<ParsedHead<Poco::Net::HTTPRequest>>(&read);
-    RequestHead head { parsed.head.getMethod(), parsed.head.getURI(),
-        parsed.head.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0, fieldsOf(parsed.head) };
-    return ParsedHead<RequestHead> { std::move(head), parsed.bytes };
+    return parseHead<RequestHead>(bytes, maxBytes, &parseRequestLine);
 }
 
 std::variant<ParsedHead<ResponseHead>, HeadIncomplete, HeadFault> parseResponseHead(
     std::string_view bytes, std::size_t maxBytes)
 {
-    auto read = parseMessage<Poco::Net::HTTPResponse>(bytes, maxBytes, &isStatusLine);
-    if (std::holds_alternative<HeadIncomplete>(read))
-        return HeadIncomplete {};
-    if (const auto* fault = std::get_if<HeadFault>(&read))
-        return *fault;
-    const auto& parsed = *std::get_if<ParsedHead<Poco::Net::HTTPResponse>>(&read);
-    ResponseHead head { static_cast<std::uint16_t>(parsed.head.getStatus()), parsed.head.getReason(),
-        fieldsOf(parsed.head) };
-    return ParsedHead<ResponseHead> { std::move(head), parsed.bytes };
+    return parseHead<ResponseHead>(bytes, maxBytes, &parseStatusLine);
 }
 
 std::string serializeHead(const RequestHead& head)
