Refuse service calls with header values that cannot be forwarded

POCO's server and client decode RFC 2047 words, and ServiceHeaders and PlainServiceClient wrote the decoded values out.

Change: isHeaderValue, used where a decoded value becomes one to be written; a call with such a value is answered 400, an answer with one is an unknown outcome. POCO does not keep the received text, so it cannot be forwarded.

--- a/src/adapters/engine/PlainServiceClient.cpp
+++ b/src/adapters/engine/PlainServiceClient.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/engine/HttpConnection.h"
 #include "core/common/Check.h"
+#include "ports/HeaderText.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -71,6 +72,9 @@
         if (hasBody && !readBody(stream, response, deadline, answer.body))
             return ServiceCallFailed { forward.call, Executed::Unknown };
         for (const auto& [name, value] : response) {
+            // POCO decodes the encoded words of RFC 2047, which may contain line ends.
+            if (!isHeaderValue(value))
+                return ServiceCallFailed { forward.call, Executed::Unknown };
             if (!isExcludedHeader(name))
                 answer.headers.push_back({ name, value });
         }
--- a/src/adapters/http/CallerHandlers.cpp
+++ b/src/adapters/http/CallerHandlers.cpp
@@ -170,6 +170,11 @@
             auto received = readRequest(exchange);
             if (!received)
                 return;
+            auto headers = forwardedHeaders(exchange.request);
+            if (const auto* failure = std::get_if<Failure>(&headers)) {
+                exchange.sendFailure(*failure);
+                return;
+            }
             ServiceCallRequest call;
             call.work.body = std::move(received->body);
             if (!splitServicePath(exchange.request.getURI(), call.work)) {
@@ -179,7 +184,7 @@
             call.budget = received->caller.budget;
             call.work.team = received->caller.team;
             call.work.method = exchange.request.getMethod();
-            call.work.headers = forwardedHeaders(exchange.request);
+            call.work.headers = std::get<std::vector<Header>>(std::move(headers));
             call.work.key = IdempotencyKey(exchange.request.get("Idempotency-Key", ""));
             call.work.fingerprint = fingerprintOf(call.work);
             call.request = exchange.openRing(singleMessageRingCapacity);
--- a/src/adapters/http/ServiceHeaders.cpp
+++ b/src/adapters/http/ServiceHeaders.cpp
@@ -1,5 +1,7 @@
 #include "adapters/http/ServiceHeaders.h"
 
+#include "ports/HeaderText.h"
+
 #include <Poco/String.h>
 
 #include <algorithm>
@@ -34,12 +36,16 @@
 
 }
 
-std::vector<Header> forwardedHeaders(const Poco::Net::HTTPServerRequest& request)
+Outcome<std::vector<Header>> forwardedHeaders(const Poco::Net::HTTPServerRequest& request)
 {
     std::vector<Header> headers;
-    for (const auto& [name, value] : request)
+    for (const auto& [name, value] : request) {
+        // POCO decodes the encoded words of RFC 2047, which may contain line ends.
+        if (!isHeaderValue(value))
+            return Failure { ErrorCode::BadRequest, "a header value contains control characters", Executed::No };
         if (isForwarded(name))
             headers.push_back({ name, value });
+    }
     return headers;
 }
 
--- a/src/adapters/traffic/HttpHeads.cpp
+++ b/src/adapters/traffic/HttpHeads.cpp
@@ -1,5 +1,7 @@
 #include "adapters/traffic/HttpHeads.h"
 
+#include "ports/HeaderText.h"
+
 #include <algorithm>
 #include <array>
 #include <cctype>
@@ -28,14 +30,6 @@
         return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
     }
 
-    bool hasControl(std::string_view text)
-    {
-        return std::any_of(text.begin(), text.end(), [](char character) {
-            const auto code = static_cast<unsigned char>(character);
-            return (code < 0x20 && character != '\t') || code == 0x7f;
-        });
-    }
-
     std::string_view trimmed(std::string_view text)
     {
         const std::size_t first = text.find_first_not_of(" \t");
@@ -59,7 +53,7 @@
         if (colon == std::string_view::npos || !isToken(line.substr(0, colon)))
             return std::nullopt;
         const std::string_view value = trimmed(line.substr(colon + 1));
-        if (hasControl(value))
+        if (!isHeaderValue(value))
             return std::nullopt;
         return HeaderField { std::string(line.substr(0, colon)), std::string(value) };
     }
@@ -89,7 +83,7 @@
         const std::string_view target = line.substr(first + 1, last - first - 1);
         const std::string_view version = line.substr(last + 1);
         const bool isPlainTarget
-            = target.starts_with('/') && target.find(' ') == std::string_view::npos && !hasControl(target);
+            = target.starts_with('/') && target.find(' ') == std::string_view::npos && isHeaderValue(target);
         if (!isToken(method) || !isPlainTarget || (version != "HTTP/1.1" && version != "HTTP/1.0"))
             return std::nullopt;
         return RequestHead { std::string(method), std::string(target), version == "HTTP/1.0", {} };
@@ -101,7 +95,7 @@
         constexpr std::size_t versionSize = std::string_view("HTTP/1.1 ").size();
         constexpr std::size_t statusSize = 3;
         const bool isKnownVersion = line.starts_with("HTTP/1.1 ") || line.starts_with("HTTP/1.0 ");
-        if (!isKnownVersion || line.size() < versionSize + statusSize || hasControl(line))
+        if (!isKnownVersion || line.size() < versionSize + statusSize || !isHeaderValue(line))
             return std::nullopt;
         const std::string_view digits = line.substr(versionSize, statusSize);
         const std::string_view rest = line.substr(versionSize + statusSize);
--- a/test/error/EncodedHeaderValuesStayEncoded.cpp
+++ b/test/error/EncodedHeaderValuesStayEncoded.cpp
@@ -1,4 +1,6 @@
+#include "adapters/engine/PlainServiceClient.h"
 #include "adapters/traffic/HttpHeads.h"
+#include "support/CallerServerHarness.h"
 #include "support/RawServer.h"
 #include "support/TrafficHarness.h"
 
@@ -113,3 +115,48 @@
         CHECK(countLines(heads[0]) == 9);
     }
 }
+
+// Guards against callers of an entry who add fields and requests of their choice to what a service receives.
+TEST_CASE("An entry refuses a service call with a value whose decoded form contains line ends")
+{
+    for (const std::string value : { encodedValues[0], encodedValues[1], encodedValues[2], encodedValues[3] }) {
+        CAPTURE(value);
+        CallerServerHarness harness;
+        auto caller = harness.sendRaw("POST /services/register/1 HTTP/1.1\r\nHost: entry\r\nTeaselfold-Team: team\r\n"
+                                      "Idempotency-Key: k\r\nContent-Length: 0\r\nX-Note: "
+            + value + "\r\n\r\n");
+        const auto submitted = harness.router.popUntil(std::chrono::steady_clock::now() + Milliseconds(300));
+        CHECK_FALSE(submitted.has_value());
+        if (!submitted)
+            CHECK(CallerServerHarness::readUntilClosed(caller).starts_with("HTTP/1.1 400"));
+    }
+}
+
+// Guards against a service whose encoded value splits the answer of an entry's caller.
+TEST_CASE("A service's answer with a value whose decoded form contains line ends is not relayed")
+{
+    for (const std::string value : { encodedValues[0], encodedValues[1], encodedValues[2], encodedValues[3] }) {
+        CAPTURE(value);
+        RawServer service([&](RawServer::Connection& connection) {
+            connection.readHead();
+            connection.send("HTTP/1.1 200 OK\r\nX-Subject: " + value + "\r\nContent-Length: 4\r\n\r\nbody");
+        });
+        Ring<ServiceEvent> events(1);
+        const auto client = PlainServiceClientBuilder()
+                                .withAddress(service.address())
+                                .withWorkers(1)
+                                .withSink([&](const ServiceEvent& event) { events.push(event); })
+                                .build();
+        ServiceForward call;
+        call.budget = Seconds(5);
+        call.work.method = "POST";
+        call.work.path = "/1";
+        REQUIRE(client->submit(call));
+        const auto event = events.popUntil(std::chrono::steady_clock::now() + Seconds(10));
+        client->stop();
+        REQUIRE(event);
+        const auto* failed = std::get_if<ServiceCallFailed>(&*event);
+        REQUIRE(failed);
+        CHECK(failed->run == Executed::Unknown);
+    }
+}
