--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -62,7 +62,7 @@
     return different;
 }
 
-std::vector<EndpointId> EndpointDirectory::replaceAll(
+DirectoryChange EndpointDirectory::replaceAll(
     const std::vector<EndpointRecord>& records, std::optional<Instant> graceUntil, Instant now)
 {
     std::set<EndpointId> present;
@@ -76,13 +76,13 @@
     return this->applyChanges(changes, graceUntil, now);
 }
 
-std::vector<EndpointId> EndpointDirectory::applyChanges(
+DirectoryChange EndpointDirectory::applyChanges(
     const EndpointsChanged& changes, std::optional<Instant> graceUntil, Instant now)
 {
-    std::vector<EndpointId> draining;
+    DirectoryChange change;
     for (const EndpointRecord& record : changes.changed) {
         if (this->applyRecord(record, now))
-            draining.push_back(record.id);
+            change.leaving.push_back(record.id);
     }
     for (const EndpointId& id : changes.removed) {
         const auto found = this->endpoints.find(id);
@@ -90,13 +90,14 @@
             continue;
         if (graceUntil && !found->second.record.isDraining) {
             found->second.removalDueAt = graceUntil;
+            change.kept.push_back(id);
             continue;
         }
         if (!found->second.record.isDraining)
-            draining.push_back(id);
+            change.leaving.push_back(id);
         this->endpoints.erase(found);
     }
-    return draining;
+    return change;
 }
 
 std::vector<EndpointId> EndpointDirectory::expire(Instant now)
--- a/src/core/gateway/EndpointDirectory.h
+++ b/src/core/gateway/EndpointDirectory.h
@@ -40,6 +40,14 @@
     std::deque<Instant> sentWhileCold;
 };
 
+/** What a change of the endpoints' records did to the endpoints in use. */
+struct DirectoryChange {
+    /** Endpoints that began to drain or were removed. */
+    std::vector<EndpointId> leaving;
+    /** Endpoints without a record that are kept until the grace period ends. */
+    std::vector<EndpointId> kept;
+};
+
 /** The endpoints of all services, their load and health, and which of them may receive requests. */
 class EndpointDirectory {
 public:
@@ -55,17 +63,14 @@
     /**
      * Replaces all records.
      * @param graceUntil time until which endpoints without a record are kept; unset to remove them at once.
-     * @return the endpoints that began to drain or were removed.
      */
-    std::vector<EndpointId> replaceAll(
+    DirectoryChange replaceAll(
         const std::vector<EndpointRecord>& records, std::optional<Instant> graceUntil, Instant now);
     /**
      * Applies changes of single records.
      * @param graceUntil time until which endpoints without a record are kept; unset to remove them at once.
-     * @return the endpoints that began to drain or were removed.
      */
-    std::vector<EndpointId> applyChanges(
-        const EndpointsChanged& changes, std::optional<Instant> graceUntil, Instant now);
+    DirectoryChange applyChanges(const EndpointsChanged& changes, std::optional<Instant> graceUntil, Instant now);
     /** Removes endpoints whose grace period is over. @return the removed endpoints. */
     std::vector<EndpointId> expire(Instant now);
     void setZonesOutOfService(std::set<ZoneId> zones) { this->zonesOutOfService = std::move(zones); }
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -18,6 +18,13 @@
         return shared;
     }
 
+    void logKeptEndpoints(const std::vector<EndpointId>& kept, Duration grace, GatewayActions& actions)
+    {
+        for (const EndpointId& endpoint : kept)
+            actions.emplace_back(LogEvent { "endpoint_kept",
+                { { "endpoint", endpoint.get() }, { "grace_ms", Internal::millisecondsText(grace) } } });
+    }
+
 }
 
 struct Gateway::Handlers {
@@ -148,7 +155,9 @@
 {
     const auto graceUntil = this->state.freshness.reregistrationGraceEnd(StoreSection::Endpoints, now);
     this->store.contentChanged(StoreSection::Endpoints);
-    this->drainEndpoints(this->state.endpoints.replaceAll(event.endpoints, graceUntil, now), now, actions);
+    const DirectoryChange change = this->state.endpoints.replaceAll(event.endpoints, graceUntil, now);
+    this->drainEndpoints(change.leaving, now, actions);
+    logKeptEndpoints(change.kept, graceUntil.value_or(now) - now, actions);
 }
 
 void Gateway::endpointsChanged(const EndpointsChanged& event, Instant now, GatewayActions& actions)
@@ -160,7 +169,9 @@
 void Gateway::applyEndpointChanges(const EndpointsChanged& changes, Instant now, GatewayActions& actions)
 {
     const auto graceUntil = this->state.freshness.reregistrationGraceEnd(StoreSection::Endpoints, now);
-    this->drainEndpoints(this->state.endpoints.applyChanges(changes, graceUntil, now), now, actions);
+    const DirectoryChange change = this->state.endpoints.applyChanges(changes, graceUntil, now);
+    this->drainEndpoints(change.leaving, now, actions);
+    logKeptEndpoints(change.kept, graceUntil.value_or(now) - now, actions);
 }
 
 void Gateway::outOfServiceZonesRead(const OutOfServiceZonesRead& event, Instant, GatewayActions& actions)
