Count only a gateway's own readings as an outage of the store

Cause: after an outage of the store, endpoints whose records expired have two seconds to register again. A reader took 500 ms of failed calls of its own for such an outage and announced the rest of its grace period; the others applied it. endpoint_kept shows it: kept for 1,870 ms, 1,353 ms after the removal.

Ruled out: late news of the removal (1.35 s, within the bound), requests under way (the endpoint was a candidate throughout).

Change: an outage is a time of 1.7 s without readings at this gateway, without the time for which it was suspended; a takeover begins with a read that the store does not hold, so it is shorter; records that disappear before they can expire were deleted; a repeated removal extends nothing.

--- a/src/adapters/peers/ReadingCodec.cpp
+++ b/src/adapters/peers/ReadingCodec.cpp
@@ -41,8 +41,7 @@
         const auto encodedChanges = changes ? encodeChanges(builder, *changes) : 0;
         const auto root = peerwire::CreateReading(builder, reader, static_cast<std::uint8_t>(reading.section),
             reading.previousChange.get(), reading.lastChange.get(), reading.completeUpTo.get(),
-            reading.asOf.time_since_epoch().count(), static_cast<std::uint32_t>(reading.graceRemaining.count()),
-            encodedChanges);
+            reading.asOf.time_since_epoch().count(), encodedChanges);
         builder.Finish(root, peerwire::ReadingIdentifier());
         return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
     }
@@ -97,7 +96,6 @@
     reading.lastChange = StoreVersion(root->last_change());
     reading.completeUpTo = StoreVersion(root->complete_up_to());
     reading.asOf = StoreTime(Milliseconds(root->as_of_ms()));
-    reading.graceRemaining = Milliseconds(root->grace_ms());
     if (root->changes())
         reading.changes = decodeChanges(*root->changes());
     return reading;
--- a/src/adapters/peers/Readings_generated.h
+++ b/src/adapters/peers/Readings_generated.h
@@ -254,7 +254,6 @@
     VT_LAST_CHANGE = 10,
     VT_COMPLETE_UP_TO = 12,
     VT_AS_OF_MS = 14,
-    VT_GRACE_MS = 16,
     VT_CHANGES = 18
   };
   const flatbuffers::String *reader() const {
@@ -275,9 +274,6 @@
   int64_t as_of_ms() const {
     return GetField<int64_t>(VT_AS_OF_MS, 0);
   }
-  uint32_t grace_ms() const {
-    return GetField<uint32_t>(VT_GRACE_MS, 0);
-  }
   const teaselfold::peerwire::Changes *changes() const {
     return GetPointer<const teaselfold::peerwire::Changes *>(VT_CHANGES);
   }
@@ -290,7 +286,6 @@
            VerifyField<uint64_t>(verifier, VT_LAST_CHANGE, 8) &&
            VerifyField<uint64_t>(verifier, VT_COMPLETE_UP_TO, 8) &&
            VerifyField<int64_t>(verifier, VT_AS_OF_MS, 8) &&
-           VerifyField<uint32_t>(verifier, VT_GRACE_MS, 4) &&
            VerifyOffset(verifier, VT_CHANGES) &&
            verifier.VerifyTable(changes()) &&
            verifier.EndTable();
@@ -319,9 +314,6 @@
   void add_as_of_ms(int64_t as_of_ms) {
     fbb_.AddElement<int64_t>(Reading::VT_AS_OF_MS, as_of_ms, 0);
   }
-  void add_grace_ms(uint32_t grace_ms) {
-    fbb_.AddElement<uint32_t>(Reading::VT_GRACE_MS, grace_ms, 0);
-  }
   void add_changes(flatbuffers::Offset<teaselfold::peerwire::Changes> changes) {
     fbb_.AddOffset(Reading::VT_CHANGES, changes);
   }
@@ -344,7 +336,6 @@
     uint64_t last_change = 0,
     uint64_t complete_up_to = 0,
     int64_t as_of_ms = 0,
-    uint32_t grace_ms = 0,
     flatbuffers::Offset<teaselfold::peerwire::Changes> changes = 0) {
   ReadingBuilder builder_(_fbb);
   builder_.add_as_of_ms(as_of_ms);
@@ -352,7 +343,6 @@
   builder_.add_last_change(last_change);
   builder_.add_previous_change(previous_change);
   builder_.add_changes(changes);
-  builder_.add_grace_ms(grace_ms);
   builder_.add_reader(reader);
   builder_.add_section(section);
   return builder_.Finish();
@@ -366,7 +356,6 @@
     uint64_t last_change = 0,
     uint64_t complete_up_to = 0,
     int64_t as_of_ms = 0,
-    uint32_t grace_ms = 0,
     flatbuffers::Offset<teaselfold::peerwire::Changes> changes = 0) {
   auto reader__ = reader ? _fbb.CreateString(reader) : 0;
   return teaselfold::peerwire::CreateReading(
@@ -377,7 +366,6 @@
       last_change,
       complete_up_to,
       as_of_ms,
-      grace_ms,
       changes);
 }
 
--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -88,6 +88,8 @@
         const auto found = this->endpoints.find(id);
         if (found == this->endpoints.end())
             continue;
+        if (found->second.removalDueAt)
+            continue;
         if (graceUntil && !found->second.record.isDraining) {
             found->second.removalDueAt = graceUntil;
             change.kept.push_back(id);
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+    /** Time between two events or ticks after which the process must have been suspended. */
+    constexpr Milliseconds suspensionThreshold(1000);
     /** Keeps the datagrams within one Ethernet frame. */
     constexpr std::size_t maxSentSuspects = 16;
 
@@ -53,6 +55,7 @@
 GatewayActions Gateway::handle(const GatewayEvent& event, Instant now)
 {
     GatewayActions actions;
+    this->noticeSuspension(now, actions);
     Handlers::events().dispatch(*this, event, now, actions);
     return actions;
 }
@@ -60,6 +63,7 @@
 GatewayActions Gateway::tick(Instant now)
 {
     GatewayActions actions;
+    this->noticeSuspension(now, actions);
     this->drainEndpoints(this->state.endpoints.expire(now), now, actions);
     this->state.quarantine.expire(now);
     this->state.crashDetector.expire(now);
@@ -74,6 +78,15 @@
     return actions;
 }
 
+void Gateway::noticeSuspension(Instant now, GatewayActions& actions)
+{
+    const Instant lastActive = std::exchange(this->lastActiveAt, now).value_or(now);
+    if (now - lastActive < suspensionThreshold)
+        return;
+    this->state.freshness.recordSuspension(lastActive, now);
+    actions.emplace_back(LogEvent { "suspended", { { "time_ms", Internal::millisecondsText(now - lastActive) } } });
+}
+
 void Gateway::advanceStop(Instant now)
 {
     const auto& stopRequestedAt = this->state.stopRequestedAt;
--- a/src/core/gateway/Gateway.h
+++ b/src/core/gateway/Gateway.h
@@ -66,6 +66,8 @@
     void logQuarantinedParts(GatewayActions& actions);
     void stopRequested(const GatewayStopRequested& event, Instant now, GatewayActions& actions);
     void applyEndpointChanges(const EndpointsChanged& changes, Instant now, GatewayActions& actions);
+    /** Takes note of the time for which the process did not run before this event or tick. */
+    void noticeSuspension(Instant now, GatewayActions& actions);
     /** Completes a requested stop once nothing is in progress. */
     void advanceStop(Instant now);
     /** Starts to migrate the streams of endpoints that drain or were removed. */
@@ -77,6 +79,8 @@
     ExchangeDispatcher exchanges;
     GossipComposer gossip;
     StoreSynchronizer store;
+    /** Time of the last event or tick; unset before the first. */
+    std::optional<Instant> lastActiveAt;
 };
 
 }
--- a/src/core/gateway/StoreFreshness.cpp
+++ b/src/core/gateway/StoreFreshness.cpp
@@ -4,33 +4,23 @@
 
 namespace teaselfold {
 
-void StoreFreshness::recordSuccess(StoreSection section, Instant readStartedAt, Instant now)
+bool StoreFreshness::isOutage(const SectionState& state, Instant nextReadingAt) const
 {
-    SectionState& state = this->stateOf(section);
-    if (!state.asOf || readStartedAt > *state.asOf)
-        state.asOf = readStartedAt;
-    if (state.failingSince && now - *state.failingSince >= this->limits.outageThreshold)
-        state.graceUntil = now + this->limits.reregistrationGrace;
-    state.failingSince.reset();
+    if (!state.asOf)
+        return false;
+    const Duration suspendedTime = std::min(nextReadingAt, this->lastSuspension.endedAt)
+        - std::max(*state.asOf, this->lastSuspension.beganAt);
+    return nextReadingAt - *state.asOf - std::max(suspendedTime, Duration::zero()) >= this->limits.outageThreshold;
 }
 
-void StoreFreshness::recordAnnouncement(StoreSection section, Instant asOf, Milliseconds graceRemaining, Instant now)
+void StoreFreshness::recordReading(StoreSection section, Instant asOf, Instant now)
 {
     SectionState& state = this->stateOf(section);
-    if (graceRemaining > Milliseconds(0))
-        state.graceUntil = std::max(state.graceUntil.value_or(now), now + graceRemaining);
-    // An announcement from before a failure does not show that the store is back.
-    const bool isOlderThanFailure = state.failingSince && asOf <= *state.failingSince;
-    if (isOlderThanFailure || (state.asOf && asOf <= *state.asOf))
+    if (state.asOf && asOf <= *state.asOf)
         return;
-    this->recordSuccess(section, asOf, now);
-}
-
-void StoreFreshness::recordFailure(StoreSection section, Instant now)
-{
-    SectionState& state = this->stateOf(section);
-    if (!state.failingSince)
-        state.failingSince = now;
+    if (this->isOutage(state, asOf))
+        state.lastOutage = Interval { *state.asOf, now };
+    state.asOf = asOf;
 }
 
 std::optional<Duration> StoreFreshness::age(StoreSection section, Instant now) const
@@ -50,12 +40,12 @@
 std::optional<Instant> StoreFreshness::reregistrationGraceEnd(StoreSection section, Instant now) const
 {
     const SectionState& state = this->stateOf(section);
-    // What is read first after an outage is handled before the read is recorded as a success.
-    if (state.failingSince && now - *state.failingSince >= this->limits.outageThreshold)
-        return now + this->limits.reregistrationGrace;
-    if (!state.graceUntil || *state.graceUntil <= now)
+    // What is read first after an outage is handled before the read is recorded.
+    const auto outage = this->isOutage(state, now) ? std::optional(Interval { *state.asOf, now }) : state.lastOutage;
+    if (!outage || now < outage->beganAt + this->limits.minRecordExpiry)
         return std::nullopt;
-    return state.graceUntil;
+    const Instant graceEnd = outage->endedAt + this->limits.reregistrationGrace;
+    return graceEnd > now ? std::optional(graceEnd) : std::nullopt;
 }
 
 }
--- a/src/core/gateway/StoreSynchronizer.cpp
+++ b/src/core/gateway/StoreSynchronizer.cpp
@@ -82,7 +82,7 @@
         asOf = std::max(asOf, this->storeClock.toLocal(*event.storeTime, now).value_or(asOf));
         state.asOf = std::max(state.asOf, *event.storeTime);
     }
-    this->freshness.recordSuccess(event.section, asOf, now);
+    this->freshness.recordReading(event.section, asOf, now);
     state.isReading = false;
     state.lastReadFailed = false;
     state.retryDelay = Milliseconds(0);
@@ -109,7 +109,6 @@
 void StoreSynchronizer::readFailed(const StoreReadFailed& event, Instant now, GatewayActions& actions)
 {
     SectionState& state = this->stateOf(event.section);
-    this->freshness.recordFailure(event.section, now);
     state.isReading = false;
     state.lastReadFailed = true;
     state.changedInRead = false;
@@ -150,7 +149,7 @@
         state.lastChange = std::max(state.lastChange, reading.lastChange);
         state.completeUpTo = std::max(*state.completeUpTo, reading.completeUpTo);
         state.asOf = std::max(state.asOf, reading.asOf);
-        this->freshness.recordAnnouncement(reading.section, *asOf, reading.graceRemaining, now);
+        this->freshness.recordReading(reading.section, *asOf, now);
     } else if (reading.lastChange > state.announcedChange) {
         state.announcedChange = reading.lastChange;
         state.announcedAt = now;
@@ -163,10 +162,12 @@
 void StoreSynchronizer::startRead(StoreSection section, Instant now, GatewayActions& actions)
 {
     SectionState& state = this->stateOf(section);
+    const bool takesOver = state.followsUntil > state.readStartedAt;
     state.isReading = true;
     state.readStartedAt = now;
-    // Only a read that finds nothing to catch up with may wait for changes; after a failure it probes the store.
-    const bool mayWait = !isBehind(state) && !state.lastReadFailed;
+    // Only a read that finds nothing to catch up with may wait for changes. After a failure, and when this gateway takes
+    // over from a silent one, it probes the store.
+    const bool mayWait = !isBehind(state) && !state.lastReadFailed && !takesOver;
     actions.emplace_back(
         ReadStore { section, state.completeUpTo, mayWait ? scheduleOf(section).longPollTimeout : Milliseconds(0) });
 }
@@ -188,10 +189,8 @@
     if (isFollowing(state, now) || receivers.empty() || isBehind(state))
         return;
     state.nextAnnouncementAt = now + scheduleOf(section).announcementInterval;
-    const auto graceEnd = this->freshness.reregistrationGraceEnd(section, now);
-    const auto grace = graceEnd ? std::chrono::ceil<Milliseconds>(*graceEnd - now) : Milliseconds(0);
     actions.emplace_back(SendReading { { this->self.instance, section, state.previousChange, state.lastChange,
-                                           *state.completeUpTo, state.asOf, grace, state.lastChanges },
+                                           *state.completeUpTo, state.asOf, state.lastChanges },
         std::move(receivers) });
 }
 
--- a/src/ports/GatewayLimits.h
+++ b/src/ports/GatewayLimits.h
@@ -14,8 +14,14 @@
     Milliseconds maxDenialStaleness { 1800 };
     /** Time after an outage of the store in which endpoints re-register expired records. Guaranteed by the platform. */
     Milliseconds reregistrationGrace { 2000 };
-    /** Reads that fail for this long mean an outage of the store; a single lost response does not. */
-    Milliseconds outageThreshold { 500 };
+    /** Time without readings that counts as an outage; longer than the takeover of a silent reader by another one. */
+    Milliseconds outageThreshold { 1700 };
+    /**
+     * Shortest time from the beginning of an outage to the expiry of a record: the platform removes it after three missed
+     * heartbeats, the first of which may have been due when the outage began. A record that disappears earlier was
+     * deleted.
+     */
+    Milliseconds minRecordExpiry { 2000 };
     /** Retries per new request: the platform's ratio minus a margin for requests counted in another window. */
     double retryBudgetRatio { 0.15 };
     /** Retries per window that all gateways together may send regardless of traffic. From the settings. */
--- a/src/ports/StoreReadings.h
+++ b/src/ports/StoreReadings.h
@@ -81,8 +81,6 @@
     StoreVersion completeUpTo;
     /** Time of the store's clock at which the section was in this state. */
     StoreTime asOf;
-    /** Remaining time in which endpoints re-register after an outage of the store; zero outside such a period. */
-    Milliseconds graceRemaining { 0 };
     /** The changes made by `lastChange`; unset if they must be read from the store. */
     std::optional<EndpointsChanged> changes;
 
--- a/test/correctness/ReadingsRoundTrip.cpp
+++ b/test/correctness/ReadingsRoundTrip.cpp
@@ -11,7 +11,7 @@
 StoreReading sampleReading(std::size_t endpoints)
 {
     StoreReading reading { GatewayId("edge-1"), StoreSection::Endpoints, StoreVersion(7), StoreVersion(9),
-        StoreVersion(12), StoreTime(Milliseconds(123456)), Milliseconds(1500), EndpointsChanged {} };
+        StoreVersion(12), StoreTime(Milliseconds(123456)), EndpointsChanged {} };
     for (std::size_t index = 0; index < endpoints; ++index) {
         EndpointRecord record = GatewayScenario::engineEndpoint("i-" + std::to_string(index));
         record.coldRemaining = Milliseconds(800);
--- a/test/error/SharedReadingsAreNeverStale.cpp
+++ b/test/error/SharedReadingsAreNeverStale.cpp
@@ -175,7 +175,7 @@
     draining.isDraining = true;
     StoreReading reading { GatewayId("gateway-2"), StoreSection::Endpoints, StoreVersion(5), StoreVersion(20),
         StoreVersion(20), StoreTime(std::chrono::duration_cast<Milliseconds>(scenario.now().time_since_epoch())),
-        Milliseconds(0), EndpointsChanged { { draining }, {} } };
+        EndpointsChanged { { draining }, {} } };
     scenario.handle(StoreReadingReceived { reading });
     // This response was produced before the endpoint began to drain.
     scenario.handle(EndpointsChanged { { GatewayScenario::plainEndpoint("p4") }, {} });
--- a/test/support/StoreFleet.cpp
+++ b/test/support/StoreFleet.cpp
@@ -145,7 +145,7 @@
         const bool isAnswered = read.answerDueAt <= this->time
             && (!read.command.since || this->hasChanges(read.command) || elapsed >= read.command.longPollTimeout);
         if (!this->isStoreReachable(node)) {
-            if (elapsed >= storeTimeout)
+            if (this->resetsCalls || elapsed >= storeTimeout)
                 node.inbox.emplace_back(StoreReadFailed { read.command.section, "timeout" });
             else
                 node.reads.push_back(read);
--- a/test/support/StoreFleet.h
+++ b/test/support/StoreFleet.h
@@ -41,6 +41,8 @@
     // Faults. Gateways are addressed by their index.
     void setPaused(std::size_t gateway, bool paused);
     void setCutFromStore(std::size_t gateway, bool cut);
+    /** Calls to a store that cannot be reached fail at once instead of with a timeout. */
+    void setResetsCalls(bool resets) { this->resetsCalls = resets; }
     /** Ends the process without notice and starts a new one. */
     void restart(std::size_t gateway);
     void setStoreDown(bool down) { this->storeDown = down; }
@@ -118,6 +120,7 @@
     std::vector<GatewayMember> members;
     std::uint64_t membersVersion { 1 };
     bool storeDown { false };
+    bool resetsCalls { false };
     double lossShare { 0 };
     Milliseconds datagramDelay { 1 };
     std::size_t callCount { 0 };
