Read the list of instances past an odd element

One element of another form made the agent's list of instances unreadable as a whole, so the agent stopped following it: the report of other operators on a related path. Cause: the first odd element's exception ended the parsing. Change: such an element is left out.

--- a/src/adapters/platform/PlatformResponses.cpp
+++ b/src/adapters/platform/PlatformResponses.cpp
@@ -40,6 +40,18 @@
         }
     }
 
+    /** @return nothing for an element that another writer left in another form. */
+    std::optional<InstanceState> parseInstance(const Object::Ptr& element)
+    {
+        try {
+            if (!element)
+                return std::nullopt;
+            return InstanceState { element->getValue<std::string>("name"), element->getValue<bool>("leaving") };
+        } catch (const std::exception&) {
+            return std::nullopt;
+        }
+    }
+
     template <typename Visitor> void forEachObject(const Object& document, const std::string& list, Visitor visit)
     {
         const auto items = document.getArray(list);
@@ -85,10 +97,14 @@
 PlatformResult parseInstances(const std::string& body)
 {
     return unavailableOnException([&]() -> PlatformResult {
+        const auto elements = parseObject(body)->getArray("instances");
+        if (!elements)
+            return PlatformUnavailable {};
         InstanceList list;
-        forEachObject(*parseObject(body), "instances", [&](const Object& instance) {
-            list.instances.push_back({ instance.getValue<std::string>("name"), instance.getValue<bool>("leaving") });
-        });
+        for (unsigned index = 0; index < elements->size(); ++index) {
+            if (auto instance = parseInstance(elements->getObject(index)))
+                list.instances.push_back(std::move(*instance));
+        }
         return list;
     });
 }
--- a/src/adapters/platform/PlatformResponses.h
+++ b/src/adapters/platform/PlatformResponses.h
@@ -14,7 +14,7 @@
 PlatformResult parseRow(const std::string& body, const std::string& key);
 /** @param body an object with the list `rows`. */
 PlatformResult parseRows(const std::string& body);
-/** @param body an object with the list `instances`. */
+/** @param body an object with the list `instances`; an element in another form is left out. */
 PlatformResult parseInstances(const std::string& body);
 /** @param entityTag the value of an ETag header: a row's version in quotes. */
 PlatformResult parseEntityTag(const std::string& entityTag);
