Let a response without an id answer nothing on a kept connection

Callers saw: 503 or 429 ("not run") for requests that an endpoint ran, runs at a second endpoint after a foreign 421, and bodies of nobody's request as their success, when an endpoint wrote a further response without an id on a kept connection.

Cause: only an id that differs marked a response as foreign; a missing one counted as a match.

Ruled out: repeated refusals with the same id. A refused exchange closes its connection, and a request is sent to an endpoint once.

Change: on a connection that carried earlier requests, a response without an id is discarded and the request waits for its own; connections whose responses bear no id are not pooled.

--- a/src/adapters/traffic/EndpointConnections.cpp
+++ b/src/adapters/traffic/EndpointConnections.cpp
@@ -68,9 +68,13 @@
 
 void EndpointConnections::startExchange(const ExchangeParameters& parameters)
 {
-    const ConnectionId connection = this->acquireConnection(parameters.endpoint, parameters.address);
+    const CallerRequest* request = this->callers.find(parameters.request);
+    const bool canReuse = request && !request->callerRequestId.empty();
+    const ConnectionId connection = canReuse ? this->acquireConnection(parameters.endpoint, parameters.address)
+                                             : this->context.loop.connect(parameters.address, this->connectTimeout);
     const bool isNew = !this->channels.contains(connection);
     Channel& channel = this->channels[connection];
+    channel.isReused = !isNew;
     channel.endpoint = parameters.endpoint;
     channel.address = parameters.address;
     channel.parameters = parameters;
@@ -178,11 +182,12 @@
     if (channel.migration)
         return;
     const std::string responseTo = this->context.codec.responseRequestId(*channel.head);
-    channel.isStaleResponse = !responseTo.empty() && responseTo != channel.callerRequestId;
-    if (channel.isStaleResponse) {
-        channel.isReusable = false;
+    // Without an id, only the first response of a connection certainly belongs to the request in progress.
+    const bool isUnattributable = responseTo.empty() && channel.isReused;
+    channel.isStaleResponse = isUnattributable || (!responseTo.empty() && responseTo != channel.callerRequestId);
+    channel.isReusable = channel.isReusable && !channel.isStaleResponse && !responseTo.empty();
+    if (channel.isStaleResponse)
         return;
-    }
     channel.isStream = isEventStream(*channel.head);
     if (!channel.isStream)
         return;
--- a/src/adapters/traffic/EndpointConnections.h
+++ b/src/adapters/traffic/EndpointConnections.h
@@ -54,13 +54,15 @@
         ExchangeParameters parameters;
         std::optional<StartMigration> migration;
         std::string callerRequestId;
+        /** The connection carried earlier requests, to which further responses may come. */
+        bool isReused { false };
         Instant startedAt;
         Instant idleUntil;
         std::string inbound;
         std::optional<ResponseHead> head;
         std::optional<BodyDecoder> decoder;
         std::string body;
-        /** The response being read belongs to an earlier request and is discarded. */
+        /** The response being read belongs to an earlier request, or nothing tells to which, and is discarded. */
         bool isStaleResponse { false };
         /** Number of interim and stale responses since the request was sent. */
         std::size_t discardedHeads { 0 };
