Tell the end of a response from the end of its connection

Callers of an entry got 200 with an empty or short body when a service closed within its head or its chunks; a start cut within "HTTP/1.1 50" was reported as not run; a cut answer of the store or of the platform's table counted as a write that was done.

Cause: POCO takes the end of the connection for the end of a head and for the last chunk.

Change: BoundedSocket tells whether a read reached the end; receiveHead and receiveBody, which all clients now use, refuse a head or chunks that needed it and compare lengths.

--- a/apps/teaselfoldctl/AdminClient.cpp
+++ b/apps/teaselfoldctl/AdminClient.cpp
@@ -1,12 +1,12 @@
 #include "AdminClient.h"
 
 #include "adapters/fleet/DocumentReader.h"
+#include "adapters/net/BoundedResponse.h"
 
 #include <Poco/JSON/Parser.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/StreamCopier.h>
 
 #include <array>
 #include <iostream>
@@ -18,6 +18,7 @@
     constexpr Seconds connectTimeout(2);
     /** Exceeds the time limit after which an entry always answers a publish request. */
     constexpr Seconds replyTimeout(12);
+    constexpr std::size_t maxReplyBytes = std::size_t { 64 } * 1024 * 1024;
 
     Poco::JSON::Object::Ptr parseObject(const std::string& text)
     {
@@ -78,7 +79,11 @@
 std::optional<Reply> AdminClient::sendTo(const Address& entry, const Request& request) const
 {
     try {
-        Poco::Net::HTTPClientSession session(entry.host, entry.port);
+        BoundedSocket socket;
+        socket.beginExchange({ Instant::max(), maxReplyBytes });
+        Poco::Net::HTTPClientSession session(socket);
+        session.setHost(entry.host);
+        session.setPort(entry.port);
         session.setTimeout(Poco::Timespan(connectTimeout.count(), 0), Poco::Timespan(replyTimeout.count(), 0),
             Poco::Timespan(replyTimeout.count(), 0));
         Poco::Net::HTTPRequest message(request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1);
@@ -88,8 +93,13 @@
         session.sendRequest(message) << request.body;
         Poco::Net::HTTPResponse response;
         Reply reply;
-        std::istream& body = session.receiveResponse(response);
-        Poco::StreamCopier::copyToString(body, reply.body);
+        std::istream& body = receiveHead(session, socket, response);
+        const auto append = [&](std::string_view bytes) {
+            reply.body.append(bytes);
+            return true;
+        };
+        if (!receiveBody(body, socket, response, append))
+            return std::nullopt;
         reply.status = static_cast<std::uint16_t>(response.getStatus());
         reply.json = parseObject(reply.body);
         return reply;
--- a/src/adapters/engine/EngineClient.cpp
+++ b/src/adapters/engine/EngineClient.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/engine/EngineDocuments.h"
 #include "adapters/engine/HttpConnection.h"
+#include "adapters/net/BoundedResponse.h"
 #include "core/common/Check.h"
 
 #include <Poco/Exception.h>
@@ -122,9 +123,9 @@
 void EngineClient::readStream(const StreamJob& job)
 {
     const bool isStart = std::holds_alternative<EngineStart>(job.command);
-    const auto session
+    const auto connection
         = Internal::openConnection(this->options.address, this->options.timeout, this->options.timeout, Instant::max());
-    if (!session) {
+    if (!connection) {
         // Without a connection nothing was sent, so the engine did not run the start.
         if (isStart)
             this->emitIfCurrent(job, EngineRefused { job.generation, "no connection" });
@@ -132,11 +133,11 @@
             this->emitIfCurrent(job, EngineStreamLost { job.generation });
         return;
     }
-    if (!this->registry.attach(job.generation, job.number, *session))
+    if (!this->registry.attach(job.generation, job.number, connection->session))
         return;
     try {
-        this->sendRequest(job, *session);
-        this->receiveResponse(job, *session);
+        this->sendRequest(job, connection->session);
+        this->receiveResponse(job, *connection);
     } catch (const Poco::Exception&) {
         this->emitIfCurrent(job, EngineStreamLost { job.generation });
     }
@@ -167,10 +168,10 @@
     out.flush();
 }
 
-void EngineClient::receiveResponse(const StreamJob& job, HTTPClientSession& session)
+void EngineClient::receiveResponse(const StreamJob& job, Internal::EngineSession& connection)
 {
     HTTPResponse response;
-    std::istream& stream = session.receiveResponse(response);
+    std::istream& stream = receiveHead(connection.session, connection.socket, response);
     const int status = response.getStatus();
     if (status == statusOk) {
         this->receiveLines(job, stream);
--- a/src/adapters/engine/EngineClient.h
+++ b/src/adapters/engine/EngineClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/engine/HttpConnection.h"
 #include "adapters/engine/StreamRegistry.h"
 #include "ports/AgentInterfaces.h"
 #include "runtime/Ring.h"
@@ -61,7 +62,7 @@
     void runPolls();
     void readStream(const StreamJob& job);
     void sendRequest(const StreamJob& job, Poco::Net::HTTPClientSession& session) const;
-    void receiveResponse(const StreamJob& job, Poco::Net::HTTPClientSession& session);
+    void receiveResponse(const StreamJob& job, Internal::EngineSession& connection);
     void receiveLines(const StreamJob& job, std::istream& stream);
     /** Sends an event to the sink, or drops it if the job's stream was aborted or replaced. */
     void emitIfCurrent(const StreamJob& job, const EngineEvent& event);
--- a/src/adapters/engine/HttpConnection.cpp
+++ b/src/adapters/engine/HttpConnection.cpp
@@ -1,18 +1,16 @@
 #include "adapters/engine/HttpConnection.h"
 
-#include "adapters/net/BoundedSocket.h"
+#include "adapters/net/BoundedResponse.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/SocketAddress.h>
-#include <Poco/StreamCopier.h>
 
 #include <sstream>
 
 namespace teaselfold::Internal {
 
-using Poco::Net::HTTPClientSession;
 using Poco::Net::HTTPRequest;
 using Poco::Net::HTTPResponse;
 
@@ -28,7 +26,7 @@
     return Poco::Timespan(std::chrono::duration_cast<Microseconds>(time).count());
 }
 
-std::unique_ptr<HTTPClientSession> openConnection(
+std::unique_ptr<EngineSession> openConnection(
     const Address& address, Milliseconds connectTimeout, Milliseconds receiveTimeout, Instant deadline)
 {
     try {
@@ -38,10 +36,10 @@
         socket.setSendTimeout(toTimespan(receiveTimeout));
         socket.setReceiveTimeout(toTimespan(receiveTimeout));
         socket.beginExchange({ deadline, maxResponseBytes });
-        auto session = std::make_unique<HTTPClientSession>(socket);
-        session->setTimeout(toTimespan(receiveTimeout));
-        session->setKeepAlive(false);
-        return session;
+        auto connection = std::make_unique<EngineSession>(socket);
+        connection->session.setTimeout(toTimespan(receiveTimeout));
+        connection->session.setKeepAlive(false);
+        return connection;
     } catch (const Poco::Exception&) {
         return nullptr;
     }
@@ -50,9 +48,9 @@
 HttpExchangeResult exchange(const Address& address, Milliseconds timeout, const std::string& method,
     const std::string& path, const std::string& body)
 {
-    const auto session
+    const auto connection
         = openConnection(address, timeout, timeout, std::chrono::steady_clock::now() + timeout + timeout);
-    if (!session)
+    if (!connection)
         return {};
     try {
         HTTPRequest request(method, path, HTTPRequest::HTTP_1_1);
@@ -60,12 +58,15 @@
         if (!body.empty())
             request.setContentType("application/json");
         request.setContentLength(static_cast<std::streamsize>(body.size()));
-        session->sendRequest(request) << body;
+        connection->session.sendRequest(request) << body;
         HTTPResponse response;
-        std::istream& stream = session->receiveResponse(response);
+        std::istream& stream = receiveHead(connection->session, connection->socket, response);
         HttpExchangeResult result { true, static_cast<std::uint16_t>(response.getStatus()), {} };
-        Poco::StreamCopier::copyToString(stream, result.body);
-        return result;
+        const auto append = [&](std::string_view bytes) {
+            result.body.append(bytes);
+            return true;
+        };
+        return receiveBody(stream, connection->socket, response, append) ? result : HttpExchangeResult {};
     } catch (const Poco::Exception&) {
         return {};
     }
--- a/src/adapters/engine/HttpConnection.h
+++ b/src/adapters/engine/HttpConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/net/BoundedSocket.h"
 #include "ports/Fleet.h"
 #include "ports/Time.h"
 
@@ -13,6 +14,19 @@
 /** @return the duration as a POCO time span. */
 Poco::Timespan toTimespan(Milliseconds time);
 
+/** A connection for one request. */
+struct EngineSession {
+    explicit EngineSession(const BoundedSocket& socket)
+        : socket(socket)
+        , session(socket)
+    {
+    }
+
+    /** The socket of the session, which shares its budget. */
+    BoundedSocket socket;
+    Poco::Net::HTTPClientSession session;
+};
+
 /**
  * Opens a connection for one request.
  * @param connectTimeout limit of the connection attempt.
@@ -20,7 +34,7 @@
  * @param deadline limit of the whole response; the bytes of a response are limited in any case.
  * @return the session; null if the connection could not be established, and then nothing was sent.
  */
-std::unique_ptr<Poco::Net::HTTPClientSession> openConnection(
+std::unique_ptr<EngineSession> openConnection(
     const Address& address, Milliseconds connectTimeout, Milliseconds receiveTimeout, Instant deadline);
 
 /** The outcome of one HTTP exchange. */
--- a/src/adapters/engine/PlainServiceClient.cpp
+++ b/src/adapters/engine/PlainServiceClient.cpp
@@ -1,6 +1,7 @@
 #include "adapters/engine/PlainServiceClient.h"
 
 #include "adapters/engine/HttpConnection.h"
+#include "adapters/net/BoundedResponse.h"
 #include "core/common/Check.h"
 #include "ports/HeaderText.h"
 
@@ -22,7 +23,6 @@
 
     constexpr Milliseconds connectTimeout { 1000 };
     constexpr std::size_t maxResponseBytes = std::size_t { 16 } * 1024 * 1024;
-    constexpr std::size_t readChunkBytes = std::size_t { 16 } * 1024;
 
     /** Headers that are not forwarded: hop-by-hop headers (RFC 9110, section 7.6.1) and those set by the client. */
     constexpr std::array excludedHeaders { "connection", "keep-alive", "proxy-connection", "proxy-authenticate",
@@ -49,27 +49,17 @@
         out.flush();
     }
 
-    /** @return false when the body exceeds the size limit, misses the deadline or is truncated. */
-    bool readBody(std::istream& stream, const HTTPResponse& response, Instant deadline, std::string& body)
-    {
-        std::vector<char> chunk(readChunkBytes);
-        while (stream.read(chunk.data(), static_cast<std::streamsize>(chunk.size())) || stream.gcount() > 0) {
-            body.append(chunk.data(), static_cast<std::size_t>(stream.gcount()));
-            if (body.size() > maxResponseBytes || std::chrono::steady_clock::now() >= deadline)
-                return false;
-        }
-        const bool lengthKnown = response.hasContentLength();
-        return !stream.bad()
-            && (!lengthKnown || body.size() == static_cast<std::size_t>(response.getContentLength64()));
-    }
-
-    ServiceEvent readResponse(Poco::Net::HTTPClientSession& session, const ServiceForward& forward, Instant deadline)
+    ServiceEvent readResponse(Internal::EngineSession& connection, const ServiceForward& forward, Instant deadline)
     {
         HTTPResponse response;
-        std::istream& stream = session.receiveResponse(response);
+        std::istream& stream = receiveHead(connection.session, connection.socket, response);
         ServiceResponded answer { forward.call, static_cast<std::uint16_t>(response.getStatus()), {}, {} };
         const bool hasBody = forward.work.method != HTTPRequest::HTTP_HEAD;
-        if (hasBody && !readBody(stream, response, deadline, answer.body))
+        const auto append = [&](std::string_view bytes) {
+            answer.body.append(bytes);
+            return answer.body.size() <= maxResponseBytes && std::chrono::steady_clock::now() < deadline;
+        };
+        if (hasBody && !receiveBody(stream, connection.socket, response, append))
             return ServiceCallFailed { forward.call, Executed::Unknown };
         for (const auto& [name, value] : response) {
             // POCO decodes the encoded words of RFC 2047, which may contain line ends.
@@ -112,13 +102,13 @@
 ServiceEvent PlainServiceClient::execute(const ServiceForward& forward) const
 {
     const Instant deadline = std::chrono::steady_clock::now() + forward.budget;
-    const auto session
+    const auto connection
         = Internal::openConnection(this->address, std::min(connectTimeout, forward.budget), forward.budget, deadline);
-    if (!session)
+    if (!connection)
         return ServiceCallFailed { forward.call, Executed::No };
     try {
-        sendCall(*session, this->address, forward.work);
-        return readResponse(*session, forward, deadline);
+        sendCall(connection->session, this->address, forward.work);
+        return readResponse(*connection, forward, deadline);
     } catch (const Poco::Exception&) {
         return ServiceCallFailed { forward.call, Executed::Unknown };
     }
--- a/src/adapters/net/BoundedSocket.cpp
+++ b/src/adapters/net/BoundedSocket.cpp
@@ -14,13 +14,19 @@
 
     class BoundedSocketImpl final : public Poco::Net::StreamSocketImpl {
     public:
-        void beginExchange(const ExchangeBudget& exchange) { this->budget = exchange; }
+        void beginExchange(const ExchangeBudget& exchange)
+        {
+            this->budget = exchange;
+            this->ended = false;
+        }
+        bool hasEnded() const { return this->ended; }
 
         using Poco::Net::StreamSocketImpl::receiveBytes;
         int receiveBytes(void* buffer, int length, int flags) override
         {
             this->waitForBytes();
             const int count = Poco::Net::StreamSocketImpl::receiveBytes(buffer, length, flags);
+            this->ended = count == 0;
             const std::size_t received = count > 0 ? static_cast<std::size_t>(count) : 0;
             if (received > this->budget.maxBytes)
                 throw Poco::DataException("response too large");
@@ -42,6 +48,7 @@
         }
 
         ExchangeBudget budget;
+        bool ended { false };
     };
 
 }
@@ -56,4 +63,6 @@
     static_cast<BoundedSocketImpl*>(this->impl())->beginExchange(budget);
 }
 
+bool BoundedSocket::hasEnded() const { return static_cast<const BoundedSocketImpl*>(this->impl())->hasEnded(); }
+
 }
--- a/src/adapters/net/BoundedSocket.h
+++ b/src/adapters/net/BoundedSocket.h
@@ -26,6 +26,8 @@
 
     /** Begins an exchange. A read beyond the budget throws Poco::TimeoutException or Poco::DataException. */
     void beginExchange(const ExchangeBudget& budget);
+    /** @return true when a read of this exchange has reached the end of what the peer sends. */
+    bool hasEnded() const;
 };
 
 }
--- a/src/adapters/platform/PlatformSession.cpp
+++ b/src/adapters/platform/PlatformSession.cpp
@@ -1,5 +1,6 @@
 #include "adapters/platform/PlatformSession.h"
 
+#include "adapters/net/BoundedResponse.h"
 #include "adapters/platform/PlatformResponses.h"
 #include "core/common/HandlerTable.h"
 
@@ -23,7 +24,6 @@
     /** Longest idle time after which a connection is reused; the platform may close one that was idle for longer. */
     constexpr Seconds maxIdleTime(5);
     constexpr std::size_t maxResponseBytes = std::size_t { 64 } * 1024 * 1024;
-    constexpr std::size_t readChunkBytes = 65536;
 
     std::string percentEncoded(const std::string& text)
     {
@@ -183,15 +183,13 @@
 PlatformSession::Response PlatformSession::receiveResponse()
 {
     HTTPResponse header;
-    std::istream& stream = this->session->receiveResponse(header);
+    std::istream& stream = receiveHead(*this->session, this->socket, header);
     Response response { header.getStatus(), header.get("ETag", ""), "" };
-    std::string chunk(readChunkBytes, '\0');
-    while (stream.read(chunk.data(), static_cast<std::streamsize>(chunk.size())), stream.gcount() > 0) {
-        response.body.append(chunk, 0, static_cast<std::size_t>(stream.gcount()));
-    }
-    const bool hasBody = response.status != HTTPResponse::HTTP_NO_CONTENT;
-    if (hasBody && header.hasContentLength()
-        && header.getContentLength64() != static_cast<Poco::Int64>(response.body.size()))
+    const auto append = [&](std::string_view bytes) {
+        response.body.append(bytes);
+        return true;
+    };
+    if (!receiveBody(stream, this->socket, header, append))
         throw Poco::DataFormatException("response truncated");
     this->lastUsed = std::chrono::steady_clock::now();
     if (!header.getKeepAlive())
