--- a/src/core/gateway/StoreFreshness.cpp
+++ b/src/core/gateway/StoreFreshness.cpp
@@ -8,8 +8,8 @@
 {
     if (!state.asOf)
         return false;
-    const Duration suspendedTime = std::min(nextReadingAt, this->lastSuspension.endedAt)
-        - std::max(*state.asOf, this->lastSuspension.beganAt);
+    const Duration suspendedTime
+        = std::min(nextReadingAt, this->lastSuspension.endedAt) - std::max(*state.asOf, this->lastSuspension.beganAt);
     return nextReadingAt - *state.asOf - std::max(suspendedTime, Duration::zero()) >= this->limits.outageThreshold;
 }
 
--- a/src/core/gateway/StoreSynchronizer.cpp
+++ b/src/core/gateway/StoreSynchronizer.cpp
@@ -165,8 +165,8 @@
     const bool takesOver = state.followsUntil > state.readStartedAt;
     state.isReading = true;
     state.readStartedAt = now;
-    // Only a read that finds nothing to catch up with may wait for changes. After a failure, and when this gateway takes
-    // over from a silent one, it probes the store.
+    // Only a read that finds nothing to catch up with may wait for changes. After a failure, and when this gateway
+    // takes over from a silent one, it probes the store.
     const bool mayWait = !isBehind(state) && !state.lastReadFailed && !takesOver;
     actions.emplace_back(
         ReadStore { section, state.completeUpTo, mayWait ? scheduleOf(section).longPollTimeout : Milliseconds(0) });
--- a/src/ports/GatewayLimits.h
+++ b/src/ports/GatewayLimits.h
@@ -17,9 +17,9 @@
     /** Time without readings that counts as an outage; longer than the takeover of a silent reader by another one. */
     Milliseconds outageThreshold { 1700 };
     /**
-     * Shortest time from the beginning of an outage to the expiry of a record: the platform removes it after three missed
-     * heartbeats, the first of which may have been due when the outage began. A record that disappears earlier was
-     * deleted.
+     * Shortest time from the beginning of an outage to the expiry of a record: the platform removes it after three
+     * missed heartbeats, the first of which may have been due when the outage began. A record that disappears earlier
+     * was deleted.
      */
     Milliseconds minRecordExpiry { 2000 };
     /** Retries per new request: the platform's ratio minus a margin for requests counted in another window. */
