Send nothing more to endpoints that announce in an answer that they leave

New rule of the platform (DRAIN): an endpoint that leaves sets Server-Leaving in all its answers, and a gateway that passed one on must send it no request that came later than the drain bound, whatever the store shows.

Change: the header becomes a field of a response and of a move's answer; LeavingEndpoints remembers it for the endpoint's incarnation; running streams are moved as for a drain; when all endpoints of a service leave, requests are refused at once as not run.

--- a/src/adapters/traffic/EndpointConnections.cpp
+++ b/src/adapters/traffic/EndpointConnections.cpp
@@ -229,7 +229,7 @@
     }
     if (channel.migration) {
         this->context.events.emplace_back(
-            this->context.codec.readMigrationResponse(channel.migration->exchange, channel.head->status, channel.body));
+            this->context.codec.readMigrationResponse(channel.migration->exchange, *channel.head, channel.body));
         this->discard(connection);
         return false;
     }
@@ -360,7 +360,7 @@
     const Channel& channel = found->second;
     if (channel.migration)
         this->context.events.emplace_back(
-            MigrationResponseReceived { channel.migration->exchange, MigrationOutcome::Failed, {} });
+            MigrationResponseReceived { channel.migration->exchange, MigrationOutcome::Failed, {}, false });
     else if (channel.phase != Phase::Idle)
         this->context.events.emplace_back(ExchangeEnded { channel.parameters.exchange, end });
     this->discard(connection);
--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -21,7 +21,7 @@
     const auto [entry, isNew] = this->endpoints.try_emplace(record.id);
     GatewayEndpoint& endpoint = entry->second;
     const bool restarted = !isNew && endpoint.record.startedAt != record.startedAt;
-    const bool wasUsable = !isNew && !endpoint.record.isDraining;
+    const bool wasUsable = !isNew && !isLeaving(endpoint);
     if (restarted) {
         endpoint.consecutiveFailures = 0;
         endpoint.externalRequests = 0;
@@ -30,6 +30,7 @@
     }
     endpoint.record = record;
     endpoint.idHash = endpointHashOf(record.id);
+    endpoint.announcedLeaving = this->leavingEndpoints.contains(record.id, record.startedAt);
     endpoint.removalDueAt.reset();
     endpoint.coldUntil = std::max(restarted ? now : endpoint.coldUntil, now + record.coldRemaining);
     return wasUsable && record.isDraining;
@@ -90,14 +91,14 @@
             continue;
         if (found->second.removalDueAt)
             continue;
-        if (graceUntil && !found->second.record.isDraining) {
+        if (graceUntil && !isLeaving(found->second)) {
             found->second.removalDueAt = graceUntil;
             change.kept.push_back(id);
             continue;
         }
-        if (!found->second.record.isDraining)
+        if (!isLeaving(found->second))
             change.leaving.push_back(id);
-        this->endpoints.erase(found);
+        this->remove(found, now);
     }
     return change;
 }
@@ -109,11 +110,19 @@
         const bool isExpired = entry->second.removalDueAt && *entry->second.removalDueAt <= now;
         if (isExpired)
             removed.push_back(entry->first);
-        entry = isExpired ? this->endpoints.erase(entry) : std::next(entry);
+        entry = isExpired ? this->remove(entry, now) : std::next(entry);
     }
+    this->leavingEndpoints.expire(now);
     return removed;
 }
 
+std::map<EndpointId, GatewayEndpoint>::iterator EndpointDirectory::remove(
+    std::map<EndpointId, GatewayEndpoint>::iterator endpoint, Instant now)
+{
+    this->leavingEndpoints.recordRemoval(endpoint->first, now);
+    return this->endpoints.erase(endpoint);
+}
+
 GatewayEndpoint* EndpointDirectory::find(const EndpointId& endpoint)
 {
     const auto found = this->endpoints.find(endpoint);
@@ -122,7 +131,7 @@
 
 bool EndpointDirectory::isUsable(const GatewayEndpoint& endpoint) const
 {
-    return !endpoint.record.isDraining && !this->zonesOutOfService.contains(endpoint.record.zone);
+    return !isLeaving(endpoint) && !this->zonesOutOfService.contains(endpoint.record.zone);
 }
 
 bool EndpointDirectory::acceptsRequests(const EndpointId& endpoint) const
@@ -249,6 +258,28 @@
     }
 }
 
+bool EndpointDirectory::recordLeaving(const EndpointId& endpoint)
+{
+    GatewayEndpoint* found = this->find(endpoint);
+    if (!found)
+        return false;
+    found->announcedLeaving = true;
+    return this->leavingEndpoints.add(endpoint, found->record.startedAt) && !found->record.isDraining;
+}
+
+bool EndpointDirectory::areAllLeaving(const ServiceId& service) const
+{
+    bool hasEndpoints = false;
+    for (const auto& [id, endpoint] : this->endpoints) {
+        if (endpoint.record.service != service)
+            continue;
+        if (!isLeaving(endpoint))
+            return false;
+        hasEndpoints = true;
+    }
+    return hasEndpoints;
+}
+
 bool EndpointDirectory::recordFailure(const EndpointId& endpoint, Instant now)
 {
     GatewayEndpoint* found = this->find(endpoint);
--- a/src/core/gateway/EndpointDirectory.h
+++ b/src/core/gateway/EndpointDirectory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/gateway/LeavingEndpoints.h"
 #include "ports/GatewayLimits.h"
 #include "ports/GatewayMessages.h"
 #include "ports/PeerMessages.h"
@@ -17,6 +18,8 @@
     EndpointRecord record;
     /** Lower 32 bits of the XXH3 hash of the id, which identify the endpoint in messages between gateways. */
     std::uint32_t idHash { 0 };
+    /** The endpoint announced in an answer that it leaves. */
+    bool announcedLeaving { false };
     /** End of the warm-up, during which the endpoint is cold: it gets requests at a limited rate. */
     Instant coldUntil;
     /** When an endpoint without a record is removed. It is kept until then because the store may have been down. */
@@ -99,11 +102,22 @@
     void recordEventInterval(const EndpointId& endpoint, Duration interval);
     void recordLoad(const EndpointId& endpoint, const ReportedLoad& load, Instant now);
     void recordSuccess(const EndpointId& endpoint);
+    /** Records that the endpoint announced in an answer that it leaves. @return true if that was not known. */
+    bool recordLeaving(const EndpointId& endpoint);
+    /** @return true if the service has endpoints, but all of them leave. */
+    bool areAllLeaving(const ServiceId& service) const;
     /** Records a failure for outlier detection. @return true if the endpoint is ejected as a result. */
     bool recordFailure(const EndpointId& endpoint, Instant now);
 
 private:
+    static bool isLeaving(const GatewayEndpoint& endpoint)
+    {
+        return endpoint.record.isDraining || endpoint.announcedLeaving;
+    }
     bool isUsable(const GatewayEndpoint& endpoint) const;
+    /** Removes an endpoint. @return the next one. */
+    std::map<EndpointId, GatewayEndpoint>::iterator remove(
+        std::map<EndpointId, GatewayEndpoint>::iterator endpoint, Instant now);
     bool differs(const EndpointRecord& record, Instant now) const;
     bool isBelowColdLimit(
         GatewayEndpoint& endpoint, const GatewayService& service, std::size_t gatewayCount, Instant now) const;
@@ -112,6 +126,7 @@
 
     const GatewayLimits& limits;
     std::map<EndpointId, GatewayEndpoint> endpoints;
+    LeavingEndpoints leavingEndpoints;
     std::set<ZoneId> zonesOutOfService;
 };
 
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -83,9 +83,21 @@
         this->state.waiting.erase(active.request.id);
         return this->startExchange(active, *endpoint, std::nullopt, now, actions);
     }
+    if (this->state.endpoints.areAllLeaving(active.service->name))
+        return this->refuseUnserved(active, "every endpoint leaves", now, actions);
     this->state.waiting.insert(active.request.id);
 }
 
+void ExchangeDispatcher::refuseUnserved(
+    ActiveRequest& active, const std::string& reason, Instant now, GatewayActions& actions)
+{
+    auto line = Internal::requestLogEvent("refused", active, now);
+    line.fields.push_back({ "reason", reason });
+    actions.emplace_back(std::move(line));
+    this->failRequest(active, { ErrorCode::NoCapacity, reason, executedStateOf(active), this->state.limits.retryAfter },
+        now, actions);
+}
+
 void ExchangeDispatcher::refuseQuarantined(
     ActiveRequest& active, const QuarantineVerdict& verdict, Instant now, GatewayActions& actions)
 {
@@ -223,6 +235,8 @@
     const ResponseSummary& response = event.response;
     if (response.load)
         this->state.endpoints.recordLoad(exchange.endpoint, *response.load, now);
+    if (response.isLeaving)
+        this->endpointLeaves(exchange.endpoint, now, actions);
     active->mayHaveRun = active->mayHaveRun || !response.notExecuted;
     // A response that has started can only be continued by a stream.
     const bool fitsResponse = !active->responseStarted || (isSuccess(response) && response.isStream);
@@ -251,6 +265,14 @@
     this->dispatch(*active, now, actions);
 }
 
+void ExchangeDispatcher::endpointLeaves(const EndpointId& endpoint, Instant now, GatewayActions& actions)
+{
+    if (this->state.endpoints.recordLeaving(endpoint))
+        actions.emplace_back(
+            LogEvent { "endpoint_leaves", { { "endpoint", endpoint.get() }, { "announced_by", "answer" } } });
+    this->migrator.drainEndpoint(endpoint, now, actions);
+}
+
 void ExchangeDispatcher::handleRejection(ActiveRequest& active, const Exchange& exchange,
     const ResponseSummary& response, Instant now, GatewayActions& actions)
 {
@@ -369,6 +391,9 @@
 void ExchangeDispatcher::migrationResponseReceived(
     const MigrationResponseReceived& event, Instant now, GatewayActions& actions)
 {
+    const auto exchange = this->state.exchanges.find(event.exchange);
+    if (event.isLeaving && exchange != this->state.exchanges.end())
+        this->endpointLeaves(exchange->second.endpoint, now, actions);
     const auto resumable = this->migrator.migrationResponseReceived(event, now, actions);
     if (!resumable)
         return;
@@ -447,12 +472,7 @@
         this->dispatch(active, now, actions);
         if (!this->state.waiting.contains(id) || now - active.arrivedAt < this->waitLimit(active))
             continue;
-        auto line = Internal::requestLogEvent("refused", active, now);
-        line.fields.push_back({ "reason", "no endpoint" });
-        actions.emplace_back(std::move(line));
-        this->failRequest(active,
-            { ErrorCode::NoCapacity, "no endpoint has room", executedStateOf(active), this->state.limits.retryAfter },
-            now, actions);
+        this->refuseUnserved(active, "no endpoint has room", now, actions);
     }
 }
 
--- a/src/core/gateway/ExchangeDispatcher.h
+++ b/src/core/gateway/ExchangeDispatcher.h
@@ -48,6 +48,10 @@
     /** Withdraws one retry from the budget if the request may be repeated. @return true if a retry may be sent. */
     bool reserveRetry(const ActiveRequest& active, Instant now);
     void retryOrFail(ActiveRequest& active, Failure failure, Instant now, GatewayActions& actions);
+    /** Takes note that an endpoint announced that it leaves, and starts to migrate its streams. */
+    void endpointLeaves(const EndpointId& endpoint, Instant now, GatewayActions& actions);
+    /** Refuses a request that no endpoint can take now. */
+    void refuseUnserved(ActiveRequest& active, const std::string& reason, Instant now, GatewayActions& actions);
     /** Handles a response that refuses the request or is not the result of a run. */
     void handleRejection(ActiveRequest& active, const Exchange& exchange, const ResponseSummary& response, Instant now,
         GatewayActions& actions);
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -65,6 +65,8 @@
     /** The response carries the endpoint's signature, so the endpoint itself produced it. */
     bool isSigned { false };
     bool isStream { false };
+    /** The endpoint announces that it leaves and wants no further requests. */
+    bool isLeaving { false };
     std::optional<ReportedLoad> load;
 };
 
@@ -117,6 +119,8 @@
     ExchangeId exchange;
     MigrationOutcome outcome { MigrationOutcome::Failed };
     KvCacheHandle handle;
+    /** The source engine announces that it leaves and wants no further requests. */
+    bool isLeaving { false };
 };
 
 /** The configuration was read. Ignored if it is not newer than the current one. */
--- a/src/ports/TrafficCodec.h
+++ b/src/ports/TrafficCodec.h
@@ -53,7 +53,7 @@
     virtual EngineCall writeMigrationCall(const StartMigration& migration) const = 0;
     /** @return the outcome of a migration; Failed when the body is unreadable. */
     virtual MigrationResponseReceived readMigrationResponse(
-        ExchangeId exchange, std::uint16_t status, std::string_view body) const = 0;
+        ExchangeId exchange, const ResponseHead& head, std::string_view body) const = 0;
     /** @return true for the platform's readiness probe, which asks whether new connections are accepted. */
     virtual bool isReadinessProbe(const RequestHead& head) const = 0;
 };
--- a/test/correctness/PlatformNamesAreTranslated.cpp
+++ b/test/correctness/PlatformNamesAreTranslated.cpp
@@ -120,10 +120,10 @@
 TEST_CASE("A migration response without a handle counts as failed")
 {
     const PlatformTrafficCodec codec;
-    const auto complete = codec.readMigrationResponse(ExchangeId(1), 200, R"({"session":"s1","created":12})");
+    const auto complete = codec.readMigrationResponse(ExchangeId(1), { 200, "", {} }, R"({"session":"s1","created":12})");
     CHECK(complete.outcome == MigrationOutcome::Copied);
     CHECK(complete.handle == KvCacheHandle("s1"));
-    CHECK(codec.readMigrationResponse(ExchangeId(1), 200, "{}").outcome == MigrationOutcome::Failed);
-    CHECK(codec.readMigrationResponse(ExchangeId(1), 409, "").outcome == MigrationOutcome::InProgress);
-    CHECK(codec.readMigrationResponse(ExchangeId(1), 418, "").outcome == MigrationOutcome::Failed);
+    CHECK(codec.readMigrationResponse(ExchangeId(1), { 200, "", {} }, "{}").outcome == MigrationOutcome::Failed);
+    CHECK(codec.readMigrationResponse(ExchangeId(1), { 409, "", {} }, "").outcome == MigrationOutcome::InProgress);
+    CHECK(codec.readMigrationResponse(ExchangeId(1), { 418, "", {} }, "").outcome == MigrationOutcome::Failed);
 }
--- a/test/error/DecodedTextsStayInTheirField.cpp
+++ b/test/error/DecodedTextsStayInTheirField.cpp
@@ -28,7 +28,7 @@
 
     const PlatformTrafficCodec codec;
     const auto migrated
-        = codec.readMigrationResponse(ExchangeId(1), 200, R"({"session":"h\r\nX-Note: b","created":1})");
+        = codec.readMigrationResponse(ExchangeId(1), { 200, "", {} }, R"({"session":"h\r\nX-Note: b","created":1})");
     CHECK(migrated.outcome == MigrationOutcome::Failed);
     CHECK(migrated.handle.get().empty());
 }
--- a/test/fuzz/TrafficDecoders.cpp
+++ b/test/fuzz/TrafficDecoders.cpp
@@ -38,7 +38,7 @@
         PlatformTrafficCodec().readResponse(parsed->head);
         responseFraming(parsed->head);
     }
-    PlatformTrafficCodec().readMigrationResponse(ExchangeId(1), 200, bytes);
+    PlatformTrafficCodec().readMigrationResponse(ExchangeId(1), { 200, "", {} }, bytes);
 }
 
 void readInTwoParts(const std::string& bytes)
