Leave full endpoints alone for the time that they state

Change: the time is decoded once; a resting endpoint is no candidate, target or source of a move, but for one resumption; afterwards it gets requests at intervals for a second. When all endpoints rest or leave, callers are refused at once with the earliest return, spread a little.

--- a/src/adapters/traffic/EndpointConnections.cpp
+++ b/src/adapters/traffic/EndpointConnections.cpp
@@ -360,7 +360,7 @@
     const Channel& channel = found->second;
     if (channel.migration)
         this->context.events.emplace_back(
-            MigrationResponseReceived { channel.migration->exchange, MigrationOutcome::Failed, {}, false });
+            MigrationResponseReceived { channel.migration->exchange, MigrationOutcome::Failed, {}, false, {} });
     else if (channel.phase != Phase::Idle)
         this->context.events.emplace_back(ExchangeEnded { channel.parameters.exchange, end });
     this->discard(connection);
--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -13,6 +13,11 @@
     constexpr int averagingWindow = 16;
     /** An interval longer than this multiple of the average is counted as this multiple. */
     constexpr int outlierFactor = 3;
+    /** Time after a rest in which an endpoint gets requests at intervals, so that it is not full again at once. */
+    constexpr Milliseconds returnTime(1000);
+    constexpr Milliseconds returnInterval(50);
+    /** Resumptions during a rest; the endpoint has reserved the room for them. */
+    constexpr std::uint32_t maxResumptionsPerRest = 1;
 
 }
 
@@ -26,6 +31,7 @@
         endpoint.consecutiveFailures = 0;
         endpoint.externalRequests = 0;
         endpoint.copyTokens = 0;
+        endpoint.restsUntil = Instant {};
         endpoint.eventInterval.reset();
     }
     endpoint.record = record;
@@ -166,6 +172,8 @@
     for (auto& [id, endpoint] : this->endpoints) {
         if (endpoint.record.service != service.name || !this->isUsable(endpoint))
             continue;
+        if (isHeldBack(endpoint, now))
+            continue;
         if (!this->isBelowColdLimit(endpoint, service, gatewayCount, now))
             continue;
         (endpoint.ejectedUntil > now ? ejected : healthy).push_back(&endpoint);
@@ -190,6 +198,8 @@
     if (GatewayEndpoint* found = this->find(endpoint)) {
         ++found->inFlight;
         found->tokensInFlight += tokens;
+        found->lastSentAt = now;
+        found->sentWhileResting += found->restsUntil > now ? 1 : 0;
         if (found->coldUntil > now)
             found->sentWhileCold.push_back(now);
     }
@@ -267,17 +277,53 @@
     return this->leavingEndpoints.add(endpoint, found->record.startedAt) && !found->record.isDraining;
 }
 
-bool EndpointDirectory::areAllLeaving(const ServiceId& service) const
+bool EndpointDirectory::recordRest(const EndpointId& endpoint, Milliseconds time, Instant now)
+{
+    GatewayEndpoint* found = this->find(endpoint);
+    if (!found)
+        return false;
+    const bool wasResting = found->restsUntil > now;
+    if (!wasResting)
+        found->sentWhileResting = 0;
+    found->restsUntil = std::max(found->restsUntil, now + time);
+    return !wasResting;
+}
+
+bool EndpointDirectory::isResting(const EndpointId& endpoint, Instant now) const
+{
+    const auto found = this->endpoints.find(endpoint);
+    return found != this->endpoints.end() && found->second.restsUntil > now;
+}
+
+bool EndpointDirectory::acceptsResumption(const EndpointId& endpoint, Instant now) const
+{
+    return this->acceptsRequests(endpoint)
+        && (!this->isResting(endpoint, now) || this->endpoints.at(endpoint).sentWhileResting < maxResumptionsPerRest);
+}
+
+bool EndpointDirectory::isHeldBack(const GatewayEndpoint& endpoint, Instant now)
+{
+    const bool hasJustRested = now < endpoint.restsUntil + returnTime;
+    return now < endpoint.restsUntil || (hasJustRested && now < endpoint.lastSentAt + returnInterval);
+}
+
+std::optional<Milliseconds> EndpointDirectory::unavailableTime(const ServiceId& service, Instant now) const
 {
     bool hasEndpoints = false;
+    std::optional<Instant> earliest;
     for (const auto& [id, endpoint] : this->endpoints) {
         if (endpoint.record.service != service)
             continue;
-        if (!isLeaving(endpoint))
-            return false;
         hasEndpoints = true;
+        if (!this->isUsable(endpoint))
+            continue;
+        if (endpoint.restsUntil <= now)
+            return std::nullopt;
+        earliest = std::min(earliest.value_or(endpoint.restsUntil), endpoint.restsUntil);
     }
-    return hasEndpoints;
+    if (!hasEndpoints)
+        return std::nullopt;
+    return std::chrono::ceil<Milliseconds>(earliest.value_or(now) - now);
 }
 
 bool EndpointDirectory::recordFailure(const EndpointId& endpoint, Instant now)
--- a/src/core/gateway/EndpointDirectory.h
+++ b/src/core/gateway/EndpointDirectory.h
@@ -20,6 +20,11 @@
     std::uint32_t idHash { 0 };
     /** The endpoint announced in an answer that it leaves. */
     bool announcedLeaving { false };
+    /** Until then the endpoint, which was full, wants no requests of this gateway. */
+    Instant restsUntil;
+    /** Requests that were sent nevertheless. */
+    std::uint32_t sentWhileResting { 0 };
+    Instant lastSentAt;
     /** End of the warm-up, during which the endpoint is cold: it gets requests at a limited rate. */
     Instant coldUntil;
     /** When an endpoint without a record is removed. It is kept until then because the store may have been down. */
@@ -104,8 +109,20 @@
     void recordSuccess(const EndpointId& endpoint);
     /** Records that the endpoint announced in an answer that it leaves. @return true if that was not known. */
     bool recordLeaving(const EndpointId& endpoint);
-    /** @return true if the service has endpoints, but all of them leave. */
-    bool areAllLeaving(const ServiceId& service) const;
+    /**
+     * Records that the endpoint wants no requests of this gateway for some time. An earlier answer may have stated a
+     * longer one, which still holds. @return true if the endpoint did not rest before.
+     */
+    bool recordRest(const EndpointId& endpoint, Milliseconds time, Instant now);
+    /** @return true while the endpoint wants no requests of this gateway. */
+    bool isResting(const EndpointId& endpoint, Instant now) const;
+    /** @return true if a stream that would be lost otherwise may resume at the endpoint. */
+    bool acceptsResumption(const EndpointId& endpoint, Instant now) const;
+    /**
+     * @return the time until the first endpoint of a service may take requests again, if all of them leave or rest;
+     * zero if none of them rests; unset if the service has another endpoint, or none at all.
+     */
+    std::optional<Milliseconds> unavailableTime(const ServiceId& service, Instant now) const;
     /** Records a failure for outlier detection. @return true if the endpoint is ejected as a result. */
     bool recordFailure(const EndpointId& endpoint, Instant now);
 
@@ -115,6 +132,8 @@
         return endpoint.record.isDraining || endpoint.announcedLeaving;
     }
     bool isUsable(const GatewayEndpoint& endpoint) const;
+    /** @return true while the endpoint rests, or has had a request a moment ago and rested shortly before. */
+    static bool isHeldBack(const GatewayEndpoint& endpoint, Instant now);
     /** Removes an endpoint. @return the next one. */
     std::map<EndpointId, GatewayEndpoint>::iterator remove(
         std::map<EndpointId, GatewayEndpoint>::iterator endpoint, Instant now);
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -83,8 +83,11 @@
         this->state.waiting.erase(active.request.id);
         return this->startExchange(active, *endpoint, std::nullopt, now, actions);
     }
-    if (this->state.endpoints.areAllLeaving(active.service->name))
-        return this->refuseUnserved(active, "every endpoint leaves", now, actions);
+    const auto unavailable = this->state.endpoints.unavailableTime(active.service->name, now);
+    const bool isBackInTime = unavailable && *unavailable > Milliseconds(0)
+        && now + *unavailable - active.arrivedAt < this->waitLimit(active);
+    if (unavailable && !isBackInTime)
+        return this->refuseUnserved(active, "every endpoint leaves or rests", now, actions);
     this->state.waiting.insert(active.request.id);
 }
 
@@ -94,8 +97,19 @@
     auto line = Internal::requestLogEvent("refused", active, now);
     line.fields.push_back({ "reason", reason });
     actions.emplace_back(std::move(line));
-    this->failRequest(active, { ErrorCode::NoCapacity, reason, executedStateOf(active), this->state.limits.retryAfter },
-        now, actions);
+    this->failRequest(active,
+        { ErrorCode::NoCapacity, reason, executedStateOf(active), this->retryAfterOf(active, now) }, now, actions);
+}
+
+Milliseconds ExchangeDispatcher::retryAfterOf(const ActiveRequest& active, Instant now)
+{
+    const Milliseconds shortest = this->state.limits.retryAfter;
+    const auto unavailable = this->state.endpoints.unavailableTime(active.service->name, now);
+    if (!unavailable || *unavailable <= shortest)
+        return shortest;
+    // Spread, so that callers do not all come back in the instant in which the endpoint does.
+    const auto spread = static_cast<std::uint64_t>(shortest.count());
+    return *unavailable + Milliseconds(static_cast<Milliseconds::rep>(this->state.randomness.next() % spread));
 }
 
 void ExchangeDispatcher::refuseQuarantined(
@@ -237,6 +251,8 @@
         this->state.endpoints.recordLoad(exchange.endpoint, *response.load, now);
     if (response.isLeaving)
         this->endpointLeaves(exchange.endpoint, now, actions);
+    if (response.restTime > Milliseconds(0))
+        this->endpointRests(exchange.endpoint, response.restTime, now, actions);
     active->mayHaveRun = active->mayHaveRun || !response.notExecuted;
     // A response that has started can only be continued by a stream.
     const bool fitsResponse = !active->responseStarted || (isSuccess(response) && response.isStream);
@@ -273,6 +289,14 @@
     this->migrator.drainEndpoint(endpoint, now, actions);
 }
 
+void ExchangeDispatcher::endpointRests(
+    const EndpointId& endpoint, Milliseconds time, Instant now, GatewayActions& actions)
+{
+    if (this->state.endpoints.recordRest(endpoint, time, now))
+        actions.emplace_back(LogEvent {
+            "endpoint_rests", { { "endpoint", endpoint.get() }, { "time_ms", Internal::millisecondsText(time) } } });
+}
+
 void ExchangeDispatcher::handleRejection(ActiveRequest& active, const Exchange& exchange,
     const ResponseSummary& response, Instant now, GatewayActions& actions)
 {
@@ -291,7 +315,7 @@
     const Executed run = executedStateOf(active);
     this->retryOrFail(active,
         { run == Executed::No ? ErrorCode::NoCapacity : ErrorCode::EndpointLost,
-            "endpoint answered " + std::to_string(response.status), run, this->state.limits.retryAfter },
+            "endpoint answered " + std::to_string(response.status), run, this->retryAfterOf(active, now) },
         now, actions);
 }
 
@@ -382,7 +406,7 @@
 bool ExchangeDispatcher::resume(
     ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now, GatewayActions& actions)
 {
-    if (!this->state.endpoints.acceptsRequests(endpoint) || !this->crashes.mayResume(active, now))
+    if (!this->state.endpoints.acceptsResumption(endpoint, now) || !this->crashes.mayResume(active, now))
         return false;
     this->startExchange(active, *this->state.endpoints.find(endpoint), point, now, actions);
     return true;
@@ -394,6 +418,8 @@
     const auto exchange = this->state.exchanges.find(event.exchange);
     if (event.isLeaving && exchange != this->state.exchanges.end())
         this->endpointLeaves(exchange->second.endpoint, now, actions);
+    if (event.restTime > Milliseconds(0) && exchange != this->state.exchanges.end())
+        this->endpointRests(exchange->second.endpoint, event.restTime, now, actions);
     const auto resumable = this->migrator.migrationResponseReceived(event, now, actions);
     if (!resumable)
         return;
--- a/src/core/gateway/ExchangeDispatcher.h
+++ b/src/core/gateway/ExchangeDispatcher.h
@@ -50,6 +50,10 @@
     void retryOrFail(ActiveRequest& active, Failure failure, Instant now, GatewayActions& actions);
     /** Takes note that an endpoint announced that it leaves, and starts to migrate its streams. */
     void endpointLeaves(const EndpointId& endpoint, Instant now, GatewayActions& actions);
+    /** Takes note that an endpoint wants no requests for some time. */
+    void endpointRests(const EndpointId& endpoint, Milliseconds time, Instant now, GatewayActions& actions);
+    /** @return the time after which the caller of a request that no endpoint takes now may come back. */
+    Milliseconds retryAfterOf(const ActiveRequest& active, Instant now);
     /** Refuses a request that no endpoint can take now. */
     void refuseUnserved(ActiveRequest& active, const std::string& reason, Instant now, GatewayActions& actions);
     /** Handles a response that refuses the request or is not the result of a run. */
--- a/src/core/gateway/StreamMigrator.cpp
+++ b/src/core/gateway/StreamMigrator.cpp
@@ -87,7 +87,7 @@
 void StreamMigrator::startNextMigration(const EndpointId& source, Instant now, GatewayActions& actions)
 {
     const auto entry = this->draining.find(source);
-    if (entry == this->draining.end() || entry->second)
+    if (entry == this->draining.end() || entry->second || this->state.endpoints.isResting(source, now))
         return;
     ActiveRequest* next = this->nextToMigrate(source);
     if (next && this->startMigration(*next, source, now, actions))
@@ -143,7 +143,7 @@
     if (event.outcome == MigrationOutcome::NoSuchRun || event.outcome == MigrationOutcome::InProgress)
         migration.mayBeStopped = false;
     if (migration.phase == MigrationPhase::Copying && copied && !migration.streamEnd
-        && migration.callCount < maxCopyCalls) {
+        && migration.callCount < maxCopyCalls && !this->state.endpoints.isResting(migration.source, now)) {
         if (now - migration.lastCallAt < fastCopyThreshold)
             migration.phase = MigrationPhase::Finishing;
         this->sendCopyCall(active, now, actions);
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -67,6 +67,8 @@
     bool isStream { false };
     /** The endpoint announces that it leaves and wants no further requests. */
     bool isLeaving { false };
+    /** Time for which the endpoint wants no further requests of this gateway; zero when it states none. */
+    Milliseconds restTime { 0 };
     std::optional<ReportedLoad> load;
 };
 
@@ -121,6 +123,8 @@
     KvCacheHandle handle;
     /** The source engine announces that it leaves and wants no further requests. */
     bool isLeaving { false };
+    /** Time for which the source engine wants no further requests of this gateway; zero when it states none. */
+    Milliseconds restTime { 0 };
 };
 
 /** The configuration was read. Ignored if it is not newer than the current one. */
