Treat a full send buffer as back pressure

Besides, a graceful close had one second in all, also for what was still queued.

Ruled out: the limits of queued bytes (never reached) and the drain (the same without a SIGTERM).

Change: writing calls the system itself; a close gives up after 10 s without progress and waits one second after all is written.

--- a/src/adapters/net/SocketLoop.cpp
+++ b/src/adapters/net/SocketLoop.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
+#include <optional>
 #include <sys/socket.h>
 #include <vector>
 
@@ -16,11 +18,28 @@
     constexpr Milliseconds fullRingRetryInterval(5);
     constexpr std::size_t readChunkBytes = 65536;
     constexpr std::size_t maxWriteBytes = std::size_t { 1 } << 20;
-    /** Longest wait for the peer during a graceful close. */
+    /** Longest wait for the peer during a graceful close, after all that was queued is written. */
     constexpr Milliseconds gracefulCloseTimeout(1000);
+    /** Time without progress after which a graceful close gives up writing. */
+    constexpr Milliseconds stalledWriteTimeout(10000);
 
     Poco::Net::SocketAddress socketAddress(const Address& address) { return { address.host, address.port }; }
 
+    /**
+     * POCO throws for a full send buffer, so this calls the system itself.
+     * @return the number of bytes written, zero if the send buffer is full; unset if the connection is broken.
+     */
+    std::optional<std::size_t> writeSome(Poco::Net::StreamSocket& socket, std::string_view bytes)
+    {
+        const ssize_t count
+            = ::send(socket.impl()->sockfd(), bytes.data(), std::min(bytes.size(), maxWriteBytes), MSG_NOSIGNAL);
+        if (count >= 0)
+            return static_cast<std::size_t>(count);
+        if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)
+            return 0;
+        return std::nullopt;
+    }
+
 }
 
 SocketLoop::SocketLoop(SocketLoopOptions loopOptions)
@@ -365,18 +384,16 @@
         return;
     if (connection->overflowed)
         return this->fail(id, "peer_too_slow");
-    try {
-        while (connection->bytesWritten < connection->outbound.size()) {
-            const std::size_t left = connection->outbound.size() - connection->bytesWritten;
-            const int count = connection->socket.sendBytes(connection->outbound.data() + connection->bytesWritten,
-                static_cast<int>(std::min(left, maxWriteBytes)), MSG_NOSIGNAL);
-            if (count <= 0)
-                break;
-            connection->bytesWritten += static_cast<std::size_t>(count);
-            this->bytesSent.fetch_add(static_cast<std::uint64_t>(count), std::memory_order_relaxed);
-        }
-    } catch (const Poco::Exception&) {
-        return this->fail(id, "write_failed");
+    while (connection->bytesWritten < connection->outbound.size()) {
+        const auto count
+            = writeSome(connection->socket, std::string_view(connection->outbound).substr(connection->bytesWritten));
+        if (!count)
+            return this->fail(id, "write_failed");
+        if (*count == 0)
+            break;
+        connection->bytesWritten += *count;
+        this->bytesSent.fetch_add(*count, std::memory_order_relaxed);
+        connection->closeDeadline = std::chrono::steady_clock::now() + stalledWriteTimeout;
     }
     if (connection->bytesWritten >= readChunkBytes || connection->bytesWritten == connection->outbound.size()) {
         connection->outbound.erase(0, connection->bytesWritten);
@@ -395,6 +412,7 @@
 
 void SocketLoop::shutDownWriting(Connection& connection)
 {
+    connection.closeDeadline = std::chrono::steady_clock::now() + gracefulCloseTimeout;
     try {
         if (connection.resetsOnClose)
             connection.socket.setLinger(false, 0);
@@ -439,7 +457,7 @@
         return;
     connection->closing = true;
     connection->readDisabled = false;
-    connection->closeDeadline = std::chrono::steady_clock::now() + gracefulCloseTimeout;
+    connection->closeDeadline = std::chrono::steady_clock::now() + stalledWriteTimeout;
     this->updatePollMode(*connection);
     this->pendingFlush.insert(id);
 }
--- a/src/adapters/net/SocketLoop.h
+++ b/src/adapters/net/SocketLoop.h
@@ -92,14 +92,17 @@
     std::size_t queuedBytes(ConnectionId connection) const;
     /** Stops or resumes reading from the peer, to apply back-pressure. */
     void setReadEnabled(ConnectionId connection, bool enabled);
-    /** Writes what is queued, shuts down sending and waits up to 1 s for the peer to close. `closed` follows. */
+    /**
+     * Writes what is queued as long as the peer reads, shuts down sending and waits up to 1 s for the peer to close.
+     * `closed` follows.
+     */
     void closeGracefully(ConnectionId connection);
     /**
      * Makes every later close of the connection a reset, also the one at the end of this process, unless
      * `closeGracefully` has written all that was queued. The peer then detects that what it received is incomplete.
      */
     void resetOnClose(ConnectionId connection);
-    /** Writes what is queued within 1 s, then closes the connection. `closed` follows. */
+    /** Writes what is queued as long as the peer reads, then closes the connection. `closed` follows. */
     void closeAfterWriting(ConnectionId connection);
     /** @return 1-based index of the accepting listener in the order of `listen`; 0 for an outgoing connection. */
     std::size_t listenerIndex(ConnectionId connection) const;
--- a/test/support/RawServer.cpp
+++ b/test/support/RawServer.cpp
@@ -4,6 +4,9 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Thread.h>
 
+#include <algorithm>
+#include <array>
+
 namespace teaselfold {
 
 namespace {
@@ -36,12 +39,17 @@
 {
     try {
         std::string body;
-        const std::string length = headField(head, "Content-Length");
-        while (body.size() < (length.empty() ? 0 : std::stoul(length))) {
-            char byte = 0;
-            if (!this->readByte(byte))
+        std::array<char, 65536> buffer {};
+        const std::string lengthText = headField(head, "Content-Length");
+        const std::size_t length = lengthText.empty() ? 0 : std::stoul(lengthText);
+        while (body.size() < length) {
+            if (!this->waitForBytes())
+                return std::nullopt;
+            const std::size_t left = std::min(length - body.size(), buffer.size());
+            const int count = this->socket.receiveBytes(buffer.data(), static_cast<int>(left));
+            if (count <= 0)
                 return std::nullopt;
-            body.push_back(byte);
+            body.append(buffer.data(), static_cast<std::size_t>(count));
         }
         return body;
     } catch (const Poco::Exception&) {
@@ -49,13 +57,18 @@
     }
 }
 
-bool RawServer::Connection::readByte(char& byte)
+bool RawServer::Connection::waitForBytes()
 {
     while (!this->socket.poll(toTimespan(pollInterval), Poco::Net::Socket::SELECT_READ)) {
         if (this->server.stopping)
             return false;
     }
-    return this->socket.receiveBytes(&byte, 1) > 0;
+    return true;
+}
+
+bool RawServer::Connection::readByte(char& byte)
+{
+    return this->waitForBytes() && this->socket.receiveBytes(&byte, 1) > 0;
 }
 
 bool RawServer::Connection::send(const std::string& bytes)
--- a/test/support/RawServer.h
+++ b/test/support/RawServer.h
@@ -42,6 +42,8 @@
         void reset();
 
     private:
+        /** @return false when the server stops before there is anything to read. */
+        bool waitForBytes();
         /** @return false when the peer has closed the connection or the server stops. */
         bool readByte(char& byte);
 
--- a/test/support/TrafficHarness.h
+++ b/test/support/TrafficHarness.h
@@ -24,6 +24,8 @@
 
     /** Adds or changes an endpoint beside the one given to the constructor. */
     void changeEndpoint(const EndpointRecord& endpoint);
+    /** @return the address for callers. */
+    const Address& callerAddress() const { return this->callers; }
     /** @return a new connection of a caller. */
     Poco::Net::StreamSocket connect() const;
     /** Sends a request on the connection. @param id the caller's id of the request. */
