Require every field of an endpoint's record

Cause: only the fields that the gateway needs were required.

Change: all fields of an entry are required, with their types.

Fixtures of four other tests were incomplete records and are complete now; their checks are unchanged.

--- a/test/correctness/PlatformNamesAreTranslated.cpp
+++ b/test/correctness/PlatformNamesAreTranslated.cpp
@@ -109,18 +109,21 @@
     for (const std::string text : { "", "{", "[]", "null", "{\"version\":\"7\"}", "\xff\xfe", "{\"version\":1e999}" })
         CHECK_FALSE(PlatformApi::readConfiguration(text));
     for (const std::string text :
-        { "", "[1]", R"({"service":"s"})", R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"resting"})",
-            R"({"service":"s","address":"10.0.0.1","zone":"z","state":"ready"})",
-            R"({"service":1,"address":"10.0.0.1:80","zone":"z","state":"ready"})" })
+        { "", "[1]", R"({"service":"s"})",
+            R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":4,"state":"resting","coldLeftMs":0,"seqNo":1})",
+            R"({"service":"s","address":"10.0.0.1","zone":"z","version":"v1","slots":4,"state":"ready","coldLeftMs":0,"seqNo":1})",
+            R"({"service":1,"address":"10.0.0.1:80","zone":"z","version":"v1","slots":4,"state":"ready","coldLeftMs":0,"seqNo":1})" })
         CHECK_FALSE(PlatformApi::readEndpoint("i-1", text));
-    CHECK(PlatformApi::readEndpoint("i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"draining"})")
+    CHECK(PlatformApi::readEndpoint("i-1",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":4,"state":"draining","coldLeftMs":0,"seqNo":1})")
               ->isDraining);
 }
 
 TEST_CASE("A migration response without a handle counts as failed")
 {
     const PlatformTrafficCodec codec;
-    const auto complete = codec.readMigrationResponse(ExchangeId(1), { 200, "", {} }, R"({"session":"s1","created":12})");
+    const auto complete
+        = codec.readMigrationResponse(ExchangeId(1), { 200, "", {} }, R"({"session":"s1","created":12})");
     CHECK(complete.outcome == MigrationOutcome::Copied);
     CHECK(complete.handle == KvCacheHandle("s1"));
     CHECK(codec.readMigrationResponse(ExchangeId(1), { 200, "", {} }, "{}").outcome == MigrationOutcome::Failed);
--- a/test/correctness/StoreChangesApplyInOrder.cpp
+++ b/test/correctness/StoreChangesApplyInOrder.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr const char* readyRecord = R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready"})";
+constexpr const char* readyRecord
+    = R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":4,"state":"ready","coldLeftMs":0,"seqNo":1})";
 
 PlatformApi::StoreRow row(const std::string& key, const std::string& value) { return { key, value, false }; }
 
--- a/test/error/DecodedTextsStayInTheirField.cpp
+++ b/test/error/DecodedTextsStayInTheirField.cpp
@@ -15,7 +15,8 @@
 // Guards against a JSON text with line ends that becomes fields of a request head.
 TEST_CASE("A text from the store or an endpoint that would end a header line is not used in one")
 {
-    constexpr const char* record = R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready"})";
+    constexpr const char* record
+        = R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":4,"state":"ready","coldLeftMs":0,"seqNo":1})";
     CHECK(PlatformApi::readEndpoint("i-1", record));
     CHECK_FALSE(PlatformApi::readEndpoint(injected, record));
 
--- a/test/error/OddEndpointRecordsAreIgnored.cpp
+++ b/test/error/OddEndpointRecordsAreIgnored.cpp
@@ -38,6 +38,16 @@
     return text + "}";
 }
 
+/** @return the record of a sound endpoint without one of its members. */
+std::string recordWithout(const std::string& name)
+{
+    std::string text = recordWith({});
+    const std::size_t begin = text.find("\"" + name + "\":");
+    const std::size_t end = text.find_first_of(",}", begin);
+    text.erase(begin, text[end] == ',' ? end + 1 - begin : end - begin);
+    return text;
+}
+
 /** Records of another writer that name no endpoint. */
 std::vector<std::string> oddRecords()
 {
@@ -71,6 +81,10 @@
     }
     for (const std::string name : { "slots", "coldLeftMs", "born" })
         records.push_back(recordWith({ { name, "\"4\"" } }));
+    for (const std::string value : { "null", "7", "[]", "{}", "true" })
+        records.push_back(recordWith({ { "version", value } }));
+    for (const std::string name : { "service", "address", "zone", "version", "slots", "state", "coldLeftMs", "seqNo" })
+        records.push_back(recordWithout(name));
     return records;
 }
 
--- a/test/process/lib/prepared_platform.py
+++ b/test/process/lib/prepared_platform.py
@@ -264,5 +264,5 @@
 
 
 def record(endpoint, service, state="ready", zone="north", born=1):
-    return {"service": service, "address": endpoint.address, "zone": zone, "slots": 8, "state": state,
-            "coldLeftMs": 0, "born": born}
+    return {"service": service, "address": endpoint.address, "zone": zone, "version": "v1", "slots": 8,
+            "state": state, "coldLeftMs": 0, "seqNo": 1, "born": born}
