--- a/src/adapters/traffic/HttpHeads.cpp
+++ b/src/adapters/traffic/HttpHeads.cpp
@@ -123,10 +123,7 @@
         return CompleteHead { bytes.substr(0, end + lineEnd.size()), size };
     }
 
-    /**
-     * Parses a head into the bytes that were checked: a library that decodes values after the check may create line
-     * ends, and with them fields and messages.
-     */
+    /** Parses a head. Values are kept as they were received, since a decoded one may contain line ends. */
     template <typename Head>
     std::variant<ParsedHead<Head>, HeadIncomplete, HeadFault> parseHead(
         std::string_view bytes, std::size_t maxBytes, std::optional<Head> (*parseStartLine)(std::string_view))
