--- a/src/adapters/net/SocketLoop.cpp
+++ b/src/adapters/net/SocketLoop.cpp
@@ -1,13 +1,12 @@
 #include "adapters/net/SocketLoop.h"
 
+#include "adapters/net/SocketWrite.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 
 #include <algorithm>
 #include <array>
-#include <cerrno>
-#include <optional>
-#include <sys/socket.h>
 #include <vector>
 
 namespace teaselfold {
@@ -17,7 +16,6 @@
     /** Poll timeout while the handler's ring is full. */
     constexpr Milliseconds fullRingRetryInterval(5);
     constexpr std::size_t readChunkBytes = 65536;
-    constexpr std::size_t maxWriteBytes = std::size_t { 1 } << 20;
     /** Longest wait for the peer during a graceful close, after all that was queued is written. */
     constexpr Milliseconds gracefulCloseTimeout(1000);
     /** Time without progress after which a graceful close gives up writing. */
@@ -25,21 +23,6 @@
 
     Poco::Net::SocketAddress socketAddress(const Address& address) { return { address.host, address.port }; }
 
-    /**
-     * POCO throws for a full send buffer, so this calls the system itself.
-     * @return the number of bytes written, zero if the send buffer is full; unset if the connection is broken.
-     */
-    std::optional<std::size_t> writeSome(Poco::Net::StreamSocket& socket, std::string_view bytes)
-    {
-        const ssize_t count
-            = ::send(socket.impl()->sockfd(), bytes.data(), std::min(bytes.size(), maxWriteBytes), MSG_NOSIGNAL);
-        if (count >= 0)
-            return static_cast<std::size_t>(count);
-        if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)
-            return 0;
-        return std::nullopt;
-    }
-
 }
 
 SocketLoop::SocketLoop(SocketLoopOptions loopOptions)
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -249,10 +249,7 @@
     const ResponseSummary& response = event.response;
     if (response.load)
         this->state.endpoints.recordLoad(exchange.endpoint, *response.load, now);
-    if (response.isLeaving)
-        this->endpointLeaves(exchange.endpoint, now, actions);
-    if (response.restTime > Milliseconds(0))
-        this->endpointRests(exchange.endpoint, response.restTime, now, actions);
+    this->notices.received(exchange.endpoint, response.isLeaving, response.restTime, now, actions);
     active->mayHaveRun = active->mayHaveRun || !response.notExecuted;
     // A response that has started can only be continued by a stream.
     const bool fitsResponse = !active->responseStarted || (isSuccess(response) && response.isStream);
@@ -281,22 +278,6 @@
     this->dispatch(*active, now, actions);
 }
 
-void ExchangeDispatcher::endpointLeaves(const EndpointId& endpoint, Instant now, GatewayActions& actions)
-{
-    if (this->state.endpoints.recordLeaving(endpoint))
-        actions.emplace_back(
-            LogEvent { "endpoint_leaves", { { "endpoint", endpoint.get() }, { "announced_by", "answer" } } });
-    this->migrator.drainEndpoint(endpoint, now, actions);
-}
-
-void ExchangeDispatcher::endpointRests(
-    const EndpointId& endpoint, Milliseconds time, Instant now, GatewayActions& actions)
-{
-    if (this->state.endpoints.recordRest(endpoint, time, now))
-        actions.emplace_back(LogEvent {
-            "endpoint_rests", { { "endpoint", endpoint.get() }, { "time_ms", Internal::millisecondsText(time) } } });
-}
-
 void ExchangeDispatcher::handleRejection(ActiveRequest& active, const Exchange& exchange,
     const ResponseSummary& response, Instant now, GatewayActions& actions)
 {
@@ -416,10 +397,8 @@
     const MigrationResponseReceived& event, Instant now, GatewayActions& actions)
 {
     const auto exchange = this->state.exchanges.find(event.exchange);
-    if (event.isLeaving && exchange != this->state.exchanges.end())
-        this->endpointLeaves(exchange->second.endpoint, now, actions);
-    if (event.restTime > Milliseconds(0) && exchange != this->state.exchanges.end())
-        this->endpointRests(exchange->second.endpoint, event.restTime, now, actions);
+    if (exchange != this->state.exchanges.end())
+        this->notices.received(exchange->second.endpoint, event.isLeaving, event.restTime, now, actions);
     const auto resumable = this->migrator.migrationResponseReceived(event, now, actions);
     if (!resumable)
         return;
--- a/src/core/gateway/ExchangeDispatcher.h
+++ b/src/core/gateway/ExchangeDispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/gateway/CrashAttribution.h"
+#include "core/gateway/EndpointNotices.h"
 #include "core/gateway/EndpointPicker.h"
 #include "core/gateway/GatewayState.h"
 #include "core/gateway/StreamMigrator.h"
@@ -17,6 +18,7 @@
         : state(state)
         , migrator(migrator)
         , crashes(state)
+        , notices(state, migrator)
     {
     }
 
@@ -48,10 +50,6 @@
     /** Withdraws one retry from the budget if the request may be repeated. @return true if a retry may be sent. */
     bool reserveRetry(const ActiveRequest& active, Instant now);
     void retryOrFail(ActiveRequest& active, Failure failure, Instant now, GatewayActions& actions);
-    /** Takes note that an endpoint announced that it leaves, and starts to migrate its streams. */
-    void endpointLeaves(const EndpointId& endpoint, Instant now, GatewayActions& actions);
-    /** Takes note that an endpoint wants no requests for some time. */
-    void endpointRests(const EndpointId& endpoint, Milliseconds time, Instant now, GatewayActions& actions);
     /** @return the time after which the caller of a request that no endpoint takes now may come back. */
     Milliseconds retryAfterOf(const ActiveRequest& active, Instant now);
     /** Refuses a request that no endpoint can take now. */
@@ -84,6 +82,7 @@
     GatewayState& state;
     StreamMigrator& migrator;
     CrashAttribution crashes;
+    EndpointNotices notices;
 };
 
 }
--- a/test/correctness/DrainingEndpointsGetNoNewRequests.cpp
+++ b/test/correctness/DrainingEndpointsGetNoNewRequests.cpp
@@ -2,47 +2,28 @@
 
 #include <doctest/doctest.h>
 
-#include <set>
-
 using namespace teaselfold;
 
-namespace {
-
-/** Sends new requests. @return the endpoints to which the gateway sends them. */
-std::set<EndpointId> endpointsUsed(GatewayScenario& scenario, int requests)
-{
-    std::set<EndpointId> endpoints;
-    for (int request = 0; request < requests; ++request) {
-        scenario.clearActions();
-        scenario.sendRequest("/write/1");
-        if (scenario.lastAction<StartExchange>())
-            endpoints.insert(scenario.lastExchange()->endpoint);
-    }
-    return endpoints;
-}
-
-}
-
 TEST_CASE("An endpoint that drains, is removed or changes its service gets no new requests")
 {
     GatewayScenario scenario;
     scenario.start();
-    CHECK(endpointsUsed(scenario, 12).size() == 3);
+    CHECK(scenario.endpointsUsed(12).size() == 3);
     EndpointRecord draining = GatewayScenario::plainEndpoint("p4");
     draining.isDraining = true;
     EndpointRecord moved = GatewayScenario::plainEndpoint("p6");
     moved.service = ServiceId("other");
     scenario.handle(EndpointsChanged { { draining, moved }, { EndpointId("p5") } });
-    CHECK(endpointsUsed(scenario, 12).empty());
+    CHECK(scenario.endpointsUsed(12).empty());
 }
 
 TEST_CASE("Endpoints in a zone that is out of service get no requests until the zone is back")
 {
     GatewayScenario scenario;
     scenario.start().handle(OutOfServiceZonesRead { { ZoneId("north") } });
-    CHECK(endpointsUsed(scenario, 6).empty());
+    CHECK(scenario.endpointsUsed(6).empty());
     scenario.handle(OutOfServiceZonesRead {});
-    CHECK(endpointsUsed(scenario, 6).size() == 3);
+    CHECK(scenario.endpointsUsed(6).size() == 3);
 }
 
 TEST_CASE("Endpoints whose records expire during an outage of the store are kept for the grace period after it")
@@ -53,14 +34,14 @@
         .advance(Milliseconds(2000))
         .refreshFromStore();
     scenario.handle(EndpointsListed { { GatewayScenario::plainEndpoint("p4") } });
-    CHECK(endpointsUsed(scenario, 12).size() == 3);
+    CHECK(scenario.endpointsUsed(12).size() == 3);
     scenario.advance(Milliseconds(2050)).refreshFromStore();
-    CHECK(endpointsUsed(scenario, 12) == std::set { EndpointId("p4") });
+    CHECK(scenario.endpointsUsed(12) == std::set { EndpointId("p4") });
 }
 
 TEST_CASE("An endpoint whose record is removed while the store is available gets no new requests")
 {
     GatewayScenario scenario;
     scenario.start().handle(EndpointsListed { { GatewayScenario::plainEndpoint("p4") } });
-    CHECK(endpointsUsed(scenario, 12) == std::set { EndpointId("p4") });
+    CHECK(scenario.endpointsUsed(12) == std::set { EndpointId("p4") });
 }
--- a/test/error/EncodedHeaderValuesStayEncoded.cpp
+++ b/test/error/EncodedHeaderValuesStayEncoded.cpp
@@ -1,7 +1,7 @@
-#include "adapters/engine/PlainServiceClient.h"
 #include "adapters/traffic/HttpHeads.h"
 #include "support/CallerServerHarness.h"
 #include "support/RawServer.h"
+#include "support/ServiceCalls.h"
 #include "support/TrafficHarness.h"
 
 #include <doctest/doctest.h>
@@ -141,21 +141,8 @@
             connection.readHead();
             connection.send("HTTP/1.1 200 OK\r\nX-Subject: " + value + "\r\nContent-Length: 4\r\n\r\nbody");
         });
-        Ring<ServiceEvent> events(1);
-        const auto client = PlainServiceClientBuilder()
-                                .withAddress(service.address())
-                                .withWorkers(1)
-                                .withSink([&](const ServiceEvent& event) { events.push(event); })
-                                .build();
-        ServiceForward call;
-        call.budget = Seconds(5);
-        call.work.method = "POST";
-        call.work.path = "/1";
-        REQUIRE(client->submit(call));
-        const auto event = events.popUntil(std::chrono::steady_clock::now() + Seconds(10));
-        client->stop();
-        REQUIRE(event);
-        const auto* failed = std::get_if<ServiceCallFailed>(&*event);
+        const auto event = callService(service.address());
+        const auto* failed = std::get_if<ServiceCallFailed>(&event);
         REQUIRE(failed);
         CHECK(failed->run == Executed::Unknown);
     }
--- a/test/error/FullEndpointsRestUntilTheirRetryAfter.cpp
+++ b/test/error/FullEndpointsRestUntilTheirRetryAfter.cpp
@@ -231,9 +231,7 @@
     CHECK(directory.acceptsResumption(engine, now + Milliseconds(2200)));
 
     GatewayScenario scenario;
-    GatewayConfiguration withoutReplicas = GatewayScenario::configuration(2);
-    withoutReplicas.services.back().engine->canReplicate = false;
-    scenario.start().handle(ConfigurationRead { std::make_shared<const GatewayConfiguration>(withoutReplicas) });
+    scenario.start().disableReplicas();
     scenario.sendRequest("/draft/1");
     REQUIRE(scenario.lastExchange());
     const ExchangeParameters stream = *scenario.lastExchange();
--- a/test/error/LateResponsesReachNoOtherCaller.cpp
+++ b/test/error/LateResponsesReachNoOtherCaller.cpp
@@ -5,24 +5,13 @@
 
 using namespace teaselfold;
 
-namespace {
-
-std::string responseTo(const std::string& id)
-{
-    const std::string body = "answer to " + id;
-    return "HTTP/1.1 200 OK\r\nX-Teaselfold-Attempt-Id: " + id
-        + "\r\nX-Teaselfold-Server-Signature: s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-}
-
 TEST_CASE("A second copy of an answer on a connection in use again never reaches the next caller")
 {
     for (const Milliseconds delay : { Milliseconds(0), Milliseconds(50), Milliseconds(500) }) {
         CAPTURE(delay.count());
         RawServer endpoint([&](RawServer::Connection& connection) {
             while (const auto head = connection.readHead()) {
-                const std::string answer = responseTo(headField(*head, "X-Teaselfold-Attempt-Id"));
+                const std::string answer = signedResponse(headField(*head, "X-Teaselfold-Attempt-Id"));
                 connection.send(answer);
                 connection.wait(delay);
                 // The next request of another caller may already be on this connection.
--- a/test/error/LeavingEndpointsGetNoRequests.cpp
+++ b/test/error/LeavingEndpointsGetNoRequests.cpp
@@ -45,19 +45,6 @@
     return served;
 }
 
-/** Sends new requests. @return the endpoints to which the gateway sends them. */
-std::set<EndpointId> endpointsUsed(GatewayScenario& scenario, int requests)
-{
-    std::set<EndpointId> endpoints;
-    for (int request = 0; request < requests; ++request) {
-        scenario.clearActions();
-        scenario.sendRequest("/write/1");
-        if (scenario.lastAction<StartExchange>())
-            endpoints.insert(scenario.lastExchange()->endpoint);
-    }
-    return endpoints;
-}
-
 ResponseSummary leavingAnswer(ResponseSummary summary)
 {
     summary.isLeaving = true;
@@ -109,8 +96,8 @@
     GatewayScenario scenario;
     scenario.start().handle(EndpointsListed { plainRecords(firstStart) });
     const EndpointId leaving = receiveAnnouncement(scenario);
-    const auto isUnused = [&] { return !endpointsUsed(scenario, 12).contains(leaving); };
-    CHECK(endpointsUsed(scenario, 12).size() == 2);
+    const auto isUnused = [&] { return !scenario.endpointsUsed(12).contains(leaving); };
+    CHECK(scenario.endpointsUsed(12).size() == 2);
     // The store still shows it as ready, in a change and in a list.
     EndpointRecord ready = GatewayScenario::plainEndpoint(leaving.get());
     ready.startedAt = WallTime(firstStart);
@@ -128,7 +115,7 @@
     // It has started again under the same id.
     ready.startedAt = WallTime(secondStart);
     scenario.handle(EndpointsChanged { { ready }, {} });
-    CHECK(endpointsUsed(scenario, 12).contains(leaving));
+    CHECK(scenario.endpointsUsed(12).contains(leaving));
 }
 
 TEST_CASE("An endpoint that does not state its start is used again when it registers well after it had left")
@@ -139,10 +126,10 @@
     const EndpointRecord record = GatewayScenario::plainEndpoint(leaving.get());
     scenario.handle(EndpointsChanged { {}, { leaving } }).advance(Milliseconds(2000)).refreshFromStore();
     scenario.handle(EndpointsChanged { { record }, {} });
-    CHECK_FALSE(endpointsUsed(scenario, 12).contains(leaving));
+    CHECK_FALSE(scenario.endpointsUsed(12).contains(leaving));
     scenario.handle(EndpointsChanged { {}, { leaving } }).advance(Milliseconds(6000)).refreshFromStore();
     scenario.handle(EndpointsChanged { { record }, {} });
-    CHECK(endpointsUsed(scenario, 12).contains(leaving));
+    CHECK(scenario.endpointsUsed(12).contains(leaving));
 }
 
 TEST_CASE("An announcement counts in every kind of answer")
@@ -160,7 +147,7 @@
         const EndpointId leaving = scenario.lastExchange()->endpoint;
         scenario.respond(leavingAnswer(answer));
         CHECK_FALSE(scenario.gatewayUnderTest().acceptsRequests(leaving));
-        CHECK_FALSE(endpointsUsed(scenario, 12).contains(leaving));
+        CHECK_FALSE(scenario.endpointsUsed(12).contains(leaving));
     }
 }
 
@@ -168,9 +155,7 @@
 TEST_CASE("The streams of an engine that announces in an answer that it leaves are migrated")
 {
     GatewayScenario scenario;
-    GatewayConfiguration withoutReplicas = GatewayScenario::configuration(2);
-    withoutReplicas.services.back().engine->canReplicate = false;
-    scenario.start().handle(ConfigurationRead { std::make_shared<const GatewayConfiguration>(withoutReplicas) });
+    scenario.start().disableReplicas();
     scenario.sendRequest("/draft/1");
     REQUIRE(scenario.lastExchange());
     const ExchangeParameters stream = *scenario.lastExchange();
--- a/test/error/RepeatedRefusalsAnswerNoOtherRequest.cpp
+++ b/test/error/RepeatedRefusalsAnswerNoOtherRequest.cpp
@@ -9,13 +9,6 @@
 
 namespace {
 
-std::string responseTo(const std::string& id)
-{
-    const std::string body = "answer to " + id;
-    return "HTTP/1.1 200 OK\r\nX-Teaselfold-Attempt-Id: " + id
-        + "\r\nX-Teaselfold-Server-Signature: s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 /** Responses that belong to no request of the connection on which they come. */
 std::vector<std::string> foreignResponses()
 {
@@ -71,10 +64,10 @@
                 connection.send(this->foreign + this->foreign);
             connection.wait(Milliseconds(30));
             if (this->moment == Moment::WithTheResponseBefore) {
-                connection.send(responseTo(id) + this->foreign);
+                connection.send(signedResponse(id) + this->foreign);
                 continue;
             }
-            connection.send(responseTo(id));
+            connection.send(signedResponse(id));
             if (this->moment == Moment::WhileIdle) {
                 connection.wait(Milliseconds(20));
                 connection.send(this->foreign);
--- a/test/error/TruncatedResponsesAreNone.cpp
+++ b/test/error/TruncatedResponsesAreNone.cpp
@@ -1,8 +1,8 @@
 #include "adapters/engine/EngineClient.h"
-#include "adapters/engine/PlainServiceClient.h"
 #include "adapters/platform/PlatformSession.h"
 #include "platform/StoreClient.h"
 #include "support/RawServer.h"
+#include "support/ServiceCalls.h"
 #include "support/TrafficHarness.h"
 
 #include <doctest/doctest.h>
@@ -45,25 +45,6 @@
 const std::string inChunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n";
 const std::string untilClose = "HTTP/1.1 200 OK\r\nX-Teaselfold-Server-Signature: s\r\n\r\n";
 
-ServiceEvent callService(const Address& service)
-{
-    Ring<ServiceEvent> events(1);
-    const auto client = PlainServiceClientBuilder()
-                            .withAddress(service)
-                            .withWorkers(1)
-                            .withSink([&](const ServiceEvent& event) { events.push(event); })
-                            .build();
-    ServiceForward call;
-    call.budget = Seconds(5);
-    call.work.method = "POST";
-    call.work.path = "/1";
-    REQUIRE(client->submit(call));
-    const auto event = events.popUntil(std::chrono::steady_clock::now() + answerTimeout);
-    client->stop();
-    REQUIRE(event);
-    return *event;
-}
-
 }
 
 /** Answers each request with the next beginning of a response and closes, after a whole answer if that is asked for. */
--- a/test/support/GatewayScenario.cpp
+++ b/test/support/GatewayScenario.cpp
@@ -149,6 +149,25 @@
     return found;
 }
 
+GatewayScenario& GatewayScenario::disableReplicas()
+{
+    GatewayConfiguration withoutReplicas = configuration(2);
+    withoutReplicas.services.back().engine->canReplicate = false;
+    return this->handle(ConfigurationRead { std::make_shared<const GatewayConfiguration>(withoutReplicas) });
+}
+
+std::set<EndpointId> GatewayScenario::endpointsUsed(int requests)
+{
+    std::set<EndpointId> endpoints;
+    for (int request = 0; request < requests; ++request) {
+        this->clearActions();
+        this->sendRequest("/write/1");
+        if (this->lastAction<StartExchange>())
+            endpoints.insert(this->lastExchange()->endpoint);
+    }
+    return endpoints;
+}
+
 void GatewayScenario::respond(ResponseSummary summary)
 {
     this->handle(ResponseReceived { this->parameters->exchange, summary });
--- a/test/support/GatewayScenario.h
+++ b/test/support/GatewayScenario.h
@@ -4,6 +4,7 @@
 #include "emulator/SeededRandomness.h"
 
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -32,6 +33,10 @@
     RequestId sendRequest(const std::string& path, const std::string& key = "key-a");
     /** Passes a request with the given fingerprint to the gateway, for example a repeated one. @return its id. */
     RequestId sendRequestWithFingerprint(const std::string& path, Fingerprint fingerprint);
+    /** Provides a configuration whose engines keep no replicas. */
+    GatewayScenario& disableReplicas();
+    /** Sends new requests that may not be repeated. @return the endpoints to which the gateway sends them. */
+    std::set<EndpointId> endpointsUsed(int requests);
     /** Responds to the last started exchange. */
     void respond(ResponseSummary summary);
     /** Ends the last started exchange. */
--- a/test/support/RawServer.cpp
+++ b/test/support/RawServer.cpp
@@ -149,6 +149,13 @@
     }
 }
 
+std::string signedResponse(const std::string& id)
+{
+    const std::string body = "answer to " + id;
+    return "HTTP/1.1 200 OK\r\nX-Teaselfold-Attempt-Id: " + id
+        + "\r\nX-Teaselfold-Server-Signature: s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 std::string headField(const std::string& head, const std::string& name)
 {
     const std::string prefix = "\r\n" + name + ": ";
--- a/test/support/RawServer.h
+++ b/test/support/RawServer.h
@@ -72,6 +72,9 @@
     std::thread acceptor;
 };
 
+/** @return an endpoint's whole response to a request of the prepared platform, whose body names the request's id. */
+std::string signedResponse(const std::string& id);
+
 /** @return the value of a field of a message head; empty when there is none. */
 std::string headField(const std::string& head, const std::string& name);
 
