Move the state of a request into a file of its own

ActiveRequest.h holds the request, its exchange and its migration, with the four questions that several parts ask of them; GatewayState keeps what the parts share. No behavior changes.

--- /dev/null
+++ b/src/core/gateway/ActiveRequest.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "ports/GatewayConfiguration.h"
+#include "ports/GatewayMessages.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace teaselfold {
+
+/** Progress of the live migration of a stream. */
+enum class MigrationPhase : std::uint8_t {
+    /** The KV cache is copied while the run continues; each call copies what the run added since the last one. */
+    Copying,
+    /** The run is stopped, and the rest of its KV cache is copied. */
+    Finishing,
+    /** No call is in progress. The stream resumes from the copy, if any, when the source's stream ends. */
+    Done,
+};
+
+/** Live migration of one stream to another engine. */
+struct StreamMigration {
+    MigrationPhase phase { MigrationPhase::Copying };
+    ExchangeId exchange;
+    EndpointId source;
+    Address sourceAddress;
+    EndpointId target;
+    Address targetAddress;
+    /** When the last copy call was sent. */
+    Instant lastCallAt;
+    std::uint32_t callCount { 0 };
+    /** Tokens reserved at the target. */
+    std::uint64_t tokens { 0 };
+    /** Handle of the last copy at the target. */
+    std::optional<KvCacheHandle> copy;
+    /** The source was asked to stop the run, and did not state that it left the run alone. */
+    bool mayBeStopped { false };
+    /** How the source's stream ended. All of its events were relayed to the caller. */
+    std::optional<ExchangeEnd> streamEnd;
+};
+
+/** A request that waits for an endpoint or has an exchange in progress. */
+struct ActiveRequest {
+    GatewayRequest request;
+    /** Owns the objects to which `route` and `service` point. */
+    std::shared_ptr<const GatewayConfiguration> configuration;
+    const GatewayRoute* route { nullptr };
+    const GatewayService* service { nullptr };
+    std::optional<TeamId> team;
+    std::uint32_t priority { 0 };
+    Instant arrivedAt;
+    /** End of the caller's or the route's timeout, whichever is earlier. */
+    Instant deadline;
+    /** Expected tokens of the prompt and the output together. */
+    std::uint64_t tokens { 0 };
+    /** Expected number of events of a stream. */
+    std::uint64_t events { 0 };
+    std::uint32_t attempts { 0 };
+    std::set<EndpointId> triedEndpoints;
+    std::optional<ExchangeId> exchange;
+    /** An endpoint may have started to process the request, so it must no longer be reported as not executed. */
+    bool mayHaveRun { false };
+    /** When the first event was relayed. */
+    std::optional<Instant> firstEventAt;
+    /** Longest time between two events of a stream. */
+    Duration longestPause { 0 };
+    /** Part of a response was sent to the caller. */
+    bool responseStarted { false };
+    std::uint64_t lastEventId { 0 };
+    std::optional<Instant> lastEventAt;
+    /** Engine that holds a replica of the run's KV cache. */
+    std::optional<EndpointId> replicaEngine;
+    std::optional<StreamMigration> migration;
+    /** Engines at which the run broke before it got past its start. */
+    std::uint32_t brokenStarts { 0 };
+    /** The run got past its start at an engine, so its prompt crashes none. */
+    bool isPastStart { false };
+    std::uint32_t failedMigrations { 0 };
+    /** Targets of the failed migrations, excluded until the stream resumes elsewhere. */
+    std::set<EndpointId> failedTargets;
+};
+
+/** One attempt of a request at an endpoint. */
+struct Exchange {
+    RequestId request;
+    EndpointId endpoint;
+    Address address;
+    ZoneId zone;
+    std::uint64_t tokens { 0 };
+    /** Tokens of the prompt until the first event; zero after it. */
+    std::uint64_t promptTokens { 0 };
+    /** Engine that holds a replica of the run's KV cache during the exchange. */
+    std::optional<EndpointId> replicaEngine;
+    /** Last event that was relayed to the caller. `lastEventAt` is the time of the relay. */
+    std::uint64_t lastEventId { 0 };
+    std::optional<Instant> lastEventAt;
+    Instant startedAt;
+    /** When this exchange's first event was relayed; earlier exchanges of a resumed stream do not count. */
+    std::optional<Instant> firstEventAt;
+    /** This exchange went on for a while after its first event; `ActiveRequest::isPastStart` holds for all of a run. */
+    bool isPastStart { false };
+};
+
+inline bool isStream(const ActiveRequest& active) { return active.route->kind == RequestKind::Stream; }
+
+inline bool isIdempotent(const ActiveRequest& active) { return active.route->kind == RequestKind::Idempotent; }
+
+/** @return the time until the request's deadline. */
+inline Milliseconds timeLeft(const ActiveRequest& active, Instant now)
+{
+    return std::chrono::duration_cast<Milliseconds>(active.deadline - now);
+}
+
+/** @return whether a request without an exchange in progress may have been executed. */
+inline Executed executedStateOf(const ActiveRequest& active)
+{
+    return active.mayHaveRun ? Executed::Unknown : Executed::No;
+}
+
+}
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -23,21 +23,6 @@
         return response.status >= firstSuccess && response.status < firstRedirection;
     }
 
-    Milliseconds timeLeft(const ActiveRequest& active, Instant now)
-    {
-        return std::chrono::duration_cast<Milliseconds>(active.deadline - now);
-    }
-
-    /** @return whether a request without an exchange in progress may have been executed. */
-    Executed executedStateOf(const ActiveRequest& active)
-    {
-        return active.mayHaveRun ? Executed::Unknown : Executed::No;
-    }
-
-    bool isIdempotent(const ActiveRequest& active) { return active.route->kind == RequestKind::Idempotent; }
-
-    bool isStream(const ActiveRequest& active) { return active.route->kind == RequestKind::Stream; }
-
     /**
      * @return the priority at the engines. Zero is the most urgent. Values are capped at 9, so that less urgent levels
      * remain for other uses.
