Log what a planned stop does to requests

A request that an exit cut left no line; nothing showed when the signal came, or why a stream did not resume. New: event=cut for each request in progress when the stop completes, event=stop_complete with the number of requests that ended in each way, heard_after_ms in event=stopping, and event=not_resumed with the state of the endpoint.

No decision changes.

--- a/apps/teaselfold-gateway/Main.cpp
+++ b/apps/teaselfold-gateway/Main.cpp
@@ -129,7 +129,7 @@
         return Failure { ErrorCode::Internal, "cannot listen for peers: " + *reason, Executed::No, {} };
     this->store.start();
     this->waitForStop(signals);
-    this->traffic->ring().push(GatewayStopRequested {});
+    this->traffic->ring().push(GatewayStopRequested { bootTimeNow() });
     this->stopped.get_future().wait();
     this->store.stop();
     this->peers.stop();
--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -301,6 +301,18 @@
         && (!this->isResting(endpoint, now) || this->endpoints.at(endpoint).sentWhileResting < maxResumptionsPerRest);
 }
 
+std::string_view EndpointDirectory::stateName(const EndpointId& endpoint, Instant now) const
+{
+    const auto found = this->endpoints.find(endpoint);
+    if (found == this->endpoints.end())
+        return "gone";
+    if (isLeaving(found->second))
+        return "leaving";
+    if (this->zonesOutOfService.contains(found->second.record.zone))
+        return "zone_out";
+    return this->isResting(endpoint, now) ? "resting" : "ready";
+}
+
 bool EndpointDirectory::isHeldBack(const GatewayEndpoint& endpoint, Instant now)
 {
     const bool hasJustRested = now < endpoint.restsUntil + returnTime;
--- a/src/core/gateway/EndpointDirectory.h
+++ b/src/core/gateway/EndpointDirectory.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <vector>
 
 namespace teaselfold {
@@ -118,6 +119,8 @@
     bool isResting(const EndpointId& endpoint, Instant now) const;
     /** @return true if a stream that would be lost otherwise may resume at the endpoint. */
     bool acceptsResumption(const EndpointId& endpoint, Instant now) const;
+    /** @return why the endpoint takes no requests now, or "ready"; for logs. */
+    std::string_view stateName(const EndpointId& endpoint, Instant now) const;
     /**
      * @return the time until the first endpoint of a service may take requests again, if all of them leave or rest;
      * zero if none of them rests; unset if the service has another endpoint, or none at all.
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -200,6 +200,7 @@
 {
     const Metric metric = failure.run == Executed::No ? Metric::Refusal : Metric::Failed;
     Internal::observe(actions, active, metric, 1, std::string(errorCodeName(failure.code)));
+    this->state.countInStop(failure.run == Executed::No ? &PlannedStop::refused : &PlannedStop::failed);
     if (active.responseStarted)
         actions.emplace_back(AbortResponse { active.request.id });
     else
@@ -320,6 +321,7 @@
     this->crashes.requestCompleted(active, now);
     actions.emplace_back(Internal::completedLogEvent(active, now));
     Internal::observeCompleted(actions, active, now);
+    this->state.countInStop(&PlannedStop::completed);
     this->removeRequest(active, now, actions);
 }
 
@@ -372,9 +374,17 @@
 bool ExchangeDispatcher::resume(
     ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now, GatewayActions& actions)
 {
-    if (!this->state.endpoints.acceptsResumption(endpoint, now) || !this->crashes.mayResume(active, now))
+    const bool isAccepted = this->state.endpoints.acceptsResumption(endpoint, now);
+    if (!isAccepted || !this->crashes.mayResume(active, now)) {
+        auto line = Internal::requestLogEvent("not_resumed", active, now);
+        line.fields.push_back({ "endpoint", endpoint.get() });
+        line.fields.push_back({ "endpoint_state", std::string(this->state.endpoints.stateName(endpoint, now)) });
+        line.fields.push_back({ "reason", isAccepted ? "suspected of crashes" : "endpoint takes no requests" });
+        actions.emplace_back(std::move(line));
         return false;
+    }
     this->startExchange(active, *this->state.endpoints.find(endpoint), point, now, actions);
+    this->state.countInStop(&PlannedStop::resumed);
     return true;
 }
 
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -74,7 +74,7 @@
     this->state.peers.expire(now);
     this->sendGossip(now, actions);
     this->store.tick(now, actions);
-    this->advanceStop(now);
+    this->advanceStop(now, actions);
     return actions;
 }
 
@@ -87,13 +87,26 @@
     actions.emplace_back(LogEvent { "suspended", { { "time_ms", Internal::millisecondsText(now - lastActive) } } });
 }
 
-void Gateway::advanceStop(Instant now)
+void Gateway::advanceStop(Instant now, GatewayActions& actions)
 {
-    const auto& stopRequestedAt = this->state.stopRequestedAt;
-    if (!stopRequestedAt || now - *stopRequestedAt < this->state.limits.drainDelay)
+    auto& stop = this->state.stop;
+    if (!stop || stop->isComplete || now - stop->requestedAt < this->state.limits.drainDelay)
         return;
-    const bool limitReached = now - *stopRequestedAt >= this->state.limits.stopLimit;
-    this->state.isStopComplete = this->state.isStopComplete || limitReached || this->isDrained();
+    const bool limitReached = now - stop->requestedAt >= this->state.limits.stopLimit;
+    if (!limitReached && !this->isDrained())
+        return;
+    stop->isComplete = true;
+    this->logStop(now, actions);
+}
+
+void Gateway::logStop(Instant now, GatewayActions& actions)
+{
+    PlannedStop& stop = *this->state.stop;
+    for (const auto& [id, active] : this->state.requests) {
+        ++stop.cut;
+        actions.emplace_back(Internal::cutLogEvent(this->state, active, now));
+    }
+    actions.emplace_back(Internal::stopLogEvent(stop, now));
 }
 
 const GatewayConfiguration* Gateway::configuration() const
@@ -111,6 +124,7 @@
         actions.emplace_back(Observation {
             Metric::Refusal, TeamId(), PriorityClass::Standard, 1, std::string(errorCodeName(failure->code)) });
         actions.emplace_back(RefuseRequest { event.request.id, std::move(*failure) });
+        this->state.countInStop(&PlannedStop::refused);
         return;
     }
     ActiveRequest& active = this->state.requests[event.request.id] = std::move(*std::get_if<ActiveRequest>(&admitted));
@@ -247,7 +261,7 @@
 void Gateway::sendGossip(Instant now, GatewayActions& actions)
 {
     const GossipContent content { this->state.endpoints.usages(),
-        this->state.quarantine.recentDelivery(now, maxSentSuspects), this->state.stopRequestedAt.has_value(),
+        this->state.quarantine.recentDelivery(now, maxSentSuspects), this->state.stop.has_value(),
         this->state.peers.receiverCount(), this->state.promptParts.recentEvidence(now),
         this->state.promptParts.allEvidence(now), this->state.crashDetector.refusedConnections(now) };
     if (auto message = this->gossip.compose(content, now))
@@ -261,12 +275,14 @@
             LogEvent { "prompt_parts_quarantined", { { "prompt_parts", Internal::promptPartsText(parts) } } });
 }
 
-void Gateway::stopRequested(const GatewayStopRequested&, Instant now, GatewayActions& actions)
+void Gateway::stopRequested(const GatewayStopRequested& event, Instant now, GatewayActions& actions)
 {
-    if (this->state.stopRequestedAt)
+    if (this->state.stop)
         return;
-    this->state.stopRequestedAt = now;
-    actions.emplace_back(LogEvent { "stopping", { { "in_progress", std::to_string(this->state.requests.size()) } } });
+    this->state.stop.emplace().requestedAt = now;
+    actions.emplace_back(LogEvent { "stopping",
+        { { "in_progress", std::to_string(this->state.requests.size()) },
+            { "heard_after_ms", Internal::millisecondsText(now - event.signalledAt) } } });
 }
 
 }
--- a/src/core/gateway/Gateway.h
+++ b/src/core/gateway/Gateway.h
@@ -25,14 +25,17 @@
     /** @return true if the gateway accepts new callers. */
     bool isReady(Instant now) const { return this->admission.isReady(now); }
     /** @return true if a stop was requested and no request is in progress. */
-    bool isDrained() const { return this->state.stopRequestedAt && this->state.requests.empty(); }
+    bool isDrained() const { return this->state.stop && this->state.requests.empty(); }
     /**
      * @return true if the drain delay after a stop request is over and no request is in progress, or if the stop limit
      * is reached. From then on, every new request is refused.
      */
-    bool isStopComplete() const { return this->state.isStopComplete; }
+    bool isStopComplete() const { return this->state.stop && this->state.stop->isComplete; }
     /** @return the time of the stop request, if any. */
-    std::optional<Instant> stopRequestedAt() const { return this->state.stopRequestedAt; }
+    std::optional<Instant> stopRequestedAt() const
+    {
+        return this->state.stop ? std::optional(this->state.stop->requestedAt) : std::nullopt;
+    }
     /** @return true if new requests may be sent to the endpoint. */
     bool acceptsRequests(const EndpointId& endpoint) const { return this->state.endpoints.acceptsRequests(endpoint); }
     /** @return the limits in force. */
@@ -69,7 +72,9 @@
     /** Takes note of the time for which the process did not run before this event or tick. */
     void noticeSuspension(Instant now, GatewayActions& actions);
     /** Completes a requested stop once nothing is in progress. */
-    void advanceStop(Instant now);
+    void advanceStop(Instant now, GatewayActions& actions);
+    /** Logs the requests that the exit cuts, and how all requests since the stop request ended. */
+    void logStop(Instant now, GatewayActions& actions);
     /** Starts to migrate the streams of endpoints that drain or were removed. */
     void drainEndpoints(const std::vector<EndpointId>& draining, Instant now, GatewayActions& actions);
 
--- a/src/core/gateway/GatewayAdmission.cpp
+++ b/src/core/gateway/GatewayAdmission.cpp
@@ -29,19 +29,21 @@
 
 bool GatewayAdmission::isReady(Instant now) const
 {
-    return !this->state.stopRequestedAt && this->state.routes
+    return !this->state.stop && this->state.routes
         && this->state.freshness.age(StoreSection::Endpoints, now).has_value()
         && this->state.freshness.isFresh(StoreSection::Configuration, this->state.limits.maxKeyStaleness, now);
 }
 
 bool GatewayAdmission::canFinishBeforeStop(const GatewayRequest& request, const GatewayRoute& route, Instant now) const
 {
-    if (this->state.isStopComplete)
+    const auto& stop = this->state.stop;
+    if (!stop)
+        return true;
+    if (stop->isComplete)
         return false;
-    const auto& stopRequestedAt = this->state.stopRequestedAt;
-    if (!stopRequestedAt || now - *stopRequestedAt < this->state.limits.drainDelay)
+    if (now - stop->requestedAt < this->state.limits.drainDelay)
         return true;
-    return now + timeoutOf(request, route) < *stopRequestedAt + this->state.limits.stopLimit;
+    return now + timeoutOf(request, route) < stop->requestedAt + this->state.limits.stopLimit;
 }
 
 Failure GatewayAdmission::denial(ErrorCode code, std::string message, Instant now) const
--- a/src/core/gateway/GatewayLog.cpp
+++ b/src/core/gateway/GatewayLog.cpp
@@ -1,5 +1,7 @@
 #include "core/gateway/GatewayLog.h"
 
+#include "core/gateway/StreamMigrator.h"
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -8,6 +10,26 @@
 
 namespace {
 
+    /** Adds the endpoint of an exchange, and how far the request's run got there. */
+    void appendExchange(LogEvent& line, const Exchange& exchange, Instant now)
+    {
+        line.fields.push_back({ "endpoint", exchange.endpoint.get() });
+        line.fields.push_back({ "sent_ms_ago", millisecondsText(now - exchange.startedAt) });
+        line.fields.push_back(
+            { "first_event_ms_ago", exchange.firstEventAt ? millisecondsText(now - *exchange.firstEventAt) : "none" });
+        line.fields.push_back({ "last_event", std::to_string(exchange.lastEventId) });
+    }
+
+    /** @return what a request in progress waits for. */
+    std::string_view progressName(const ActiveRequest& active)
+    {
+        if (!active.exchange)
+            return active.migration ? "moving" : "waiting";
+        if (StreamMigrator::mayBeStopped(active))
+            return "moving";
+        return active.responseStarted ? "streaming" : "sent";
+    }
+
     double milliseconds(Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
 
 }
@@ -61,16 +83,31 @@
 LogEvent brokenExchangeLogEvent(const ActiveRequest& active, const Exchange& exchange, Instant now)
 {
     auto line = requestLogEvent("exchange_broken", active, now);
-    line.fields.push_back({ "endpoint", exchange.endpoint.get() });
-    line.fields.push_back({ "sent_ms_ago", millisecondsText(now - exchange.startedAt) });
-    line.fields.push_back(
-        { "first_event_ms_ago", exchange.firstEventAt ? millisecondsText(now - *exchange.firstEventAt) : "none" });
-    line.fields.push_back({ "last_event", std::to_string(exchange.lastEventId) });
+    appendExchange(line, exchange, now);
     if (!active.request.sharedPromptParts.empty())
         line.fields.push_back({ "prompt_parts", promptPartsText(active.request.sharedPromptParts) });
     return line;
 }
 
+LogEvent cutLogEvent(const GatewayState& state, const ActiveRequest& active, Instant now)
+{
+    auto line = requestLogEvent("cut", active, now);
+    line.fields.push_back({ "progress", std::string(progressName(active)) });
+    const Executed run = active.exchange ? Executed::Unknown : executedStateOf(active);
+    line.fields.push_back({ "run", std::string(executedName(run)) });
+    if (active.exchange)
+        appendExchange(line, state.exchanges.at(*active.exchange), now);
+    return line;
+}
+
+LogEvent stopLogEvent(const PlannedStop& stop, Instant now)
+{
+    return { "stop_complete",
+        { { "time_ms", millisecondsText(now - stop.requestedAt) }, { "completed", std::to_string(stop.completed) },
+            { "refused", std::to_string(stop.refused) }, { "failed", std::to_string(stop.failed) },
+            { "resumed", std::to_string(stop.resumed) }, { "cut", std::to_string(stop.cut) } } };
+}
+
 std::string promptPartsText(const std::vector<PromptPartId>& parts)
 {
     std::string text;
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -6,6 +6,7 @@
 #include "core/gateway/CrashDetector.h"
 #include "core/gateway/EndpointDirectory.h"
 #include "core/gateway/PeerLoadTable.h"
+#include "core/gateway/PlannedStop.h"
 #include "core/gateway/PromptPartQuarantine.h"
 #include "core/gateway/ReaderRank.h"
 #include "core/gateway/RouteTable.h"
@@ -49,6 +50,13 @@
         return budget;
     }
 
+    /** Counts a request's end in the planned stop, if there is one. @param counter the counter for the way it ended. */
+    void countInStop(std::uint64_t PlannedStop::*counter)
+    {
+        if (this->stop)
+            ++((*this->stop).*counter);
+    }
+
     /** Referenced by members below, so a change of the settings assigns new values in place. */
     GatewayLimits limits;
     ZoneId zone;
@@ -67,9 +75,7 @@
     /** Requests that wait for an endpoint, oldest first. */
     std::set<RequestId> waiting;
     std::uint64_t lastExchangeId { 0 };
-    std::optional<Instant> stopRequestedAt;
-    /** No request is accepted any more, and the process is about to exit. */
-    bool isStopComplete { false };
+    std::optional<PlannedStop> stop;
 };
 
 }
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -163,7 +163,10 @@
 };
 
 /** Asks the gateway to drain, after which the process exits. */
-struct GatewayStopRequested { };
+struct GatewayStopRequested {
+    /** When the process got the stop signal. */
+    Instant signalledAt;
+};
 
 using GatewayEvent = std::variant<RequestArrived, RequestAbandoned, ResponseReceived, ExchangeEnded, EventsRelayed,
     MigrationResponseReceived, ConfigurationRead, EndpointsListed, EndpointsChanged, OutOfServiceZonesRead,
--- a/test/error/GatewayDrainsBeforeExit.cpp
+++ b/test/error/GatewayDrainsBeforeExit.cpp
@@ -7,7 +7,7 @@
 TEST_CASE("A stopping gateway reports that it is not ready but accepts requests during the drain delay")
 {
     GatewayScenario scenario;
-    scenario.start().handle(GatewayStopRequested {}).advance(Milliseconds(1000)).refreshFromStore();
+    scenario.start().handle(GatewayStopRequested { scenario.now() }).advance(Milliseconds(1000)).refreshFromStore();
     CHECK_FALSE(scenario.gatewayUnderTest().isReady(scenario.now()));
     scenario.clearActions();
     scenario.sendRequest("/draft/1");
@@ -17,7 +17,7 @@
 TEST_CASE("A stopping gateway refuses requests whose deadline is after its exit")
 {
     GatewayScenario scenario;
-    scenario.start().handle(GatewayStopRequested {}).advance(Milliseconds(2900)).refreshFromStore();
+    scenario.start().handle(GatewayStopRequested { scenario.now() }).advance(Milliseconds(2900)).refreshFromStore();
     scenario.clearActions();
     scenario.sendRequest("/draft/1");
     const auto refused = scenario.lastAction<RefuseRequest>();
@@ -32,7 +32,7 @@
     GatewayScenario scenario;
     scenario.start();
     scenario.sendRequest("/write/1");
-    scenario.handle(GatewayStopRequested {});
+    scenario.handle(GatewayStopRequested { scenario.now() });
     CHECK_FALSE(scenario.gatewayUnderTest().isDrained());
     scenario.respond(GatewayScenario::success());
     scenario.endExchange(ExchangeEnd::Complete);
@@ -45,7 +45,7 @@
     GatewayLimits limits;
     limits.stopLimit = Milliseconds(20000);
     GatewayScenario scenario(limits);
-    scenario.start().handle(GatewayStopRequested {}).advance(Milliseconds(2600)).refreshFromStore();
+    scenario.start().handle(GatewayStopRequested { scenario.now() }).advance(Milliseconds(2600)).refreshFromStore();
     REQUIRE(scenario.gatewayUnderTest().isStopComplete());
     scenario.clearActions();
     scenario.sendRequest("/write/1");
@@ -61,7 +61,7 @@
     GatewayScenario scenario;
     scenario.start();
     scenario.sendRequest("/draft/1");
-    scenario.handle(GatewayStopRequested {}).advance(Milliseconds(2500));
+    scenario.handle(GatewayStopRequested { scenario.now() }).advance(Milliseconds(2500));
     CHECK_FALSE(scenario.gatewayUnderTest().isStopComplete());
     scenario.respond(GatewayScenario::streamStart());
     scenario.advance(Milliseconds(1500));
--- /dev/null
+++ b/test/error/StopsAreLogged.cpp
@@ -0,0 +1,82 @@
+#include "support/GatewayScenario.h"
+
+#include <doctest/doctest.h>
+
+using namespace teaselfold;
+
+namespace {
+
+/** @return the value of a field of the only log event of that name; empty if there is no such event or field. */
+std::string loggedField(const GatewayActions& actions, const std::string& event, const std::string& key)
+{
+    std::string value;
+    int found = 0;
+    for (const GatewayAction& action : actions) {
+        const auto* line = std::get_if<LogEvent>(&action);
+        if (!line || line->name != event)
+            continue;
+        ++found;
+        for (const LogField& field : line->fields) {
+            if (field.key == key)
+                value = field.value;
+        }
+    }
+    CHECK(found <= 1);
+    return value;
+}
+
+}
+
+// Guards against requests that an exit cuts without a trace in the log.
+TEST_CASE("A stop at its limit logs each request that it cuts, and how the others ended")
+{
+    GatewayScenario scenario;
+    scenario.start();
+    scenario.sendRequest("/write/1");
+    scenario.handle(GatewayStopRequested { scenario.now() });
+    scenario.respond(GatewayScenario::success());
+    scenario.endExchange(ExchangeEnd::Complete);
+    scenario.sendRequest("/draft/1");
+    scenario.respond(GatewayScenario::streamStart());
+    scenario.handle(EventsRelayed { scenario.lastExchange()->exchange, 5 });
+    const EndpointId endpoint = scenario.lastExchange()->endpoint;
+    GatewayLimits limits = scenario.gatewayUnderTest().limits();
+    limits.stopLimit = Milliseconds(3000);
+    scenario.handle(LimitsChanged { limits }).advance(Milliseconds(2700)).refreshFromStore();
+    scenario.sendRequest("/draft/2");
+    scenario.clearActions();
+    scenario.advance(Milliseconds(300));
+    const GatewayActions actions = scenario.takeActions();
+    CHECK(loggedField(actions, "cut", "request") == "caller-2");
+    CHECK(loggedField(actions, "cut", "endpoint") == endpoint.get());
+    CHECK(loggedField(actions, "cut", "progress") == "streaming");
+    CHECK(loggedField(actions, "cut", "sent_ms_ago") == "3000");
+    CHECK(loggedField(actions, "cut", "last_event") == "5");
+    CHECK(loggedField(actions, "stop_complete", "completed") == "1");
+    CHECK(loggedField(actions, "stop_complete", "refused") == "1");
+    CHECK(loggedField(actions, "stop_complete", "cut") == "1");
+    scenario.advance(Milliseconds(500));
+    CHECK(loggedField(scenario.takeActions(), "stop_complete", "cut").empty());
+}
+
+// Guards against a stop signal whose late handling no line shows.
+TEST_CASE("A stopping gateway logs how long after the signal it heard of it")
+{
+    GatewayScenario scenario;
+    scenario.start().clearActions();
+    scenario.handle(GatewayStopRequested { scenario.now() - Milliseconds(420) });
+    CHECK(loggedField(scenario.takeActions(), "stopping", "heard_after_ms") == "420");
+}
+
+// Guards against streams that end without a hint why no other endpoint took them.
+TEST_CASE("A stream that cannot resume logs the state of the endpoint with its copy")
+{
+    GatewayScenario scenario;
+    scenario.start();
+    scenario.sendRequest("/draft/1");
+    scenario.respond(GatewayScenario::streamStart());
+    scenario.handle(EventsRelayed { scenario.lastExchange()->exchange, 5 });
+    scenario.handle(OutOfServiceZonesRead { { ZoneId("north") } }).clearActions();
+    scenario.endExchange(ExchangeEnd::Broken);
+    CHECK(loggedField(scenario.takeActions(), "not_resumed", "endpoint_state") == "zone_out");
+}
