Stop a run for a migration only when its target takes the stream

Callers saw streams that ended after their status, with no fault of an endpoint, while endpoints left and zones went out of service beside configurations (LOST).

Cause: a migration copies a run for up to seconds, then stops it at its source. Whether the target still takes the stream was asked only afterwards. A target that had begun to leave or rest, or whose zone had gone out meanwhile, made the gateway abort a stream that had been whole until then; so did a prompt part that had become suspect. Class: an irreversible step before the check that it depends on.

Change: each answer of a copy call checks the target before the run is stopped; a target that is out of use is exchanged for another one, and the run goes on at its source meanwhile. A target that took the stream when the run was stopped gets it for half a second more even if it has begun to leave, which is within the time for which leaving endpoints still take requests.

Tests: two in StreamsSurviveEngineLoss; before, the first failed for each of its three changes and the second for both moments within the time.

--- a/src/core/gateway/ActiveRequest.h
+++ b/src/core/gateway/ActiveRequest.h
@@ -36,6 +36,8 @@
     std::optional<KvCacheHandle> copy;
     /** The source was asked to stop the run, and did not state that it left the run alone. */
     bool mayBeStopped { false };
+    /** When the source was last asked to stop the run; its target took requests then. */
+    std::optional<Instant> stopCallAt;
     /** How the source's stream ended. All of its events were relayed to the caller. */
     std::optional<ExchangeEnd> streamEnd;
 };
--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -297,8 +297,14 @@
 
 bool EndpointDirectory::acceptsResumption(const EndpointId& endpoint, Instant now) const
 {
-    return this->acceptsRequests(endpoint)
-        && (!this->isResting(endpoint, now) || this->endpoints.at(endpoint).sentWhileResting < maxResumptionsPerRest);
+    return this->acceptsRequests(endpoint) && this->acceptsStoppedRun(endpoint, now);
+}
+
+bool EndpointDirectory::acceptsStoppedRun(const EndpointId& endpoint, Instant now) const
+{
+    const auto found = this->endpoints.find(endpoint);
+    return found != this->endpoints.end()
+        && (found->second.restsUntil <= now || found->second.sentWhileResting < maxResumptionsPerRest);
 }
 
 std::string_view EndpointDirectory::stateName(const EndpointId& endpoint, Instant now) const
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -355,8 +355,11 @@
 bool ExchangeDispatcher::tryFailover(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
     const EndpointId target = active.migration ? active.migration->target : EndpointId();
+    const bool isAccepted = StreamMigrator::isTargetPrepared(active, now)
+        ? this->state.endpoints.acceptsStoppedRun(target, now)
+        : this->state.endpoints.acceptsResumption(target, now);
     if (const auto point = StreamMigrator::takeResumePoint(active))
-        return this->resume(active, target, *point, now, actions);
+        return this->resume(active, target, *point, isAccepted, now, actions);
     if (StreamMigrator::isAwaitingAnswer(active))
         return true;
     if (!active.replicaEngine)
@@ -368,13 +371,13 @@
         return false;
     const ResumePoint point { endpoint->record.address, KvCacheHandle(active.request.callerRequestId),
         active.lastEventId };
-    return this->resume(active, replicaEngine, point, now, actions);
+    const bool isReplicaAccepted = this->state.endpoints.acceptsResumption(replicaEngine, now);
+    return this->resume(active, replicaEngine, point, isReplicaAccepted, now, actions);
 }
 
-bool ExchangeDispatcher::resume(
-    ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now, GatewayActions& actions)
+bool ExchangeDispatcher::resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point,
+    bool isAccepted, Instant now, GatewayActions& actions)
 {
-    const bool isAccepted = this->state.endpoints.acceptsResumption(endpoint, now);
     if (!isAccepted || !this->crashes.mayResume(active, now)) {
         auto line = Internal::requestLogEvent("not_resumed", active, now);
         line.fields.push_back({ "endpoint", endpoint.get() });
--- a/src/core/gateway/ExchangeDispatcher.h
+++ b/src/core/gateway/ExchangeDispatcher.h
@@ -39,10 +39,13 @@
         GatewayActions& actions);
     /** Chooses the engine that replicates a stream's KV cache. @return the engine's address, if any. */
     std::optional<Address> placeReplica(ActiveRequest& active, const GatewayEndpoint& endpoint, Instant now);
-    /** Resumes a stream at the engine that holds a copy of its KV cache. @return false if that engine is unavailable.
+    /**
+     * Resumes a stream at the engine that holds a copy of its KV cache.
+     * @param isAccepted whether that engine takes the stream.
+     * @return false if the stream does not resume.
      */
-    bool resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now,
-        GatewayActions& actions);
+    bool resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, bool isAccepted,
+        Instant now, GatewayActions& actions);
     /** Refuses a request that is quarantined, or that has a quarantined part of a prompt. */
     void refuseQuarantined(
         ActiveRequest& active, const QuarantineVerdict& verdict, Instant now, GatewayActions& actions);
--- a/src/core/gateway/StreamMigrator.cpp
+++ b/src/core/gateway/StreamMigrator.cpp
@@ -20,6 +20,11 @@
     constexpr Milliseconds fastCopyThreshold(25);
     /** After this many calls the links are too slow to stop the run; the copy is used if the stream breaks. */
     constexpr std::uint32_t maxCopyCalls = 12;
+    /**
+     * Time after the call that stops a run in which the target gets the stream even if it has begun to leave. Shorter than
+     * the time for which leaving endpoints and zones still take requests.
+     */
+    constexpr Milliseconds preparedTargetTime(500);
     /** Maximum attempts per run. The notice before an engine exits is too short for more. */
     constexpr std::uint32_t maxFailedMigrations = 4;
 
@@ -48,14 +53,14 @@
 
 }
 
-bool StreamMigrator::isWorthMigrating(const ActiveRequest& active) const
+bool StreamMigrator::isWorthMigrating(const ActiveRequest& active, Instant now) const
 {
     if (!active.service->engine || !active.service->engine->canMigrate || active.migration)
         return false;
     if (active.replicaEngine && this->state.endpoints.acceptsRequests(*active.replicaEngine))
         return false;
     const bool hasBegun = active.lastEventId > 0;
-    return hasBegun && active.failedMigrations < maxFailedMigrations
+    return hasBegun && active.failedMigrations < maxFailedMigrations && this->crashes.mayResume(active, now)
         && expectedRemainingTokens(active) >= minRemainingTokens;
 }
 
@@ -70,14 +75,14 @@
     this->startNextMigration(endpoint, now, actions);
 }
 
-ActiveRequest* StreamMigrator::nextToMigrate(const EndpointId& source)
+ActiveRequest* StreamMigrator::nextToMigrate(const EndpointId& source, Instant now)
 {
     ActiveRequest* next = nullptr;
     for (const auto& [id, exchange] : this->state.exchanges) {
         if (exchange.endpoint != source)
             continue;
         ActiveRequest& active = this->state.requests.at(exchange.request);
-        if (this->isWorthMigrating(active)
+        if (this->isWorthMigrating(active, now)
             && (!next || expectedRemainingTokens(active) > expectedRemainingTokens(*next)))
             next = &active;
     }
@@ -89,7 +94,7 @@
     const auto entry = this->draining.find(source);
     if (entry == this->draining.end() || entry->second || this->state.endpoints.isResting(source, now))
         return;
-    ActiveRequest* next = this->nextToMigrate(source);
+    ActiveRequest* next = this->nextToMigrate(source, now);
     if (next && this->startMigration(*next, source, now, actions))
         entry->second = next->request.id;
 }
@@ -105,7 +110,7 @@
     if (!target)
         return false;
     active.migration = StreamMigration { MigrationPhase::Copying, *active.exchange, source, exchange.address,
-        target->record.id, target->record.address, now, 0, active.tokens, std::nullopt, false, std::nullopt };
+        target->record.id, target->record.address, now, 0, active.tokens, std::nullopt, false, std::nullopt, std::nullopt };
     this->state.endpoints.addCopy(target->record.id, active.tokens);
     this->requestByExchange[*active.exchange] = active.request.id;
     this->sendCopyCall(active, now, actions);
@@ -120,6 +125,8 @@
     ++migration.callCount;
     const bool stopsSource = migration.phase == MigrationPhase::Finishing;
     migration.mayBeStopped = stopsSource;
+    if (stopsSource)
+        migration.stopCallAt = now;
     actions.emplace_back(StartMigration { migration.exchange, migration.sourceAddress, active.request.callerRequestId,
         migration.targetAddress, stopsSource });
 }
@@ -142,8 +149,13 @@
         migration.copy = event.handle;
     if (event.outcome == MigrationOutcome::NoSuchRun || event.outcome == MigrationOutcome::InProgress)
         migration.mayBeStopped = false;
-    if (migration.phase == MigrationPhase::Copying && copied && !migration.streamEnd
-        && migration.callCount < maxCopyCalls && !this->state.endpoints.isResting(migration.source, now)) {
+    const bool isRunning = migration.phase == MigrationPhase::Copying && !migration.streamEnd;
+    if (isRunning && !this->canResumeAtTarget(active, now)) {
+        this->abandonTarget(active, now, actions);
+        return std::nullopt;
+    }
+    if (isRunning && copied && migration.callCount < maxCopyCalls
+        && !this->state.endpoints.isResting(migration.source, now)) {
         if (now - migration.lastCallAt < fastCopyThreshold)
             migration.phase = MigrationPhase::Finishing;
         this->sendCopyCall(active, now, actions);
@@ -163,6 +175,20 @@
     return streamEnded ? std::optional(id) : std::nullopt;
 }
 
+bool StreamMigrator::canResumeAtTarget(const ActiveRequest& active, Instant now) const
+{
+    return this->state.endpoints.acceptsResumption(active.migration->target, now) && this->crashes.mayResume(active, now);
+}
+
+void StreamMigrator::abandonTarget(ActiveRequest& active, Instant now, GatewayActions& actions)
+{
+    const EndpointId source = active.migration->source;
+    active.failedTargets.insert(active.migration->target);
+    this->endMigration(*active.migration);
+    active.migration.reset();
+    this->startNextMigration(source, now, actions);
+}
+
 void StreamMigrator::endMigration(const StreamMigration& migration)
 {
     if (this->requestByExchange.erase(migration.exchange) == 0)
@@ -181,6 +207,12 @@
     });
 }
 
+bool StreamMigrator::isTargetPrepared(const ActiveRequest& active, Instant now)
+{
+    return active.migration && active.migration->stopCallAt
+        && now - *active.migration->stopCallAt < preparedTargetTime;
+}
+
 bool StreamMigrator::isAwaitingAnswer(const ActiveRequest& active)
 {
     return active.migration && active.migration->phase != MigrationPhase::Done && active.migration->streamEnd;
--- a/src/core/gateway/StreamMigrator.h
+++ b/src/core/gateway/StreamMigrator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/gateway/CrashAttribution.h"
 #include "core/gateway/GatewayState.h"
 
 #include <map>
@@ -16,6 +17,7 @@
 public:
     explicit StreamMigrator(GatewayState& state)
         : state(state)
+        , crashes(state)
     {
     }
 
@@ -37,6 +39,11 @@
      * @return the point at which it resumes; unset if it has no copy or the response to a copy call is outstanding.
      */
     static std::optional<ResumePoint> takeResumePoint(ActiveRequest& active);
+    /**
+     * @return true if the run was stopped a moment ago for a target that took requests then, so that the stream may still
+     * resume there although the target has begun to leave.
+     */
+    static bool isTargetPrepared(const ActiveRequest& active, Instant now);
     /** @return true if the stream ended and waits for the response to a copy call. */
     static bool isAwaitingAnswer(const ActiveRequest& active);
     /** Removes draining engines without a stream. */
@@ -47,16 +54,21 @@
 private:
     void startNextMigration(const EndpointId& source, Instant now, GatewayActions& actions);
     /** @return the stream of the engine with the most remaining tokens; null if none is worth migrating. */
-    ActiveRequest* nextToMigrate(const EndpointId& source);
+    ActiveRequest* nextToMigrate(const EndpointId& source, Instant now);
     /** @return false if no target is available. */
     bool startMigration(ActiveRequest& active, const EndpointId& source, Instant now, GatewayActions& actions);
     /** Sends the copy call of the migration's phase. */
     void sendCopyCall(ActiveRequest& active, Instant now, GatewayActions& actions);
-    bool isWorthMigrating(const ActiveRequest& active) const;
+    bool isWorthMigrating(const ActiveRequest& active, Instant now) const;
+    /** @return true if the stream could resume at the target if its run were stopped now. */
+    bool canResumeAtTarget(const ActiveRequest& active, Instant now) const;
+    /** Ends the migration of a run that goes on at its source, and looks for another target. */
+    void abandonTarget(ActiveRequest& active, Instant now, GatewayActions& actions);
     /** Releases the tokens reserved at the target, and lets the source migrate its next run. */
     void endMigration(const StreamMigration& migration);
 
     GatewayState& state;
+    CrashAttribution crashes;
     /** Draining engines, and the request that is being migrated from each. */
     std::map<EndpointId, std::optional<RequestId>> draining;
     std::map<ExchangeId, RequestId> requestByExchange;
--- a/test/correctness/StreamsSurviveEngineLoss.cpp
+++ b/test/correctness/StreamsSurviveEngineLoss.cpp
@@ -314,3 +314,60 @@
     REQUIRE(scenario.lastAction<StartExchange>());
     CHECK(scenario.lastExchange()->resume->handle == KvCacheHandle("h2"));
 }
+
+// Guards against runs that are stopped at their source after the target of the migration went out of use.
+TEST_CASE("A run is not stopped for a migration whose target no longer takes requests")
+{
+    struct Change {
+        const char* what;
+        void (*apply)(GatewayScenario& scenario, const EndpointId& target);
+    };
+    const Change changes[] = {
+        { "leaves", [](GatewayScenario& scenario, const EndpointId& target) { scenario.handle(drainingChange(target)); } },
+        { "is gone",
+            [](GatewayScenario& scenario, const EndpointId& target) { scenario.handle(EndpointsChanged { {}, { target } }); } },
+        { "zone goes out",
+            [](GatewayScenario& scenario, const EndpointId&) {
+                scenario.handle(OutOfServiceZonesRead { { ZoneId("south") } });
+            } },
+    };
+    for (const Change& change : changes) {
+        CAPTURE(change.what);
+        GatewayScenario scenario;
+        const EndpointId first = startStream(scenario);
+        const ExchangeId exchange = scenario.lastExchange()->exchange;
+        scenario.handle(EndpointsChanged { { GatewayScenario::engineEndpoint("e7", "south") }, {} });
+        for (const char* name : { "e1", "e2", "e3" }) {
+            if (EndpointId(name) != first)
+                scenario.handle(drainingChange(EndpointId(name)));
+        }
+        scenario.handle(drainingChange(first));
+        REQUIRE(scenario.lastAction<StartMigration>()->target == GatewayScenario::engineEndpoint("e7").address);
+        change.apply(scenario, EndpointId("e7"));
+        scenario.handle(EndpointsChanged { { GatewayScenario::engineEndpoint("e8") }, {} }).clearActions();
+        scenario.handle(MigrationResponseReceived { exchange, MigrationOutcome::Copied, KvCacheHandle("h1") });
+        const auto next = scenario.lastAction<StartMigration>();
+        REQUIRE(next);
+        CHECK_FALSE(next->stopsSource);
+        CHECK(next->target == GatewayScenario::engineEndpoint("e8").address);
+    }
+}
+
+// Guards against a stopped run that is given up because its target began to leave in the last moment.
+TEST_CASE("A run that was stopped for a migration resumes at a target that has only just begun to leave")
+{
+    for (const Milliseconds sinceLeaving : { Milliseconds(50), Milliseconds(450), Milliseconds(550) }) {
+        CAPTURE(sinceLeaving.count());
+        GatewayScenario scenario;
+        const EndpointId first = startStream(scenario);
+        const ExchangeId exchange = scenario.lastExchange()->exchange;
+        drainReplicaEngine(scenario);
+        scenario.handle(drainingChange(first))
+            .handle(MigrationResponseReceived { exchange, MigrationOutcome::Copied, KvCacheHandle("h1") });
+        REQUIRE(scenario.lastAction<StartMigration>()->stopsSource);
+        scenario.handle(OutOfServiceZonesRead { { ZoneId("north") } }).advance(sinceLeaving).clearActions();
+        scenario.handle(MigrationResponseReceived { exchange, MigrationOutcome::Copied, KvCacheHandle("h2") })
+            .handle(ExchangeEnded { exchange, ExchangeEnd::Broken });
+        CHECK(scenario.lastAction<StartExchange>().has_value() == (sinceLeaving < Milliseconds(500)));
+    }
+}
