End requests in a class of their own

RequestCompletion holds the ways in which a request ends: complete, failed, refused, expired, abandoned. ExchangeDispatcher keeps what happens while one is in progress. expire and abandon share how an exchange is cancelled.

--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -57,13 +57,13 @@
     if (active.team
         && !this->state.freshness.isFresh(StoreSection::Configuration, this->state.limits.maxKeyStaleness, now)) {
         const Milliseconds retryAfter = this->state.limits.retryAfter;
-        return this->failRequest(active,
+        return this->completion.fail(active,
             { ErrorCode::StoreUnavailable, "keys cannot be checked now", executedStateOf(active), retryAfter }, now,
             actions);
     }
     // Since its admission, the request may have become a suspect of further crashes.
     if (const auto verdict = this->crashes.quarantineOf(active, now))
-        return this->refuseQuarantined(active, *verdict, now, actions);
+        return this->completion.refuseQuarantined(active, *verdict, now, actions);
     if (GatewayEndpoint* endpoint = this->pickEndpoint(active, active.triedEndpoints, now)) {
         this->state.waiting.erase(active.request.id);
         return this->startExchange(active, *endpoint, std::nullopt, now, actions);
@@ -72,43 +72,10 @@
     const bool isBackInTime = unavailable && *unavailable > Milliseconds(0)
         && now + *unavailable - active.arrivedAt < this->waitLimit(active);
     if (unavailable && !isBackInTime)
-        return this->refuseUnserved(active, "every endpoint leaves or rests", now, actions);
+        return this->completion.refuseUnserved(active, "every endpoint leaves or rests", now, actions);
     this->state.waiting.insert(active.request.id);
 }
 
-void ExchangeDispatcher::refuseUnserved(
-    ActiveRequest& active, const std::string& reason, Instant now, GatewayActions& actions)
-{
-    auto line = Internal::requestLogEvent("refused", active, now);
-    line.fields.push_back({ "reason", reason });
-    actions.emplace_back(std::move(line));
-    this->failRequest(active,
-        { ErrorCode::NoCapacity, reason, executedStateOf(active), this->retryAfterOf(active, now) }, now, actions);
-}
-
-Milliseconds ExchangeDispatcher::retryAfterOf(const ActiveRequest& active, Instant now)
-{
-    const Milliseconds shortest = this->state.limits.retryAfter;
-    const auto unavailable = this->state.endpoints.unavailableTime(active.service->name, now);
-    if (!unavailable || *unavailable <= shortest)
-        return shortest;
-    // Spread, so that callers do not all come back in the instant in which the endpoint does.
-    const auto spread = static_cast<std::uint64_t>(shortest.count());
-    return *unavailable + Milliseconds(static_cast<Milliseconds::rep>(this->state.randomness.next() % spread));
-}
-
-void ExchangeDispatcher::refuseQuarantined(
-    ActiveRequest& active, const QuarantineVerdict& verdict, Instant now, GatewayActions& actions)
-{
-    auto line = Internal::requestLogEvent("refused", active, now);
-    line.fields.push_back({ "reason", verdict.reason });
-    line.fields.push_back({ "prompt_parts", Internal::promptPartsText(active.request.sharedPromptParts) });
-    actions.emplace_back(std::move(line));
-    this->failRequest(active,
-        { ErrorCode::Quarantined, "endpoints crashed: " + verdict.reason, executedStateOf(active), verdict.remaining },
-        now, actions);
-}
-
 std::optional<Address> ExchangeDispatcher::placeReplica(
     ActiveRequest& active, const GatewayEndpoint& endpoint, Instant now)
 {
@@ -163,20 +130,6 @@
     actions.emplace_back(std::move(line));
 }
 
-std::optional<Exchange> ExchangeDispatcher::removeExchange(ExchangeId id)
-{
-    const auto found = this->state.exchanges.find(id);
-    if (found == this->state.exchanges.end())
-        return std::nullopt;
-    Exchange exchange = found->second;
-    this->state.exchanges.erase(found);
-    this->state.endpoints.endExchange(exchange.endpoint, exchange.tokens);
-    this->state.endpoints.removePendingPrompt(exchange.endpoint, exchange.promptTokens);
-    if (exchange.replicaEngine)
-        this->state.endpoints.removeCopy(*exchange.replicaEngine, exchange.tokens);
-    return exchange;
-}
-
 bool ExchangeDispatcher::reserveRetry(const ActiveRequest& active, Instant now)
 {
     if (active.attempts >= active.route->maxAttempts || (active.mayHaveRun && !isIdempotent(active)))
@@ -188,26 +141,6 @@
     return this->state.retryBudgetOf(active.service->name).withdraw(now);
 }
 
-void ExchangeDispatcher::removeRequest(const ActiveRequest& active, Instant now, GatewayActions& actions)
-{
-    const RequestId request = active.request.id;
-    this->migrator.discard(active, now, actions);
-    this->state.waiting.erase(request);
-    this->state.requests.erase(request);
-}
-
-void ExchangeDispatcher::failRequest(ActiveRequest& active, Failure failure, Instant now, GatewayActions& actions)
-{
-    const Metric metric = failure.run == Executed::No ? Metric::Refusal : Metric::Failed;
-    Internal::observe(actions, active, metric, 1, std::string(errorCodeName(failure.code)));
-    this->state.countInStop(failure.run == Executed::No ? &PlannedStop::refused : &PlannedStop::failed);
-    if (active.responseStarted)
-        actions.emplace_back(AbortResponse { active.request.id });
-    else
-        actions.emplace_back(RefuseRequest { active.request.id, std::move(failure) });
-    this->removeRequest(active, now, actions);
-}
-
 void ExchangeDispatcher::retryOrFail(ActiveRequest& active, Failure failure, Instant now, GatewayActions& actions)
 {
     if (this->reserveRetry(active, now)) {
@@ -221,7 +154,7 @@
     line.fields.push_back({ "reason", failure.message });
     line.fields.push_back({ "run", std::string(executedName(failure.run)) });
     actions.emplace_back(std::move(line));
-    this->failRequest(active, std::move(failure), now, actions);
+    this->completion.fail(active, std::move(failure), now, actions);
 }
 
 void ExchangeDispatcher::responseReceived(const ResponseReceived& event, Instant now, GatewayActions& actions)
@@ -251,7 +184,7 @@
         actions.emplace_back(RelayResponse { event.exchange });
         return;
     }
-    this->removeExchange(event.exchange);
+    this->completion.removeExchange(event.exchange);
     actions.emplace_back(CancelExchange { event.exchange });
     active->exchange.reset();
     if (!isRunResult)
@@ -282,13 +215,13 @@
     const Executed run = executedStateOf(active);
     this->retryOrFail(active,
         { run == Executed::No ? ErrorCode::NoCapacity : ErrorCode::EndpointLost,
-            "endpoint answered " + std::to_string(response.status), run, this->retryAfterOf(active, now) },
+            "endpoint answered " + std::to_string(response.status), run, this->completion.retryAfterOf(active, now) },
         now, actions);
 }
 
 void ExchangeDispatcher::exchangeEnded(const ExchangeEnded& event, Instant now, GatewayActions& actions)
 {
-    const auto exchange = this->removeExchange(event.exchange);
+    const auto exchange = this->completion.removeExchange(event.exchange);
     if (!exchange)
         return;
     ActiveRequest* active = this->findRequest(exchange->request);
@@ -297,7 +230,7 @@
     if (exchange->firstEventAt && (event.end == ExchangeEnd::Complete || event.end == ExchangeEnd::Closed))
         this->crashes.runSucceeded(*active, now);
     if (event.end == ExchangeEnd::Complete)
-        return this->completeRequest(*active, now, actions);
+        return this->completion.complete(*active, now, actions);
     if (event.end == ExchangeEnd::Closed || StreamMigrator::mayBeStopped(*active))
         return this->streamClosed(*active, event.end, now, actions);
     if (event.end == ExchangeEnd::Broken)
@@ -316,15 +249,6 @@
     this->recoverOrFail(*active, now, actions);
 }
 
-void ExchangeDispatcher::completeRequest(const ActiveRequest& active, Instant now, GatewayActions& actions)
-{
-    this->crashes.requestCompleted(active, now);
-    actions.emplace_back(Internal::completedLogEvent(active, now));
-    Internal::observeCompleted(actions, active, now);
-    this->state.countInStop(&PlannedStop::completed);
-    this->removeRequest(active, now, actions);
-}
-
 void ExchangeDispatcher::streamClosed(ActiveRequest& active, ExchangeEnd end, Instant now, GatewayActions& actions)
 {
     StreamMigrator::streamEnded(active, end);
@@ -332,7 +256,7 @@
     if (StreamMigrator::mayBeStopped(active))
         return this->recoverOrFail(active, now, actions);
     actions.emplace_back(CompleteResponse { active.request.id });
-    this->completeRequest(active, now, actions);
+    this->completion.complete(active, now, actions);
 }
 
 void ExchangeDispatcher::redispatch(ActiveRequest& active, Instant now, GatewayActions& actions)
@@ -430,38 +354,6 @@
     this->migrator.streamAdvanced(running.endpoint, now, actions);
 }
 
-void ExchangeDispatcher::cancelRequest(RequestId request, Instant now, GatewayActions& actions)
-{
-    const ActiveRequest* active = this->findRequest(request);
-    if (!active)
-        return;
-    if (active->exchange) {
-        this->removeExchange(*active->exchange);
-        actions.emplace_back(CancelExchange { *active->exchange });
-    }
-    Internal::observe(actions, *active, Metric::Cancelled);
-    actions.emplace_back(LogEvent { "abandoned", { { "request", active->request.callerRequestId } } });
-    this->removeRequest(*active, now, actions);
-}
-
-void ExchangeDispatcher::expireRequest(ActiveRequest& active, Instant now, GatewayActions& actions)
-{
-    if (active.exchange) {
-        active.mayHaveRun = true;
-        this->removeExchange(*active.exchange);
-        actions.emplace_back(CancelExchange { *active.exchange });
-    }
-    auto line = Internal::requestLogEvent("timed_out", active, now);
-    line.fields.push_back({ "run", std::string(executedName(executedStateOf(active))) });
-    actions.emplace_back(std::move(line));
-    if (active.mayHaveRun)
-        return this->failRequest(
-            active, { ErrorCode::DeadlineExceeded, "no answer in time", Executed::Unknown, {} }, now, actions);
-    this->failRequest(active,
-        { ErrorCode::NoCapacity, "no endpoint had room in time", Executed::No, this->state.limits.retryAfter }, now,
-        actions);
-}
-
 Duration ExchangeDispatcher::waitLimit(const ActiveRequest& active) const
 {
     return std::chrono::duration_cast<Duration>(active.route->latencyObjective * this->state.limits.queueWaitFraction);
@@ -475,7 +367,7 @@
         this->dispatch(active, now, actions);
         if (!this->state.waiting.contains(id) || now - active.arrivedAt < this->waitLimit(active))
             continue;
-        this->refuseUnserved(active, "no endpoint has room", now, actions);
+        this->completion.refuseUnserved(active, "no endpoint has room", now, actions);
     }
 }
 
@@ -487,7 +379,7 @@
             expired.push_back(id);
     }
     for (const RequestId id : expired)
-        this->expireRequest(*this->findRequest(id), now, actions);
+        this->completion.expire(*this->findRequest(id), now, actions);
     this->dispatchWaiting(now, actions);
 }
 
--- a/src/core/gateway/ExchangeDispatcher.h
+++ b/src/core/gateway/ExchangeDispatcher.h
@@ -4,6 +4,7 @@
 #include "core/gateway/EndpointNotices.h"
 #include "core/gateway/EndpointPicker.h"
 #include "core/gateway/GatewayState.h"
+#include "core/gateway/RequestCompletion.h"
 #include "core/gateway/StreamMigrator.h"
 
 namespace teaselfold {
@@ -14,9 +15,10 @@
  */
 class ExchangeDispatcher {
 public:
-    ExchangeDispatcher(GatewayState& state, StreamMigrator& migrator)
+    ExchangeDispatcher(GatewayState& state, StreamMigrator& migrator, RequestCompletion& completion)
         : state(state)
         , migrator(migrator)
+        , completion(completion)
         , crashes(state)
         , notices(state, migrator)
     {
@@ -27,8 +29,6 @@
     void responseReceived(const ResponseReceived& event, Instant now, GatewayActions& actions);
     void exchangeEnded(const ExchangeEnded& event, Instant now, GatewayActions& actions);
     void eventsRelayed(const EventsRelayed& event, Instant now, GatewayActions& actions);
-    /** Cancels a request whose caller disconnected. */
-    void cancelRequest(RequestId request, Instant now, GatewayActions& actions);
     void migrationResponseReceived(const MigrationResponseReceived& event, Instant now, GatewayActions& actions);
     /** Ends requests that reached their deadline, and dispatches or refuses the queued ones. */
     void tick(Instant now, GatewayActions& actions);
@@ -46,44 +46,29 @@
      */
     bool resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, bool isAccepted,
         Instant now, GatewayActions& actions);
-    /** Refuses a request that is quarantined, or that has a quarantined part of a prompt. */
-    void refuseQuarantined(
-        ActiveRequest& active, const QuarantineVerdict& verdict, Instant now, GatewayActions& actions);
     GatewayEndpoint* pickEndpoint(const ActiveRequest& active, const std::set<EndpointId>& excluded, Instant now) const;
     /** Withdraws one retry from the budget if the request may be repeated. @return true if a retry may be sent. */
     bool reserveRetry(const ActiveRequest& active, Instant now);
     void retryOrFail(ActiveRequest& active, Failure failure, Instant now, GatewayActions& actions);
-    /** @return the time after which the caller of a request that no endpoint takes now may come back. */
-    Milliseconds retryAfterOf(const ActiveRequest& active, Instant now);
-    /** Refuses a request that no endpoint can take now. */
-    void refuseUnserved(ActiveRequest& active, const std::string& reason, Instant now, GatewayActions& actions);
     /** Handles a response that refuses the request or is not the result of a run. */
     void handleRejection(ActiveRequest& active, const Exchange& exchange, const ResponseSummary& response, Instant now,
         GatewayActions& actions);
     /** Dispatches a request again after an attempt that did not reach its endpoint and is therefore not counted. */
     void redispatch(ActiveRequest& active, Instant now, GatewayActions& actions);
-    /** Ends a request whose response is complete. */
-    void completeRequest(const ActiveRequest& active, Instant now, GatewayActions& actions);
     /** Completes a stream that ended with its connection, or resumes one whose run may have been stopped. */
     void streamClosed(ActiveRequest& active, ExchangeEnd end, Instant now, GatewayActions& actions);
     /** Recovers from a broken exchange: resumes a stream that has a copy; otherwise retries or fails the request. */
     void recoverOrFail(ActiveRequest& active, Instant now, GatewayActions& actions);
     /** @return true if the stream resumes elsewhere or waits for the response to a copy call. */
     bool tryFailover(ActiveRequest& active, Instant now, GatewayActions& actions);
-    /** Ends a request with a failure: aborts the response if it has started, otherwise sends an error. */
-    void failRequest(ActiveRequest& active, Failure failure, Instant now, GatewayActions& actions);
-    void removeRequest(const ActiveRequest& active, Instant now, GatewayActions& actions);
-    /** Ends a request that reached its deadline. */
-    void expireRequest(ActiveRequest& active, Instant now, GatewayActions& actions);
     /** @return the maximum time for which a request may wait for an endpoint. */
     Duration waitLimit(const ActiveRequest& active) const;
     void dispatchWaiting(Instant now, GatewayActions& actions);
-    /** Removes an exchange and its load at the endpoints. @return the exchange, unless it is unknown. */
-    std::optional<Exchange> removeExchange(ExchangeId exchange);
     ActiveRequest* findRequest(RequestId request);
 
     GatewayState& state;
     StreamMigrator& migrator;
+    RequestCompletion& completion;
     CrashAttribution crashes;
     EndpointNotices notices;
 };
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -46,7 +46,8 @@
     : state(limits, sharedLimitsOf(limits), identity, randomness)
     , admission(this->state)
     , migrator(this->state)
-    , exchanges(this->state, this->migrator)
+    , completion(this->state, this->migrator)
+    , exchanges(this->state, this->migrator, this->completion)
     , gossip(this->state.limits, identity.instance, Incarnation(randomness.next()))
     , store(identity, this->state.peers, this->state.freshness)
 {
@@ -134,7 +135,7 @@
 
 void Gateway::requestAbandoned(const RequestAbandoned& event, Instant now, GatewayActions& actions)
 {
-    this->exchanges.cancelRequest(event.request, now, actions);
+    this->completion.abandon(event.request, now, actions);
 }
 
 void Gateway::responseReceived(const ResponseReceived& event, Instant now, GatewayActions& actions)
--- a/src/core/gateway/Gateway.h
+++ b/src/core/gateway/Gateway.h
@@ -81,6 +81,7 @@
     GatewayState state;
     GatewayAdmission admission;
     StreamMigrator migrator;
+    RequestCompletion completion;
     ExchangeDispatcher exchanges;
     GossipComposer gossip;
     StoreSynchronizer store;
--- /dev/null
+++ b/src/core/gateway/RequestCompletion.cpp
@@ -0,0 +1,121 @@
+#include "core/gateway/RequestCompletion.h"
+
+#include "core/gateway/GatewayLog.h"
+
+#include <algorithm>
+
+namespace teaselfold {
+
+void RequestCompletion::refuseUnserved(
+    ActiveRequest& active, const std::string& reason, Instant now, GatewayActions& actions)
+{
+    auto line = Internal::requestLogEvent("refused", active, now);
+    line.fields.push_back({ "reason", reason });
+    actions.emplace_back(std::move(line));
+    this->fail(active,
+        { ErrorCode::NoCapacity, reason, executedStateOf(active), this->retryAfterOf(active, now) }, now, actions);
+}
+
+Milliseconds RequestCompletion::retryAfterOf(const ActiveRequest& active, Instant now)
+{
+    const Milliseconds shortest = this->state.limits.retryAfter;
+    const auto unavailable = this->state.endpoints.unavailableTime(active.service->name, now);
+    if (!unavailable || *unavailable <= shortest)
+        return shortest;
+    // Spread, so that callers do not all come back in the instant in which the endpoint does.
+    const auto spread = static_cast<std::uint64_t>(shortest.count());
+    return *unavailable + Milliseconds(static_cast<Milliseconds::rep>(this->state.randomness.next() % spread));
+}
+
+void RequestCompletion::refuseQuarantined(
+    ActiveRequest& active, const QuarantineVerdict& verdict, Instant now, GatewayActions& actions)
+{
+    auto line = Internal::requestLogEvent("refused", active, now);
+    line.fields.push_back({ "reason", verdict.reason });
+    line.fields.push_back({ "prompt_parts", Internal::promptPartsText(active.request.sharedPromptParts) });
+    actions.emplace_back(std::move(line));
+    this->fail(active,
+        { ErrorCode::Quarantined, "endpoints crashed: " + verdict.reason, executedStateOf(active), verdict.remaining },
+        now, actions);
+}
+
+std::optional<Exchange> RequestCompletion::removeExchange(ExchangeId id)
+{
+    const auto found = this->state.exchanges.find(id);
+    if (found == this->state.exchanges.end())
+        return std::nullopt;
+    Exchange exchange = found->second;
+    this->state.exchanges.erase(found);
+    this->state.endpoints.endExchange(exchange.endpoint, exchange.tokens);
+    this->state.endpoints.removePendingPrompt(exchange.endpoint, exchange.promptTokens);
+    if (exchange.replicaEngine)
+        this->state.endpoints.removeCopy(*exchange.replicaEngine, exchange.tokens);
+    return exchange;
+}
+
+void RequestCompletion::remove(const ActiveRequest& active, Instant now, GatewayActions& actions)
+{
+    const RequestId request = active.request.id;
+    this->migrator.discard(active, now, actions);
+    this->state.waiting.erase(request);
+    this->state.requests.erase(request);
+}
+
+void RequestCompletion::fail(ActiveRequest& active, Failure failure, Instant now, GatewayActions& actions)
+{
+    const Metric metric = failure.run == Executed::No ? Metric::Refusal : Metric::Failed;
+    Internal::observe(actions, active, metric, 1, std::string(errorCodeName(failure.code)));
+    this->state.countInStop(failure.run == Executed::No ? &PlannedStop::refused : &PlannedStop::failed);
+    if (active.responseStarted)
+        actions.emplace_back(AbortResponse { active.request.id });
+    else
+        actions.emplace_back(RefuseRequest { active.request.id, std::move(failure) });
+    this->remove(active, now, actions);
+}
+
+void RequestCompletion::complete(const ActiveRequest& active, Instant now, GatewayActions& actions)
+{
+    this->crashes.requestCompleted(active, now);
+    actions.emplace_back(Internal::completedLogEvent(active, now));
+    Internal::observeCompleted(actions, active, now);
+    this->state.countInStop(&PlannedStop::completed);
+    this->remove(active, now, actions);
+}
+
+void RequestCompletion::abandon(RequestId request, Instant now, GatewayActions& actions)
+{
+    const auto found = this->state.requests.find(request);
+    if (found == this->state.requests.end())
+        return;
+    ActiveRequest& active = found->second;
+    this->cancelExchange(active, actions);
+    Internal::observe(actions, active, Metric::Cancelled);
+    actions.emplace_back(LogEvent { "abandoned", { { "request", active.request.callerRequestId } } });
+    this->remove(active, now, actions);
+}
+
+void RequestCompletion::cancelExchange(ActiveRequest& active, GatewayActions& actions)
+{
+    if (!active.exchange)
+        return;
+    active.mayHaveRun = true;
+    this->removeExchange(*active.exchange);
+    actions.emplace_back(CancelExchange { *active.exchange });
+    active.exchange.reset();
+}
+
+void RequestCompletion::expire(ActiveRequest& active, Instant now, GatewayActions& actions)
+{
+    this->cancelExchange(active, actions);
+    auto line = Internal::requestLogEvent("timed_out", active, now);
+    line.fields.push_back({ "run", std::string(executedName(executedStateOf(active))) });
+    actions.emplace_back(std::move(line));
+    if (active.mayHaveRun)
+        return this->fail(
+            active, { ErrorCode::DeadlineExceeded, "no answer in time", Executed::Unknown, {} }, now, actions);
+    this->fail(active,
+        { ErrorCode::NoCapacity, "no endpoint had room in time", Executed::No, this->state.limits.retryAfter }, now,
+        actions);
+}
+
+}
