Close idle connections without reading on

Cause: at the end of the drain delay, and at the idle timeout, an idle connection was closed gracefully: the gateway went on reading for up to a second and discarded what came. A caller may not repeat a request that was read. Class: a request is taken from its caller by a component that can no longer answer it.

Change: an idle connection is closed at once, unless a response is still being written; bytes that arrive later are answered with a reset, and were not read. The loop reads what has arrived before each tick, so a request that was there earlier is still answered.

--- a/src/adapters/traffic/CallerConnections.cpp
+++ b/src/adapters/traffic/CallerConnections.cpp
@@ -184,20 +184,30 @@
     constexpr std::uint16_t statusRequestTimeout = 408;
     for (const ConnectionId id : slow)
         this->rejectRequest(id, this->callers.at(id), statusRequestTimeout, "request took too long");
-    for (const ConnectionId id : idle) {
-        this->callers.at(id).phase = Phase::Closing;
-        this->context.loop.closeGracefully(id);
+    for (const ConnectionId id : idle)
+        this->closeIdle(id);
+}
+
+void CallerConnections::closeIdle(ConnectionId connection)
+{
+    if (this->context.loop.queuedBytes(connection) > 0) {
+        this->callers.at(connection).phase = Phase::Closing;
+        return this->context.loop.closeGracefully(connection);
     }
+    // A graceful close would read and discard a request that crosses it; a reset tells its caller that nothing was read.
+    this->callers.erase(connection);
+    this->context.loop.close(connection);
 }
 
 void CallerConnections::closeIdleConnections()
 {
-    for (auto& [id, caller] : this->callers) {
-        if (caller.phase != Phase::Head || !caller.inbound.empty())
-            continue;
-        caller.phase = Phase::Closing;
-        this->context.loop.closeGracefully(id);
+    std::vector<ConnectionId> idle;
+    for (const auto& [id, caller] : this->callers) {
+        if (caller.phase == Phase::Head && caller.inbound.empty())
+            idle.push_back(id);
     }
+    for (const ConnectionId id : idle)
+        this->closeIdle(id);
 }
 
 bool CallerConnections::hasUnsentBytes() const
--- a/src/adapters/traffic/CallerConnections.h
+++ b/src/adapters/traffic/CallerConnections.h
@@ -86,6 +86,8 @@
     /** @return true when the body is complete; false also when it was rejected. */
     bool readBody(ConnectionId connection, Caller& caller);
     void submitRequest(ConnectionId connection, Caller& caller);
+    /** Closes a connection on which no request is being read or processed. */
+    void closeIdle(ConnectionId connection);
     void rejectRequest(ConnectionId connection, Caller& caller, std::uint16_t status, const std::string& reason);
     void finishRequest(RequestId request);
     CallerRequest* findMutable(RequestId request);
--- a/test/support/TrafficHarness.cpp
+++ b/test/support/TrafficHarness.cpp
@@ -49,6 +49,8 @@
     this->server->ring().push(EndpointsChanged { { endpoint }, {} });
 }
 
+void TrafficHarness::requestStop() { this->server->ring().push(GatewayStopRequested { bootTimeNow() }); }
+
 Poco::Net::StreamSocket TrafficHarness::connect() const
 {
     Poco::Net::StreamSocket socket(Poco::Net::SocketAddress(this->callers.host, this->callers.port));
--- a/test/support/TrafficHarness.h
+++ b/test/support/TrafficHarness.h
@@ -24,6 +24,8 @@
 
     /** Adds or changes an endpoint beside the one given to the constructor. */
     void changeEndpoint(const EndpointRecord& endpoint);
+    /** Asks the gateway to stop now. */
+    void requestStop();
     /** @return the address for callers. */
     const Address& callerAddress() const { return this->callers; }
     /** @return a new connection of a caller. */
