Count a planned stop from its signal

The platform kills a process a fixed time after the signal, and callers' requests are judged by that time too. The drain delay and the stop limit counted from the moment at which the traffic duty heard of the signal. A reload of the settings, a full ring or a busy duty in between let the gateway accept requests for longer and plan its exit later than the kill.

Change: the stop request carries the time of the signal. A signal that arrived during a reload counts from the reload's beginning, and is looked for right after it. event=stopping heard_after_ms shows the difference.

Test: "The drain delay and the stop limit count from the stop signal" in GatewayDrainsBeforeExit, failed before (request accepted 2.7 s after the signal; stop not complete at its limit).

--- a/apps/teaselfold-gateway/Main.cpp
+++ b/apps/teaselfold-gateway/Main.cpp
@@ -15,18 +15,32 @@
 
 namespace {
 
-sigset_t blockHandledSignals()
+/** The signals that the process waits for instead of being interrupted. */
+struct HandledSignals {
+    sigset_t stop;
+    sigset_t all;
+};
+
+HandledSignals blockHandledSignals()
 {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGHUP);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    HandledSignals signals;
+    sigemptyset(&signals.stop);
+    sigaddset(&signals.stop, SIGTERM);
+    sigaddset(&signals.stop, SIGINT);
+    signals.all = signals.stop;
+    sigaddset(&signals.all, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &signals.all, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     return signals;
 }
 
+/** @return the signal that is pending or arrives within the time; -1 if there is none. */
+int waitForSignal(const sigset_t& signals, Seconds time)
+{
+    const timespec timeout { time.count(), 0 };
+    return sigtimedwait(&signals, nullptr, &timeout);
+}
+
 /** Interval at which the settings file is checked for changes without a SIGHUP. */
 constexpr Seconds settingsCheckInterval(2);
 
@@ -53,11 +67,14 @@
     GatewayProcess(const GatewaySettings& settings, SettingsReader readSettings);
 
     /** Serves until a stop signal arrives and the drain completes. @return the failure when a port cannot be bound. */
-    std::optional<Failure> run(const sigset_t& signals);
+    std::optional<Failure> run(const HandledSignals& signals);
 
 private:
-    /** Returns at the first stop signal; until then reloads the settings on SIGHUP and at a fixed interval. */
-    void waitForStop(const sigset_t& signals);
+    /**
+     * Waits for the first stop signal; until then reloads the settings on SIGHUP and at a fixed interval.
+     * @return when it arrived; the beginning of the reload during which it arrived, if any.
+     */
+    Instant waitForStop(const HandledSignals& signals);
     /** @param requested true after a SIGHUP: invalid settings are logged and unchanged ones applied again. */
     void reloadSettings(bool requested);
 
@@ -91,14 +108,17 @@
 {
 }
 
-void GatewayProcess::waitForStop(const sigset_t& signals)
+Instant GatewayProcess::waitForStop(const HandledSignals& signals)
 {
-    const timespec period { settingsCheckInterval.count(), 0 };
     while (true) {
-        const int signal = sigtimedwait(&signals, nullptr, &period);
+        const int signal = waitForSignal(signals.all, settingsCheckInterval);
+        const Instant receivedAt = bootTimeNow();
         if (signal == SIGTERM || signal == SIGINT)
-            return;
+            return receivedAt;
         this->reloadSettings(signal == SIGHUP);
+        // A stop signal that arrived during the reload counts from the reload's beginning.
+        if (waitForSignal(signals.stop, Seconds(0)) > 0)
+            return receivedAt;
     }
 }
 
@@ -118,7 +138,7 @@
     this->traffic->ring().push(LimitsChanged { gatewayLimits(this->settings) });
 }
 
-std::optional<Failure> GatewayProcess::run(const sigset_t& signals)
+std::optional<Failure> GatewayProcess::run(const HandledSignals& signals)
 {
     this->telemetry->start();
     this->telemetry->log(
@@ -128,8 +148,7 @@
     if (const auto reason = this->peers.start())
         return Failure { ErrorCode::Internal, "cannot listen for peers: " + *reason, Executed::No, {} };
     this->store.start();
-    this->waitForStop(signals);
-    this->traffic->ring().push(GatewayStopRequested { bootTimeNow() });
+    this->traffic->ring().push(GatewayStopRequested { this->waitForStop(signals) });
     this->stopped.get_future().wait();
     this->store.stop();
     this->peers.stop();
@@ -143,7 +162,7 @@
 
 int main(int argc, char** argv)
 {
-    const sigset_t signals = blockHandledSignals();
+    const HandledSignals signals = blockHandledSignals();
     const std::vector<std::string> arguments(argv + 1, argv + argc);
     const auto parsed = readGatewayCommandLine({ "teaselfold-gateway", TEASELFOLD_VERSION }, arguments);
     if (const auto* exit = std::get_if<ProcessExit>(&parsed))
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -280,7 +280,7 @@
 {
     if (this->state.stop)
         return;
-    this->state.stop.emplace().requestedAt = now;
+    this->state.stop.emplace().requestedAt = std::min(event.signalledAt, now);
     actions.emplace_back(LogEvent { "stopping",
         { { "in_progress", std::to_string(this->state.requests.size()) },
             { "heard_after_ms", Internal::millisecondsText(now - event.signalledAt) } } });
--- a/src/core/gateway/PlannedStop.h
+++ b/src/core/gateway/PlannedStop.h
@@ -8,6 +8,7 @@
 
 /** A planned stop of the gateway, and how many requests ended in which way since it was requested. */
 struct PlannedStop {
+    /** When the process got the stop signal. */
     Instant requestedAt;
     std::uint64_t completed { 0 };
     /** Requests that were answered as not run. */
--- a/test/error/GatewayDrainsBeforeExit.cpp
+++ b/test/error/GatewayDrainsBeforeExit.cpp
@@ -70,3 +70,21 @@
     scenario.advance(Milliseconds(50));
     CHECK(scenario.gatewayUnderTest().isStopComplete());
 }
+
+// Guards against a drain that begins when the gateway hears of the signal, so that the platform's kill comes before its end.
+TEST_CASE("The drain delay and the stop limit count from the stop signal")
+{
+    GatewayLimits limits;
+    limits.stopLimit = Milliseconds(4000);
+    GatewayScenario scenario(limits);
+    scenario.start();
+    scenario.sendRequest("/draft/1");
+    scenario.handle(GatewayStopRequested { scenario.now() - Milliseconds(1000) });
+    scenario.advance(Milliseconds(1700)).refreshFromStore().clearActions();
+    scenario.sendRequest("/draft/2");
+    CHECK(scenario.lastAction<RefuseRequest>());
+    scenario.advance(Milliseconds(1250));
+    CHECK_FALSE(scenario.gatewayUnderTest().isStopComplete());
+    scenario.advance(Milliseconds(50));
+    CHECK(scenario.gatewayUnderTest().isStopComplete());
+}
