Answer every request in progress when a stop reaches its limit

Callers of requests that were in progress at the end of a planned stop got a closed connection: also those to which nothing had been sent yet, and those that may not be repeated, whose callers could not tell whether to send them again.

Cause: at the stop limit the process just exited. Class: work that has no owner for its end.

Change: at the limit the gateway ends each request itself. One that was not sent is refused as not run, one that may have run is answered as such, a response that had begun is aborted. The process then has 200 ms to write these answers before it exits; before, nothing was written after the limit.

Test: "A stop at its limit answers every request in progress, and as not run only those that were not sent", failed before (no answer).

--- a/src/adapters/traffic/TrafficServer.cpp
+++ b/src/adapters/traffic/TrafficServer.cpp
@@ -151,7 +151,8 @@
     if (elapsed >= gateway.limits().drainDelay)
         this->callers.closeIdleConnections();
     // A response that was decided on must also reach its caller's connection.
-    if (!gateway.isStopComplete() || (this->callers.hasUnsentBytes() && elapsed < gateway.limits().stopLimit))
+    const Duration lastWrite = gateway.limits().stopLimit + gateway.limits().responseFlushTime;
+    if (!gateway.isStopComplete() || (this->callers.hasUnsentBytes() && elapsed < lastWrite))
         return;
     this->stopReported = true;
     this->dependencies.stopped();
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -96,18 +96,9 @@
     const bool limitReached = now - stop->requestedAt >= this->state.limits.stopLimit;
     if (!limitReached && !this->isDrained())
         return;
+    this->completion.cutAll(now, actions);
     stop->isComplete = true;
-    this->logStop(now, actions);
-}
-
-void Gateway::logStop(Instant now, GatewayActions& actions)
-{
-    PlannedStop& stop = *this->state.stop;
-    for (const auto& [id, active] : this->state.requests) {
-        ++stop.cut;
-        actions.emplace_back(Internal::cutLogEvent(this->state, active, now));
-    }
-    actions.emplace_back(Internal::stopLogEvent(stop, now));
+    actions.emplace_back(Internal::stopLogEvent(*stop, now));
 }
 
 const GatewayConfiguration* Gateway::configuration() const
--- a/src/core/gateway/PlannedStop.h
+++ b/src/core/gateway/PlannedStop.h
@@ -16,7 +16,7 @@
     std::uint64_t failed { 0 };
     /** Streams that went on at another endpoint; those that then ended count there too. */
     std::uint64_t resumed { 0 };
-    /** Requests that were in progress when the stop completed. */
+    /** Requests that were in progress when the stop reached its limit; they also count as refused or failed. */
     std::uint64_t cut { 0 };
     /** No request is accepted any more, and the process is about to exit. */
     bool isComplete { false };
--- a/src/core/gateway/RequestCompletion.cpp
+++ b/src/core/gateway/RequestCompletion.cpp
@@ -104,6 +104,24 @@
     active.exchange.reset();
 }
 
+void RequestCompletion::cutAll(Instant now, GatewayActions& actions)
+{
+    std::vector<RequestId> cut;
+    for (const auto& [id, active] : this->state.requests) {
+        cut.push_back(id);
+        actions.emplace_back(Internal::cutLogEvent(this->state, active, now));
+        this->state.countInStop(&PlannedStop::cut);
+    }
+    for (const RequestId id : cut) {
+        ActiveRequest& active = this->state.requests.at(id);
+        this->cancelExchange(active, actions);
+        this->fail(active,
+            { ErrorCode::Stopping, "this instance is being stopped", executedStateOf(active),
+                this->state.limits.retryAfter },
+            now, actions);
+    }
+}
+
 void RequestCompletion::expire(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
     this->cancelExchange(active, actions);
--- a/src/core/gateway/RequestCompletion.h
+++ b/src/core/gateway/RequestCompletion.h
@@ -29,6 +29,8 @@
     void abandon(RequestId request, Instant now, GatewayActions& actions);
     /** Ends a request that reached its deadline. */
     void expire(ActiveRequest& active, Instant now, GatewayActions& actions);
+    /** Ends and logs all requests, because the stop has reached its limit. */
+    void cutAll(Instant now, GatewayActions& actions);
     /** @return the time after which the caller of a request that no endpoint takes now may come back. */
     Milliseconds retryAfterOf(const ActiveRequest& active, Instant now);
     /** Removes an exchange and its load at the endpoints. @return the exchange, unless it is unknown. */
--- a/src/ports/GatewayLimits.h
+++ b/src/ports/GatewayLimits.h
@@ -54,8 +54,10 @@
     Milliseconds maxLoadReportAge { 1500 };
     /** Time after a stop request in which all new requests are accepted: a load balancer needs two probes to react. */
     Milliseconds drainDelay { 2600 };
-    /** The process exits this long after a stop request, even if work is in progress. From the settings. */
+    /** Requests in progress are ended this long after a stop request. From the settings. */
     Milliseconds stopLimit { 7500 };
+    /** Time for writing the responses that are queued at the stop limit. */
+    Milliseconds responseFlushTime { 200 };
     /** Minimum remaining time for a retry; an endpoint could not respond in less. */
     Milliseconds minDeadline { 20 };
 
--- a/test/error/GatewayDrainsBeforeExit.cpp
+++ b/test/error/GatewayDrainsBeforeExit.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
+
 using namespace teaselfold;
 
 TEST_CASE("A stopping gateway reports that it is not ready but accepts requests during the drain delay")
@@ -71,6 +73,52 @@
     CHECK(scenario.gatewayUnderTest().isStopComplete());
 }
 
+// Guards against callers that get no answer because the process exits while their requests are in progress.
+TEST_CASE("A stop at its limit answers every request in progress, and as not run only those that were not sent")
+{
+    GatewayScenario scenario;
+    scenario.start();
+    ResponseSummary full = GatewayScenario::notRunRefusal();
+    full.restTime = Milliseconds(10000);
+    for (int endpoint = 0; endpoint < 2; ++endpoint) {
+        scenario.sendRequest("/write/1");
+        scenario.respond(full);
+    }
+    const RequestId sent = scenario.sendRequest("/write/2");
+    const EndpointId lastPlainEndpoint = scenario.lastExchange()->endpoint;
+    scenario.sendRequest("/draft/1");
+    scenario.respond(GatewayScenario::streamStart());
+    GatewayLimits limits = scenario.gatewayUnderTest().limits();
+    limits.stopLimit = Milliseconds(3000);
+    limits.queueWaitFraction = 10;
+    scenario.handle(LimitsChanged { limits }).handle(GatewayStopRequested { scenario.now() }).advance(Milliseconds(2500));
+    scenario.refreshFromStore();
+    EndpointRecord leaving = GatewayScenario::plainEndpoint(lastPlainEndpoint.get());
+    leaving.isDraining = true;
+    scenario.handle(EndpointsChanged { { leaving }, {} });
+    const RequestId waiting = scenario.sendRequest("/write/3");
+    scenario.clearActions();
+    scenario.advance(Milliseconds(500));
+    std::map<RequestId, Failure> answers;
+    int aborted = 0;
+    int cancelled = 0;
+    for (const GatewayAction& action : scenario.takeActions()) {
+        if (const auto* refused = std::get_if<RefuseRequest>(&action))
+            answers[refused->request] = refused->failure;
+        aborted += std::holds_alternative<AbortResponse>(action) ? 1 : 0;
+        cancelled += std::holds_alternative<CancelExchange>(action) ? 1 : 0;
+    }
+    REQUIRE(answers.contains(sent));
+    CHECK(answers.at(sent).run == Executed::Unknown);
+    REQUIRE(answers.contains(waiting));
+    CHECK(answers.at(waiting).run == Executed::No);
+    CHECK(answers.at(waiting).retryAfter > Milliseconds(0));
+    CHECK(aborted == 1);
+    CHECK(cancelled == 2);
+    CHECK(scenario.gatewayUnderTest().isDrained());
+    CHECK(scenario.gatewayUnderTest().isStopComplete());
+}
+
 // Guards against a drain that begins when the gateway hears of the signal, so that the platform's kill comes before its end.
 TEST_CASE("The drain delay and the stop limit count from the stop signal")
 {
