Take on in a stop only what can be whole before the exit

Callers of long streams that arrived after a stop signal lost their answer in the middle, up to 7.5 s later.

Cause: the drain accepted, migrated and resumed whatever came, as if the exit did not exist. Class: work begun without asking whether its time is left.

Change: one forecast (StreamForecast: measured pace and time to the first event of the service's engines, expected length) decides for all three. A new stream that is expected to outlast the exit is refused as not run, if another gateway of the zone serves; otherwise the balancer would send its caller's next try here again, and it is accepted as before. A stream is migrated or resumed only if it is expected to end in time. event=sent names expected_events.

Tests: three in GatewayDrainsBeforeExit, failed before.

--- a/src/adapters/traffic/CallerConnections.cpp
+++ b/src/adapters/traffic/CallerConnections.cpp
@@ -194,7 +194,8 @@
         this->callers.at(connection).phase = Phase::Closing;
         return this->context.loop.closeGracefully(connection);
     }
-    // A graceful close would read and discard a request that crosses it; a reset tells its caller that nothing was read.
+    // A graceful close would read and discard a request that crosses it; a reset tells its caller that nothing was
+    // read.
     this->callers.erase(connection);
     this->context.loop.close(connection);
 }
--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-    /** Time constant of the moving average of the event interval, in events. */
+    /** Time constant of the moving averages, in measurements. */
     constexpr int averagingWindow = 16;
-    /** An interval longer than this multiple of the average is counted as this multiple. */
+    /** A time longer than this multiple of the average is counted as this multiple. */
     constexpr int outlierFactor = 3;
     /** Time after a rest in which an endpoint gets requests at intervals, so that it is not full again at once. */
     constexpr Milliseconds returnTime(1000);
@@ -19,6 +19,18 @@
     /** Resumptions during a rest; the endpoint has reserved the room for them. */
     constexpr std::uint32_t maxResumptionsPerRest = 1;
 
+    /** Adds a measured time to a moving average. */
+    void addToAverage(std::optional<Duration>& average, Duration time)
+    {
+        if (!average) {
+            average = time;
+            return;
+        }
+        // A single long pause is caused by a preemption or a prefill and says little about the engine's speed.
+        const Duration bounded = std::min(time, *average * outlierFactor);
+        *average += (bounded - *average) / averagingWindow;
+    }
+
 }
 
 bool EndpointDirectory::applyRecord(const EndpointRecord& record, Instant now)
@@ -33,6 +45,7 @@
         endpoint.copyTokens = 0;
         endpoint.restsUntil = Instant {};
         endpoint.eventInterval.reset();
+        endpoint.firstEventTime.reset();
     }
     endpoint.record = record;
     endpoint.idHash = endpointHashOf(record.id);
@@ -239,16 +252,38 @@
 
 void EndpointDirectory::recordEventInterval(const EndpointId& endpoint, Duration interval)
 {
-    GatewayEndpoint* found = this->find(endpoint);
-    if (!found)
-        return;
-    if (!found->eventInterval) {
-        found->eventInterval = interval;
-        return;
+    if (GatewayEndpoint* found = this->find(endpoint))
+        addToAverage(found->eventInterval, interval);
+}
+
+void EndpointDirectory::recordFirstEvent(const EndpointId& endpoint, Duration time)
+{
+    if (GatewayEndpoint* found = this->find(endpoint))
+        addToAverage(found->firstEventTime, time);
+}
+
+Duration EndpointDirectory::averageOf(
+    std::optional<Duration> GatewayEndpoint::*time, Duration assumed, const ServiceId& service) const
+{
+    Duration sum = assumed;
+    Duration::rep count = 1;
+    for (const auto& [id, endpoint] : this->endpoints) {
+        if (endpoint.record.service != service || !(endpoint.*time))
+            continue;
+        sum += *(endpoint.*time);
+        ++count;
     }
-    // A single long pause is caused by a preemption or a prefill and says little about the engine's speed.
-    const Duration bounded = std::min(interval, *found->eventInterval * outlierFactor);
-    *found->eventInterval += (bounded - *found->eventInterval) / averagingWindow;
+    return sum / count;
+}
+
+Duration EndpointDirectory::averageEventInterval(const ServiceId& service) const
+{
+    return this->averageOf(&GatewayEndpoint::eventInterval, assumedEventInterval, service);
+}
+
+Duration EndpointDirectory::averageFirstEventTime(const ServiceId& service) const
+{
+    return this->averageOf(&GatewayEndpoint::firstEventTime, assumedFirstEventTime, service);
 }
 
 void EndpointDirectory::recordLoad(const EndpointId& endpoint, const ReportedLoad& load, Instant now)
--- a/src/core/gateway/EndpointDirectory.h
+++ b/src/core/gateway/EndpointDirectory.h
@@ -14,6 +14,10 @@
 
 namespace teaselfold {
 
+/** Event interval and time to the first event that are assumed for an engine without measured ones. */
+constexpr Milliseconds assumedEventInterval(35);
+constexpr Milliseconds assumedFirstEventTime(500);
+
 /** State of one endpoint as known to this gateway. */
 struct GatewayEndpoint {
     EndpointRecord record;
@@ -40,6 +44,8 @@
     std::uint64_t copyTokens { 0 };
     /** Moving average of the time between two events of a stream; unset before the first stream. */
     std::optional<Duration> eventInterval;
+    /** Moving average of the time from sending a stream's request to its first event; unset before the first stream. */
+    std::optional<Duration> firstEventTime;
     /** Requests of other gateways according to the endpoint's last load report. */
     std::uint32_t externalRequests { 0 };
     Instant loadReportedAt;
@@ -106,6 +112,12 @@
     void removeCopy(const EndpointId& endpoint, std::uint64_t tokens);
     /** Adds one interval between events of a stream to the endpoint's moving average. */
     void recordEventInterval(const EndpointId& endpoint, Duration interval);
+    /** Adds one time from sending a stream's request to its first event to the endpoint's moving average. */
+    void recordFirstEvent(const EndpointId& endpoint, Duration time);
+    /** @return the average interval between events of a stream at the engines of a service. */
+    Duration averageEventInterval(const ServiceId& service) const;
+    /** @return the average time from sending a stream's request to its first event at the engines of a service. */
+    Duration averageFirstEventTime(const ServiceId& service) const;
     void recordLoad(const EndpointId& endpoint, const ReportedLoad& load, Instant now);
     void recordSuccess(const EndpointId& endpoint);
     /** Records that the endpoint announced in an answer that it leaves. @return true if that was not known. */
@@ -137,6 +149,10 @@
         return endpoint.record.isDraining || endpoint.announcedLeaving;
     }
     bool isUsable(const GatewayEndpoint& endpoint) const;
+    /** @return the average of a measured time over the endpoints of a service. @param assumed counted as one of them.
+     */
+    Duration averageOf(
+        std::optional<Duration> GatewayEndpoint::*time, Duration assumed, const ServiceId& service) const;
     /** @return true while the endpoint rests, or has had a request a moment ago and rested shortly before. */
     static bool isHeldBack(const GatewayEndpoint& endpoint, Instant now);
     /** Removes an endpoint. @return the next one. */
--- a/src/core/gateway/EndpointPicker.cpp
+++ b/src/core/gateway/EndpointPicker.cpp
@@ -56,8 +56,7 @@
     /** @return the event interval assumed for an engine that has no measured interval, in seconds. */
     double averageEventInterval(const std::vector<GatewayEndpoint*>& candidates)
     {
-        constexpr double assumedSeconds = 0.035;
-        double sum = assumedSeconds;
+        double sum = secondsOf(assumedEventInterval);
         double count = 1;
         for (const GatewayEndpoint* candidate : candidates) {
             if (!candidate->eventInterval)
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -3,6 +3,7 @@
 #include "core/common/Check.h"
 #include "core/gateway/CopyPlacement.h"
 #include "core/gateway/GatewayLog.h"
+#include "core/gateway/StreamForecast.h"
 
 #include <algorithm>
 
@@ -123,6 +124,8 @@
     line.fields.push_back({ "attempt", std::to_string(active.attempts) });
     line.fields.push_back({ "in_flight", std::to_string(endpoint.inFlight) });
     line.fields.push_back({ "foreign", std::to_string(endpoint.externalRequests) });
+    if (isStream(active))
+        line.fields.push_back({ "expected_events", std::to_string(active.events) });
     if (!active.request.sharedPromptParts.empty())
         line.fields.push_back({ "prompt_parts", Internal::promptPartsText(active.request.sharedPromptParts) });
     this->state.endpoints.beginExchange(endpoint.record.id, active.tokens, now);
@@ -302,11 +305,13 @@
 bool ExchangeDispatcher::resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point,
     bool isAccepted, Instant now, GatewayActions& actions)
 {
-    if (!isAccepted || !this->crashes.mayResume(active, now)) {
+    const bool endsInTime = this->state.endsBeforeStop(now + expectedRemainingTime(this->state, active));
+    if (!isAccepted || !endsInTime || !this->crashes.mayResume(active, now)) {
         auto line = Internal::requestLogEvent("not_resumed", active, now);
         line.fields.push_back({ "endpoint", endpoint.get() });
         line.fields.push_back({ "endpoint_state", std::string(this->state.endpoints.stateName(endpoint, now)) });
-        line.fields.push_back({ "reason", isAccepted ? "suspected of crashes" : "endpoint takes no requests" });
+        const std::string reason = isAccepted ? "suspected of crashes" : "endpoint takes no requests";
+        line.fields.push_back({ "reason", endsInTime ? reason : "would outlast the stop" });
         actions.emplace_back(std::move(line));
         return false;
     }
@@ -336,15 +341,17 @@
     if (exchange == this->state.exchanges.end())
         return;
     Exchange& running = exchange->second;
+    ActiveRequest* active = this->findRequest(running.request);
+    internalCheck(active, "an exchange belongs to an active request");
     if (running.lastEventAt && event.lastEventId > running.lastEventId) {
         const auto events = static_cast<Duration::rep>(event.lastEventId - running.lastEventId);
         this->state.endpoints.recordEventInterval(running.endpoint, (now - *running.lastEventAt) / events);
     }
+    if (!active->firstEventAt)
+        this->state.endpoints.recordFirstEvent(running.endpoint, now - running.startedAt);
     this->state.endpoints.removePendingPrompt(running.endpoint, std::exchange(running.promptTokens, 0));
     running.lastEventId = event.lastEventId;
     running.lastEventAt = now;
-    ActiveRequest* active = this->findRequest(running.request);
-    internalCheck(active, "an exchange belongs to an active request");
     this->crashes.runAdvanced(*active, running, now);
     if (active->lastEventAt)
         active->longestPause = std::max(active->longestPause, now - *active->lastEventAt);
--- a/src/core/gateway/Gateway.h
+++ b/src/core/gateway/Gateway.h
@@ -71,7 +71,8 @@
     void applyEndpointChanges(const EndpointsChanged& changes, Instant now, GatewayActions& actions);
     /** Takes note of the time for which the process did not run before this event or tick. */
     void noticeSuspension(Instant now, GatewayActions& actions);
-    /** Completes a requested stop once nothing is in progress, or at its limit, where it ends the requests in progress. */
+    /** Completes a requested stop once nothing is in progress, or at its limit, where it ends the requests in progress.
+     */
     void advanceStop(Instant now, GatewayActions& actions);
     /** Starts to migrate the streams of endpoints that drain or were removed. */
     void drainEndpoints(const std::vector<EndpointId>& draining, Instant now, GatewayActions& actions);
--- a/src/core/gateway/GatewayAdmission.cpp
+++ b/src/core/gateway/GatewayAdmission.cpp
@@ -1,5 +1,7 @@
 #include "core/gateway/GatewayAdmission.h"
 
+#include "core/gateway/StreamForecast.h"
+
 #include <algorithm>
 
 namespace teaselfold {
@@ -34,16 +36,18 @@
         && this->state.freshness.isFresh(StoreSection::Configuration, this->state.limits.maxKeyStaleness, now);
 }
 
-bool GatewayAdmission::canFinishBeforeStop(const GatewayRequest& request, const GatewayRoute& route, Instant now) const
+bool GatewayAdmission::isAcceptedInStop(const ActiveRequest& active, Instant now) const
 {
     const auto& stop = this->state.stop;
     if (!stop)
         return true;
     if (stop->isComplete)
         return false;
-    if (now - stop->requestedAt < this->state.limits.drainDelay)
-        return true;
-    return now + timeoutOf(request, route) < stop->requestedAt + this->state.limits.stopLimit;
+    if (now - stop->requestedAt >= this->state.limits.drainDelay)
+        return this->state.endsBeforeStop(active.deadline);
+    // Without another gateway in the zone, the load balancer would send the caller's next try here again.
+    return !isStream(active) || !active.service->engine || !this->state.peers.hasServingPeerIn(this->state.zone)
+        || this->state.endsBeforeStop(now + expectedStreamTime(this->state, active));
 }
 
 Failure GatewayAdmission::denial(ErrorCode code, std::string message, Instant now) const
@@ -73,8 +77,6 @@
     const GatewayRoute* route = this->state.routes->findRoute(request.host, request.path);
     if (!route)
         return this->denial(ErrorCode::NotFound, "no route", now);
-    if (!this->canFinishBeforeStop(request, *route, now))
-        return notRunFailure(ErrorCode::Stopping, "this instance is being stopped", this->state.limits.retryAfter);
     const auto team = this->teamOf(request, *route, now);
     if (const auto* failure = std::get_if<Failure>(&team))
         return *failure;
@@ -101,6 +103,8 @@
         active.tokens = request.promptTokens + expectedOutput(request);
         active.events = expectedOutput(request) / found->engine->tokensPerEvent + 1;
     }
+    if (!this->isAcceptedInStop(active, now))
+        return notRunFailure(ErrorCode::Stopping, "this instance is being stopped", this->state.limits.retryAfter);
     return active;
 }
 
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -50,6 +50,12 @@
         return budget;
     }
 
+    /** @return false if a stopping gateway may exit before the given time. */
+    bool endsBeforeStop(Instant time) const
+    {
+        return !this->stop || time < this->stop->requestedAt + this->limits.stopLimit;
+    }
+
     /** Counts a request's end in the planned stop, if there is one. @param counter the counter for the way it ended. */
     void countInStop(std::uint64_t PlannedStop::*counter)
     {
--- a/src/core/gateway/PeerLoadTable.cpp
+++ b/src/core/gateway/PeerLoadTable.cpp
@@ -37,6 +37,7 @@
     peer.incarnation = message.incarnation;
     peer.sequence = message.sequence;
     peer.lastReceivedAt = now;
+    peer.isDraining = message.isDraining;
     for (const EndpointUsage& usage : message.usages) {
         EndpointUsage& known = peer.usages[usage.endpoint];
         this->removeFromTotals(known);
@@ -115,6 +116,14 @@
     return std::max(peerCount, this->members->size()) + 1;
 }
 
+bool PeerLoadTable::hasServingPeerIn(const ZoneId& zone) const
+{
+    return std::any_of(this->otherMembers().begin(), this->otherMembers().end(), [&](const GatewayMember& member) {
+        const auto peer = this->peers.find(member.instance);
+        return member.zone == zone && peer != this->peers.end() && !peer->second.isDraining;
+    });
+}
+
 const std::vector<GatewayMember>& PeerLoadTable::otherMembers() const
 {
     static const std::vector<GatewayMember> none;
--- a/src/core/gateway/PeerLoadTable.h
+++ b/src/core/gateway/PeerLoadTable.h
@@ -49,6 +49,8 @@
     std::vector<Address> receiverAddresses() const;
     /** @return the addresses of the other listed gateways of a zone. */
     std::vector<Address> addressesInZone(const ZoneId& zone) const;
+    /** @return true if another gateway of the zone has sent gossip recently and is not stopping. */
+    bool hasServingPeerIn(const ZoneId& zone) const;
     /** @return the other listed gateways; none before the first list. */
     const std::vector<GatewayMember>& otherMembers() const;
 
@@ -57,6 +59,7 @@
         Incarnation incarnation;
         std::uint64_t sequence { 0 };
         Instant lastReceivedAt;
+        bool isDraining { false };
         std::unordered_map<std::uint32_t, EndpointUsage> usages;
     };
 
--- a/src/core/gateway/RequestCompletion.cpp
+++ b/src/core/gateway/RequestCompletion.cpp
@@ -12,8 +12,8 @@
     auto line = Internal::requestLogEvent("refused", active, now);
     line.fields.push_back({ "reason", reason });
     actions.emplace_back(std::move(line));
-    this->fail(active,
-        { ErrorCode::NoCapacity, reason, executedStateOf(active), this->retryAfterOf(active, now) }, now, actions);
+    this->fail(active, { ErrorCode::NoCapacity, reason, executedStateOf(active), this->retryAfterOf(active, now) }, now,
+        actions);
 }
 
 Milliseconds RequestCompletion::retryAfterOf(const ActiveRequest& active, Instant now)
--- a/src/core/gateway/StreamMigrator.cpp
+++ b/src/core/gateway/StreamMigrator.cpp
@@ -2,6 +2,7 @@
 
 #include "core/gateway/CopyPlacement.h"
 #include "core/gateway/GatewayLog.h"
+#include "core/gateway/StreamForecast.h"
 
 #include <algorithm>
 #include <array>
@@ -21,21 +22,13 @@
     /** After this many calls the links are too slow to stop the run; the copy is used if the stream breaks. */
     constexpr std::uint32_t maxCopyCalls = 12;
     /**
-     * Time after the call that stops a run in which the target gets the stream even if it has begun to leave. Shorter than
-     * the time for which leaving endpoints and zones still take requests.
+     * Time after the call that stops a run in which the target gets the stream even if it has begun to leave. Shorter
+     * than the time for which leaving endpoints and zones still take requests.
      */
     constexpr Milliseconds preparedTargetTime(500);
     /** Maximum attempts per run. The notice before an engine exits is too short for more. */
     constexpr std::uint32_t maxFailedMigrations = 4;
 
-    std::uint64_t expectedRemainingTokens(const ActiveRequest& active)
-    {
-        const std::uint64_t expected = active.tokens - std::min(active.tokens, active.request.promptTokens);
-        const std::uint64_t produced = active.lastEventId * active.service->engine->tokensPerEvent;
-        // The remainder of a run beyond its expected length is unknown; assume half of what it produced so far.
-        return expected > produced ? expected - produced : produced / 2;
-    }
-
     std::string_view outcomeName(MigrationOutcome outcome)
     {
         constexpr std::array<std::string_view, 5> names { "copied", "no_such_run", "in_progress", "no_room", "failed" };
@@ -61,7 +54,8 @@
         return false;
     const bool hasBegun = active.lastEventId > 0;
     return hasBegun && active.failedMigrations < maxFailedMigrations && this->crashes.mayResume(active, now)
-        && expectedRemainingTokens(active) >= minRemainingTokens;
+        && expectedRemainingTokens(active) >= minRemainingTokens
+        && this->state.endsBeforeStop(now + expectedRemainingTime(this->state, active));
 }
 
 void StreamMigrator::drainEndpoint(const EndpointId& endpoint, Instant now, GatewayActions& actions)
@@ -109,8 +103,9 @@
         = chooseCopyTarget(this->state, active, { exchange.zone, std::move(excluded), {} }, now);
     if (!target)
         return false;
-    active.migration = StreamMigration { MigrationPhase::Copying, *active.exchange, source, exchange.address,
-        target->record.id, target->record.address, now, 0, active.tokens, std::nullopt, false, std::nullopt, std::nullopt };
+    active.migration
+        = StreamMigration { MigrationPhase::Copying, *active.exchange, source, exchange.address, target->record.id,
+              target->record.address, now, 0, active.tokens, std::nullopt, false, std::nullopt, std::nullopt };
     this->state.endpoints.addCopy(target->record.id, active.tokens);
     this->requestByExchange[*active.exchange] = active.request.id;
     this->sendCopyCall(active, now, actions);
@@ -177,7 +172,9 @@
 
 bool StreamMigrator::canResumeAtTarget(const ActiveRequest& active, Instant now) const
 {
-    return this->state.endpoints.acceptsResumption(active.migration->target, now) && this->crashes.mayResume(active, now);
+    return this->state.endpoints.acceptsResumption(active.migration->target, now)
+        && this->crashes.mayResume(active, now)
+        && this->state.endsBeforeStop(now + expectedRemainingTime(this->state, active));
 }
 
 void StreamMigrator::abandonTarget(ActiveRequest& active, Instant now, GatewayActions& actions)
@@ -209,8 +206,7 @@
 
 bool StreamMigrator::isTargetPrepared(const ActiveRequest& active, Instant now)
 {
-    return active.migration && active.migration->stopCallAt
-        && now - *active.migration->stopCallAt < preparedTargetTime;
+    return active.migration && active.migration->stopCallAt && now - *active.migration->stopCallAt < preparedTargetTime;
 }
 
 bool StreamMigrator::isAwaitingAnswer(const ActiveRequest& active)
--- a/src/core/gateway/StreamMigrator.h
+++ b/src/core/gateway/StreamMigrator.h
@@ -40,8 +40,8 @@
      */
     static std::optional<ResumePoint> takeResumePoint(ActiveRequest& active);
     /**
-     * @return true if the run was stopped a moment ago for a target that took requests then, so that the stream may still
-     * resume there although the target has begun to leave.
+     * @return true if the run was stopped a moment ago for a target that took requests then, so that the stream may
+     * still resume there although the target has begun to leave.
      */
     static bool isTargetPrepared(const ActiveRequest& active, Instant now);
     /** @return true if the stream ended and waits for the response to a copy call. */
--- a/test/correctness/StreamsSurviveEngineLoss.cpp
+++ b/test/correctness/StreamsSurviveEngineLoss.cpp
@@ -323,9 +323,12 @@
         void (*apply)(GatewayScenario& scenario, const EndpointId& target);
     };
     const Change changes[] = {
-        { "leaves", [](GatewayScenario& scenario, const EndpointId& target) { scenario.handle(drainingChange(target)); } },
+        { "leaves",
+            [](GatewayScenario& scenario, const EndpointId& target) { scenario.handle(drainingChange(target)); } },
         { "is gone",
-            [](GatewayScenario& scenario, const EndpointId& target) { scenario.handle(EndpointsChanged { {}, { target } }); } },
+            [](GatewayScenario& scenario, const EndpointId& target) {
+                scenario.handle(EndpointsChanged { {}, { target } });
+            } },
         { "zone goes out",
             [](GatewayScenario& scenario, const EndpointId&) {
                 scenario.handle(OutOfServiceZonesRead { { ZoneId("south") } });
--- a/test/error/GatewayDrainsBeforeExit.cpp
+++ b/test/error/GatewayDrainsBeforeExit.cpp
@@ -91,7 +91,9 @@
     GatewayLimits limits = scenario.gatewayUnderTest().limits();
     limits.stopLimit = Milliseconds(3000);
     limits.queueWaitFraction = 10;
-    scenario.handle(LimitsChanged { limits }).handle(GatewayStopRequested { scenario.now() }).advance(Milliseconds(2500));
+    scenario.handle(LimitsChanged { limits })
+        .handle(GatewayStopRequested { scenario.now() })
+        .advance(Milliseconds(2500));
     scenario.refreshFromStore();
     EndpointRecord leaving = GatewayScenario::plainEndpoint(lastPlainEndpoint.get());
     leaving.isDraining = true;
@@ -119,7 +121,43 @@
     CHECK(scenario.gatewayUnderTest().isStopComplete());
 }
 
-// Guards against a drain that begins when the gateway hears of the signal, so that the platform's kill comes before its end.
+// Guards against streams that are accepted during a drain and cut by the exit, and against refusals whose callers come
+// back to the same gateway.
+TEST_CASE("A stopping gateway refuses a stream that is expected to outlast its exit, if its zone has another gateway")
+{
+    struct Case {
+        std::uint64_t maxOutputTokens;
+        const char* zoneOfOther;
+        bool isOtherDraining;
+        bool isAccepted;
+    };
+    for (const Case& each : { Case { 100, "north", false, true }, Case { 2000, "north", false, false },
+             Case { 2000, "north", true, true }, Case { 2000, "south", false, true } }) {
+        CAPTURE(each.maxOutputTokens);
+        CAPTURE(each.zoneOfOther);
+        CAPTURE(each.isOtherDraining);
+        GatewayScenario scenario;
+        const GatewayMember other { GatewayId("gateway-2"), { "10.0.0.99", 80 }, ZoneId(each.zoneOfOther) };
+        GossipMessage gossip;
+        gossip.instance = other.instance;
+        gossip.incarnation = Incarnation(7);
+        gossip.sequence = 1;
+        gossip.isDraining = each.isOtherDraining;
+        scenario.start().handle(MembersListed { { other } }).handle(GossipReceived { gossip });
+        scenario.handle(GatewayStopRequested { scenario.now() }).advance(Milliseconds(500)).clearActions();
+        scenario.sendStream(each.maxOutputTokens);
+        CHECK(scenario.lastAction<StartExchange>().has_value() == each.isAccepted);
+        const auto refused = scenario.lastAction<RefuseRequest>();
+        REQUIRE(refused.has_value() != each.isAccepted);
+        if (refused) {
+            CHECK(refused->failure.code == ErrorCode::Stopping);
+            CHECK(refused->failure.run == Executed::No);
+        }
+    }
+}
+
+// Guards against a drain that begins when the gateway hears of the signal, so that the platform's kill comes before its
+// end.
 TEST_CASE("The drain delay and the stop limit count from the stop signal")
 {
     GatewayLimits limits;
@@ -136,3 +174,40 @@
     scenario.advance(Milliseconds(50));
     CHECK(scenario.gatewayUnderTest().isStopComplete());
 }
+
+// Guards against broken streams that go on elsewhere and are cut again by the exit.
+TEST_CASE("A stopping gateway resumes a broken stream only if it is expected to end before the exit")
+{
+    for (const bool endsInTime : { true, false }) {
+        CAPTURE(endsInTime);
+        GatewayScenario scenario;
+        scenario.start();
+        scenario.sendStream(endsInTime ? 400 : 8000);
+        scenario.respond(GatewayScenario::streamStart());
+        scenario.handle(EventsRelayed { scenario.lastExchange()->exchange, 5 });
+        REQUIRE(scenario.lastExchange()->replicaAddress);
+        scenario.handle(GatewayStopRequested { scenario.now() }).clearActions();
+        scenario.endExchange(ExchangeEnd::Broken);
+        CHECK(scenario.lastAction<StartExchange>().has_value() == endsInTime);
+        CHECK(scenario.lastAction<AbortResponse>().has_value() != endsInTime);
+    }
+}
+
+// Guards against runs that are stopped at their endpoint shortly before the exit, after which no endpoint works on
+// them.
+TEST_CASE("A stopping gateway migrates a stream only if it is expected to end before the exit")
+{
+    for (const bool endsInTime : { true, false }) {
+        CAPTURE(endsInTime);
+        GatewayScenario scenario;
+        scenario.start().disableReplicas();
+        scenario.sendStream(endsInTime ? 800 : 8000);
+        scenario.respond(GatewayScenario::streamStart());
+        scenario.handle(EventsRelayed { scenario.lastExchange()->exchange, 5 });
+        EndpointRecord leaving = GatewayScenario::engineEndpoint(scenario.lastExchange()->endpoint.get());
+        leaving.isDraining = true;
+        scenario.handle(GatewayStopRequested { scenario.now() }).clearActions();
+        scenario.handle(EndpointsChanged { { leaving }, {} });
+        CHECK(scenario.lastAction<StartMigration>().has_value() == endsInTime);
+    }
+}
--- a/test/error/IdleClosesDropNoRequest.cpp
+++ b/test/error/IdleClosesDropNoRequest.cpp
@@ -28,8 +28,8 @@
 
 }
 
-// Guards against a request that crosses the close of its idle connection, is read and discarded, and gets no answer: its
-// caller cannot tell it from one that has run.
+// Guards against a request that crosses the close of its idle connection, is read and discarded, and gets no answer:
+// its caller cannot tell it from one that has run.
 TEST_CASE("A request that crosses the close of an idle connection by a stopping gateway is not read")
 {
     RawServer endpoint([](RawServer::Connection&) {});
--- a/test/support/GatewayScenario.cpp
+++ b/test/support/GatewayScenario.cpp
@@ -124,6 +124,13 @@
     return this->receive(this->request(path, key));
 }
 
+RequestId GatewayScenario::sendStream(std::uint64_t maxOutputTokens)
+{
+    GatewayRequest request = this->request("/draft/1", "key-a");
+    request.maxOutputTokens = maxOutputTokens;
+    return this->receive(std::move(request));
+}
+
 RequestId GatewayScenario::sendRequestWithFingerprint(const std::string& path, Fingerprint fingerprint)
 {
     GatewayRequest request = this->request(path, "key-a");
--- a/test/support/GatewayScenario.h
+++ b/test/support/GatewayScenario.h
@@ -31,6 +31,8 @@
 
     /** Passes a new request to the gateway. @return the request's id. */
     RequestId sendRequest(const std::string& path, const std::string& key = "key-a");
+    /** Passes a new stream to the gateway. Half of the maximum output is expected. @return its id. */
+    RequestId sendStream(std::uint64_t maxOutputTokens);
     /** Passes a request with the given fingerprint to the gateway, for example a repeated one. @return its id. */
     RequestId sendRequestWithFingerprint(const std::string& path, Fingerprint fingerprint);
     /** Provides a configuration whose engines keep no replicas. */
