Wake an aborted call of the store instead of closing its descriptor

Operators saw gateways that did not leave before the platform killed them: an idle one took 4 to 17 s after SIGTERM, and wrote store_failed "response took too long" long after "stopping".

Cause: StoreClient::abort called POCO's HTTPSession::abort, which shuts the socket down and closes it in the thread that aborts. POCO polls with epoll, and a closed descriptor leaves the epoll set, so the call slept on until its own deadline (twice store_timeout plus the long poll). The number of the closed descriptor was free at once, so that a read of the call could have hit another connection. While a call connected, nothing ended it at all.

Change: BoundedSocket::cancel marks the socket and shuts it down; every call checks the mark, and the descriptor is closed by its owner only. A mutex keeps the shutdown from a descriptor that is being opened or closed. A shutdown ends a TCP connection attempt, too. Sends no longer raise SIGPIPE.

--- a/src/adapters/net/BoundedSocket.cpp
+++ b/src/adapters/net/BoundedSocket.cpp
@@ -1,9 +1,14 @@
 #include "adapters/net/BoundedSocket.h"
 
 #include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocketImpl.h>
 
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <atomic>
+#include <mutex>
 
 namespace teaselfold {
 
@@ -21,11 +26,56 @@
         }
         bool hasEnded() const { return this->ended; }
 
+        void cancel()
+        {
+            this->cancelled = true;
+            const std::lock_guard lock(this->descriptorMutex);
+            // Wakes a thread that connects, sends or receives; only that thread may close the descriptor.
+            if (this->initialized())
+                ::shutdown(this->sockfd(), SHUT_RDWR);
+        }
+
+        using Poco::Net::StreamSocketImpl::connect;
+        void connect(const Poco::Net::SocketAddress& address, const Poco::Timespan& timeout) override
+        {
+            {
+                const std::lock_guard lock(this->descriptorMutex);
+                this->throwIfCancelled();
+                if (!this->initialized())
+                    this->init(address.af());
+            }
+            Poco::Net::StreamSocketImpl::connect(address, timeout);
+        }
+
+        void close() override
+        {
+            const std::lock_guard lock(this->descriptorMutex);
+            Poco::Net::StreamSocketImpl::close();
+        }
+
+        /** Also called while connecting, after the attempt has begun. */
+        bool poll(const Poco::Timespan& timeout, int mode) override
+        {
+            this->throwIfCancelled();
+            const bool isReady = Poco::Net::StreamSocketImpl::poll(timeout, mode);
+            this->throwIfCancelled();
+            return isReady;
+        }
+
+        using Poco::Net::StreamSocketImpl::sendBytes;
+        int sendBytes(const void* buffer, int length, int flags) override
+        {
+            this->throwIfCancelled();
+            return Poco::Net::StreamSocketImpl::sendBytes(buffer, length, flags | MSG_NOSIGNAL);
+        }
+
         using Poco::Net::StreamSocketImpl::receiveBytes;
         int receiveBytes(void* buffer, int length, int flags) override
         {
             this->waitForBytes();
             const int count = Poco::Net::StreamSocketImpl::receiveBytes(buffer, length, flags);
+            // The end of what the peer sends may be that of the cancellation.
+            this->throwIfCancelled();
             this->ended = count == 0;
             const std::size_t received = count > 0 ? static_cast<std::size_t>(count) : 0;
             if (received > this->budget.maxBytes)
@@ -35,6 +85,12 @@
         }
 
     private:
+        void throwIfCancelled() const
+        {
+            if (this->cancelled)
+                throw Poco::Net::ConnectionAbortedException("cancelled");
+        }
+
         void waitForBytes()
         {
             if (this->budget.deadline == Instant::max())
@@ -49,6 +105,9 @@
 
         ExchangeBudget budget;
         bool ended { false };
+        std::atomic<bool> cancelled { false };
+        /** Held while the descriptor is opened, closed or shut down. */
+        std::mutex descriptorMutex;
     };
 
 }
@@ -63,6 +122,8 @@
     static_cast<BoundedSocketImpl*>(this->impl())->beginExchange(budget);
 }
 
+void BoundedSocket::cancel() { static_cast<BoundedSocketImpl*>(this->impl())->cancel(); }
+
 bool BoundedSocket::hasEnded() const { return static_cast<const BoundedSocketImpl*>(this->impl())->hasEnded(); }
 
 }
--- a/src/adapters/net/BoundedSocket.h
+++ b/src/adapters/net/BoundedSocket.h
@@ -26,6 +26,11 @@
 
     /** Begins an exchange. A read beyond the budget throws Poco::TimeoutException or Poco::DataException. */
     void beginExchange(const ExchangeBudget& budget);
+    /**
+     * Makes the current and all later calls on this socket and its copies throw, whether they connect, send or
+     * receive. Callable from any thread; the descriptor is closed by the thread that uses it.
+     */
+    void cancel();
     /** @return true when a read of this exchange has reached the end of what the peer sends. */
     bool hasEnded() const;
 };
