Wake the peers' thread when it stops

The exit of a gateway took up to 250 ms longer than needed, of the 500 ms that a busy one has left when it ends its requests.

Cause: the thread looked at the stop flag only when its poll timed out or a peer sent something.

Change: the wake-up of SocketLoop becomes a class of its own, WakeChannel, which PeerChannel uses as well. The poll keeps its timeout, for a wake-up that could not be sent.

--- a/src/adapters/net/SocketLoop.cpp
+++ b/src/adapters/net/SocketLoop.cpp
@@ -28,14 +28,7 @@
 SocketLoop::SocketLoop(SocketLoopOptions loopOptions)
     : options(std::move(loopOptions))
 {
-    const Poco::Net::SocketAddress anyPort("127.0.0.1", 0);
-    this->wakeReceiver.bind(anyPort);
-    this->wakeSender.bind(anyPort);
-    this->wakeReceiver.connect(this->wakeSender.address());
-    this->wakeSender.connect(this->wakeReceiver.address());
-    this->wakeReceiver.setBlocking(false);
-    this->wakeSender.setBlocking(false);
-    this->pollSet.add(this->wakeReceiver, Poco::Net::PollSet::POLL_READ);
+    this->pollSet.add(this->wakeUps.socket(), Poco::Net::PollSet::POLL_READ);
 }
 
 bool SocketLoop::listen(const Address& address)
@@ -67,19 +60,6 @@
         this->thread.join();
 }
 
-void SocketLoop::wake()
-{
-    if (this->wakePending.exchange(true))
-        return;
-    try {
-        const char byte = 0;
-        this->wakeSender.sendBytes(&byte, 1);
-    } catch (const Poco::Exception&) {
-        // Queued commands are also processed at each tick.
-        this->wakePending = false;
-    }
-}
-
 void SocketLoop::run()
 {
     Instant nextTick = std::chrono::steady_clock::now() + this->options.tickPeriod;
@@ -115,7 +95,7 @@
 
 void SocketLoop::handleSocket(const Poco::Net::Socket& socket, int events)
 {
-    if (socket == this->wakeReceiver)
+    if (socket == this->wakeUps.socket())
         return this->handleWake();
     const auto listener = std::find(this->listeners.begin(), this->listeners.end(), socket);
     if (listener != this->listeners.end())
@@ -135,13 +115,7 @@
 
 void SocketLoop::handleWake()
 {
-    std::array<char, 16> bytes {};
-    try {
-        this->wakeReceiver.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
-    } catch (const Poco::Exception&) {
-        // No datagram is waiting: an earlier call has read it.
-    }
-    this->wakePending = false;
+    this->wakeUps.reset();
     this->handler->woken();
 }
 
--- a/src/adapters/net/SocketLoop.h
+++ b/src/adapters/net/SocketLoop.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "adapters/net/StreamDecoder.h"
+#include "adapters/net/WakeChannel.h"
 #include "ports/Fleet.h"
 #include "ports/Ids.h"
 #include "ports/LinkTraffic.h"
 #include "ports/Time.h"
 
-#include <Poco/Net/DatagramSocket.h>
 #include <Poco/Net/PollSet.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
@@ -80,7 +80,7 @@
     /** Writes what can be written without blocking, closes all connections and joins the thread. Idempotent. */
     void stop();
     /** Makes the loop call `SocketHandler::woken`. Callable from any thread. */
-    void wake();
+    void wake() { this->wakeUps.wake(); }
 
     // The following are called on the loop's thread only.
 
@@ -161,8 +161,7 @@
     ConnectionId addConnection(Poco::Net::StreamSocket socket, bool established);
 
     Poco::Net::PollSet pollSet;
-    Poco::Net::DatagramSocket wakeReceiver;
-    Poco::Net::DatagramSocket wakeSender;
+    WakeChannel wakeUps;
     SocketLoopOptions options;
     std::vector<Poco::Net::ServerSocket> listeners;
     std::uint16_t listeningPort { 0 };
@@ -175,7 +174,6 @@
     std::atomic<std::uint64_t> bytesSent { 0 };
     std::atomic<std::uint64_t> bytesReceived { 0 };
     std::atomic<std::uint64_t> openConnections { 0 };
-    std::atomic<bool> wakePending { false };
     std::atomic<bool> stopping { false };
     SocketHandler* handler { nullptr };
     std::thread thread;
--- a/src/adapters/peers/PeerChannel.cpp
+++ b/src/adapters/peers/PeerChannel.cpp
@@ -13,7 +13,7 @@
 namespace {
 
     constexpr std::size_t maxDatagramBytes = 4096;
-    /** Bounds the delay until a stop request is noticed. */
+    /** Bounds the delay until a stop request is noticed whose wake-up could not be sent. */
     constexpr Milliseconds pollTimeout(250);
 
 }
@@ -30,6 +30,7 @@
         this->socket.bind(Poco::Net::SocketAddress(this->address.host, this->address.port));
         this->socket.setBlocking(false);
         this->pollSet.add(this->socket, Poco::Net::PollSet::POLL_READ);
+        this->pollSet.add(this->wakeUps.socket(), Poco::Net::PollSet::POLL_READ);
     } catch (const Poco::Exception& error) {
         return error.displayText();
     }
@@ -40,6 +41,7 @@
 void PeerChannel::stop()
 {
     this->stopping = true;
+    this->wakeUps.wake();
     if (this->thread.joinable())
         this->thread.join();
 }
@@ -49,7 +51,7 @@
     const Poco::Timespan wait(Microseconds(pollTimeout).count());
     while (!this->stopping) {
         const auto ready = this->pollSet.poll(wait);
-        if (!ready.empty())
+        if (ready.contains(this->socket))
             this->receiveAll();
     }
 }
--- a/src/adapters/peers/PeerChannel.h
+++ b/src/adapters/peers/PeerChannel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/net/WakeChannel.h"
 #include "ports/GatewayMessages.h"
 
 #include <Poco/Net/DatagramSocket.h>
@@ -42,6 +43,7 @@
     std::function<void(GatewayEvent)> sink;
     Poco::Net::DatagramSocket socket;
     Poco::Net::PollSet pollSet;
+    WakeChannel wakeUps;
     std::atomic<bool> stopping { false };
     std::thread thread;
 };
