Stop the peers' thread also while datagrams keep arriving

A gateway whose peers, or anyone else, send datagrams faster than it reads them would not have left before the platform killed it.

Cause: the thread read on until no datagram was waiting, and looked at the stop flag only then. Change: it looks after each datagram.

Not seen in the field.

--- a/src/adapters/peers/PeerChannel.cpp
+++ b/src/adapters/peers/PeerChannel.cpp
@@ -60,7 +60,7 @@
 {
     std::array<char, maxDatagramBytes> buffer; // NOLINT: filled by the read
     try {
-        while (true) {
+        while (!this->stopping) {
             const int count = this->socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
             if (count <= 0)
                 return;
