--- a/test/error/StoreReadersStopAtOnce.cpp
+++ b/test/error/StoreReadersStopAtOnce.cpp
@@ -48,11 +48,11 @@
     RawServer server;
 };
 
-std::unique_ptr<PlatformStore> startStore(const Address& address)
+std::unique_ptr<PlatformStore> startStore(
+    const Address& address, const std::function<void(GatewayEvent)>& sink = [](const GatewayEvent&) {})
 {
-    auto store = std::make_unique<PlatformStore>(
-        StoreReader::Options { address }, GatewayMember { GatewayId("gateway-1"), { "127.0.0.1", 1 }, ZoneId("north") },
-        [](const GatewayEvent&) {}, &bootTimeNow);
+    auto store = std::make_unique<PlatformStore>(StoreReader::Options { address },
+        GatewayMember { GatewayId("gateway-1"), { "127.0.0.1", 1 }, ZoneId("north") }, sink, &bootTimeNow);
     store->start();
     return store;
 }
@@ -121,3 +121,27 @@
     checkStopTime(*store);
     CHECK(holding.removals() == 1);
 }
+
+// Guards against log lines that blame the store for the calls which a planned stop ends.
+TEST_CASE("The readers of the store report no calls that their stop aborts, only a row that stays")
+{
+    const auto reportedBy = [](const auto& server, const auto& countOfCalls) {
+        Ring<GatewayEvent> events(16);
+        const auto store = startStore(server.address(), [&](GatewayEvent event) { events.tryPush(std::move(event)); });
+        readEverySection(*store, StoreVersion(1));
+        REQUIRE(becomesTrue([&] { return countOfCalls() == storeSectionCount; }));
+        store->stop();
+        std::vector<std::string> reasons;
+        while (const auto event = events.tryPop()) {
+            if (const auto* failed = std::get_if<StoreReadFailed>(&*event))
+                reasons.push_back(failed->reason);
+        }
+        return reasons;
+    };
+    const HoldingStore holding;
+    CHECK(reportedBy(holding, [&] { return holding.heldCalls(); }).empty());
+    const UselessStore useless(behaviorsWithoutAnswer().front());
+    const auto reasons = reportedBy(useless, [&] { return useless.calls(); });
+    REQUIRE(reasons.size() == 1);
+    CHECK(reasons.front().starts_with("own row not removed: "));
+}
