Leave connections alone while a response is being written to them

A caller whose next request followed a response that a stopping gateway was still writing got a closed connection and no answer: the close of idle connections is graceful while bytes are queued, and reads and discards what follows them.

Change: such a connection is not idle. It is closed by a later tick, once its response is written, or its next request is answered.

Test: IdleClosesAfterSlowAnswersDropNoRequest, failed before. As first written it accepted a reset only; a request that is read and answered keeps the promise as well, so it now sends a whole request and requires an answer or a reset. A connection that just ends still fails it.

--- a/src/adapters/traffic/CallerConnections.cpp
+++ b/src/adapters/traffic/CallerConnections.cpp
@@ -204,7 +204,7 @@
 {
     std::vector<ConnectionId> idle;
     for (const auto& [id, caller] : this->callers) {
-        if (caller.phase == Phase::Head && caller.inbound.empty())
+        if (caller.phase == Phase::Head && caller.inbound.empty() && this->context.loop.queuedBytes(id) == 0)
             idle.push_back(id);
     }
     for (const ConnectionId id : idle)
--- a/src/adapters/traffic/CallerConnections.h
+++ b/src/adapters/traffic/CallerConnections.h
@@ -42,7 +42,7 @@
     void beginDrain() { this->draining = true; }
     /** @return true when a part of a response is queued but not yet written. */
     bool hasUnsentBytes() const;
-    /** Closes connections on which no request is being read or processed. */
+    /** Closes connections on which no request is being read or processed and no response is being written. */
     void closeIdleConnections();
 
     /** @return the request, or null when its response is complete or its caller has disconnected. */
