Let two stopped runs resume at a target that rests

Callers could see a stream end after its status when two runs were stopped for migrations to one target that began to rest meanwhile: a rest allowed one resumption, and the second run was aborted although its copy had reserved room. A stopped run has nowhere else to go; two requests in a rest are what endpoints accept. Streams that broke by themselves keep the limit of one.

--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -18,6 +18,8 @@
     constexpr Milliseconds returnInterval(50);
     /** Resumptions during a rest; the endpoint has reserved the room for them. */
     constexpr std::uint32_t maxResumptionsPerRest = 1;
+    /** The same for streams whose runs were stopped: they have nowhere else to go. */
+    constexpr std::uint32_t maxStoppedRunsPerRest = 2;
 
     /** Adds a measured time to a moving average. */
     void addToAverage(std::optional<Duration>& average, Duration time)
@@ -332,14 +334,15 @@
 
 bool EndpointDirectory::acceptsResumption(const EndpointId& endpoint, Instant now) const
 {
-    return this->acceptsRequests(endpoint) && this->acceptsStoppedRun(endpoint, now);
+    return this->acceptsRequests(endpoint)
+        && (!this->isResting(endpoint, now) || this->endpoints.at(endpoint).sentWhileResting < maxResumptionsPerRest);
 }
 
 bool EndpointDirectory::acceptsStoppedRun(const EndpointId& endpoint, Instant now) const
 {
     const auto found = this->endpoints.find(endpoint);
     return found != this->endpoints.end()
-        && (found->second.restsUntil <= now || found->second.sentWhileResting < maxResumptionsPerRest);
+        && (found->second.restsUntil <= now || found->second.sentWhileResting < maxStoppedRunsPerRest);
 }
 
 std::string_view EndpointDirectory::stateName(const EndpointId& endpoint, Instant now) const
