Try to migrate a run again while its leaving engine goes on with it

Callers saw streams end with an engine that left as planned, seconds after the gateway had given up moving them. Four tries that failed in a row were all that a run got, and they followed each other at once: 31 ms in the median. A moment without room, or without a connection, used them up.

Change: 300 ms after such a row the run is tried again, with all targets.

Test: RunsAreMovedAgainWhileTheirEngineLeaves, failed before for both outcomes.

--- a/src/core/gateway/ActiveRequest.h
+++ b/src/core/gateway/ActiveRequest.h
@@ -79,6 +79,8 @@
     /** The run got past its start at an engine, so its prompt crashes none. */
     bool isPastStart { false };
     std::uint32_t failedMigrations { 0 };
+    /** When the last migration failed. */
+    Instant migrationFailedAt;
     /** Targets of the failed migrations, excluded until the stream resumes elsewhere. */
     std::set<EndpointId> failedTargets;
 };
--- a/src/core/gateway/StreamMigrator.cpp
+++ b/src/core/gateway/StreamMigrator.cpp
@@ -26,8 +26,10 @@
      * than the time for which leaving endpoints and zones still take requests.
      */
     constexpr Milliseconds preparedTargetTime(500);
-    /** Maximum attempts per run. The notice before an engine exits is too short for more. */
+    /** Attempts to migrate a run that may fail in a row. */
     constexpr std::uint32_t maxFailedMigrations = 4;
+    /** Time after such a row until the run is tried again, since room and connections return within moments. */
+    constexpr Milliseconds migrationRetryDelay(300);
 
     std::string_view outcomeName(MigrationOutcome outcome)
     {
@@ -53,7 +55,9 @@
     if (active.replicaEngine && this->state.endpoints.acceptsRequests(*active.replicaEngine))
         return false;
     const bool hasBegun = active.lastEventId > 0;
-    return hasBegun && active.failedMigrations < maxFailedMigrations && this->crashes.mayResume(active, now)
+    const bool mayTry
+        = active.failedMigrations < maxFailedMigrations || now - active.migrationFailedAt >= migrationRetryDelay;
+    return hasBegun && mayTry && this->crashes.mayResume(active, now)
         && expectedRemainingTokens(active) >= minRemainingTokens
         && this->state.endsBeforeStop(now + expectedRemainingTime(this->state, active));
 }
@@ -97,6 +101,10 @@
     ActiveRequest& active, const EndpointId& source, Instant now, GatewayActions& actions)
 {
     const Exchange& exchange = this->state.exchanges.at(*active.exchange);
+    if (active.failedMigrations >= maxFailedMigrations) {
+        active.failedMigrations = 0;
+        active.failedTargets.clear();
+    }
     std::set<EndpointId> excluded = active.failedTargets;
     excluded.insert(source);
     const GatewayEndpoint* target
@@ -160,6 +168,7 @@
     const bool streamEnded = migration.streamEnd.has_value();
     if (!copied) {
         ++active.failedMigrations;
+        active.migrationFailedAt = now;
         active.failedTargets.insert(migration.target);
     }
     this->endMigration(migration);
