Try twice to resume a run that was stopped for a migration

Callers saw a stream end after its status when the first connection to the target of its migration was not established in time (250 ms), broke before the response or was refused as not run. The gateway had stopped the run itself, so no fault of an endpoint explains the cut to its caller.

Cause: the way back was forgotten with the first try. Change: it is kept until the first event from the target, and used once more, from the retry budget. A copy can be used once only, so a second try cannot run anything twice.

--- a/src/core/gateway/ActiveRequest.h
+++ b/src/core/gateway/ActiveRequest.h
@@ -42,6 +42,13 @@
     std::optional<ExchangeEnd> streamEnd;
 };
 
+/** The way back of a stream whose run was stopped for a migration, until its first event from the target. */
+struct StoppedRun {
+    EndpointId target;
+    ResumePoint point;
+    std::uint32_t tries { 0 };
+};
+
 /** A request that waits for an endpoint or has an exchange in progress. */
 struct ActiveRequest {
     GatewayRequest request;
@@ -74,6 +81,7 @@
     /** Engine that holds a replica of the run's KV cache. */
     std::optional<EndpointId> replicaEngine;
     std::optional<StreamMigration> migration;
+    std::optional<StoppedRun> stoppedRun;
     /** Engines at which the run broke before it got past its start. */
     std::uint32_t brokenStarts { 0 };
     /** The run got past its start at an engine, so its prompt crashes none. */
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -15,6 +15,8 @@
     constexpr std::uint64_t minReplicatedEvents = 20;
     /** KV cache utilization beyond which an engine gets no replica, since it would take space from running streams. */
     constexpr double maxReplicaUtilization = 0.5;
+    /** Tries to resume a run that was stopped. A copy can be used once only, so another try runs nothing twice. */
+    constexpr std::uint32_t maxResumptionTries = 2;
     constexpr std::uint16_t firstServerError = 500;
     constexpr std::uint16_t firstRedirection = 300;
     constexpr std::uint16_t firstSuccess = 200;
@@ -285,8 +287,14 @@
     const bool isAccepted = StreamMigrator::isTargetPrepared(active, now)
         ? this->state.endpoints.acceptsStoppedRun(target, now)
         : this->state.endpoints.acceptsResumption(target, now);
-    if (const auto point = StreamMigrator::takeResumePoint(active))
+    const bool wasStopped = StreamMigrator::mayBeStopped(active);
+    if (const auto point = StreamMigrator::takeResumePoint(active)) {
+        if (wasStopped)
+            active.stoppedRun = StoppedRun { target, *point, 1 };
         return this->resume(active, target, *point, isAccepted, now, actions);
+    }
+    if (active.stoppedRun)
+        return this->resumeStoppedRun(active, now, actions);
     if (StreamMigrator::isAwaitingAnswer(active))
         return true;
     if (!active.replicaEngine)
@@ -302,6 +310,16 @@
     return this->resume(active, replicaEngine, point, isReplicaAccepted, now, actions);
 }
 
+bool ExchangeDispatcher::resumeStoppedRun(ActiveRequest& active, Instant now, GatewayActions& actions)
+{
+    StoppedRun& run = *active.stoppedRun;
+    if (run.tries >= maxResumptionTries || !this->state.retryBudgetOf(active.service->name).withdraw(now))
+        return false;
+    ++run.tries;
+    const bool isAccepted = this->state.endpoints.acceptsStoppedRun(run.target, now);
+    return this->resume(active, run.target, run.point, isAccepted, now, actions);
+}
+
 bool ExchangeDispatcher::resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point,
     bool isAccepted, Instant now, GatewayActions& actions)
 {
@@ -352,6 +370,7 @@
     this->state.endpoints.removePendingPrompt(running.endpoint, std::exchange(running.promptTokens, 0));
     running.lastEventId = event.lastEventId;
     running.lastEventAt = now;
+    active->stoppedRun.reset();
     this->crashes.runAdvanced(*active, running, now);
     if (active->lastEventAt)
         active->longestPause = std::max(active->longestPause, now - *active->lastEventAt);
--- a/src/core/gateway/ExchangeDispatcher.h
+++ b/src/core/gateway/ExchangeDispatcher.h
@@ -46,6 +46,8 @@
      */
     bool resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, bool isAccepted,
         Instant now, GatewayActions& actions);
+    /** Tries once more to resume a run that was stopped for a migration. @return false if it does not resume. */
+    bool resumeStoppedRun(ActiveRequest& active, Instant now, GatewayActions& actions);
     GatewayEndpoint* pickEndpoint(const ActiveRequest& active, const std::set<EndpointId>& excluded, Instant now) const;
     /** Withdraws one retry from the budget if the request may be repeated. @return true if a retry may be sent. */
     bool reserveRetry(const ActiveRequest& active, Instant now);
