--- a/test/process/lib/prepared_platform.py
+++ b/test/process/lib/prepared_platform.py
@@ -1,5 +1,6 @@
 """Stand-ins for the prepared platform on loopback: its store, plain endpoints and model engines."""
 import base64
+import io
 import json
 import socket
 import threading
@@ -8,6 +9,8 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 RESTART_TIME_S = 2
+# At which a store that is slow writes.
+BYTE_INTERVAL_S = 0.05
 
 
 class SilentHandler(BaseHTTPRequestHandler):
@@ -83,16 +86,27 @@
 
 
 class Store(Server):
-    """Tables with change feeds. Answers 503 while `is_down` is set."""
+    """Tables with change feeds. Answers 503 while `is_down` is set, and in the way that `manner` names."""
 
     def __init__(self):
         self.changed = threading.Condition()
+        self.manner = "healthy"
         self.rows = {}
         self.log = []
         self.version = 0
         self.is_down = False
         super().__init__(StoreHandler)
 
+    def behave(self, manner):
+        """Changes how the store treats its calls. `closed` ends all connections and accepts no more."""
+        with self.changed:
+            before, self.manner = self.manner, manner
+            self.changed.notify_all()
+        if manner == "closed" and before != "closed":
+            self.http.close()
+        if before == "closed" and manner != "closed":
+            self.listen()
+
     def put(self, table, key, value):
         with self.changed:
             self.version += 1
@@ -121,12 +135,30 @@
             while True:
                 changes = [row for row in self.log if row["table"] == table and row["rowVersion"] > since]
                 remaining = until - time.monotonic()
-                if changes or remaining <= 0 or self.is_down:
+                is_held = self.manner == "holding"
+                if (changes or remaining <= 0 or self.is_down) and not is_held:
                     return {"rows": changes, "rowVersion": self.version, "nowMs": now_ms()}
-                self.changed.wait(remaining)
+                self.changed.wait(None if is_held else remaining)
 
 
 class StoreHandler(SilentHandler):
+    def reply(self, status, body=b"", headers=()):
+        replies = {"silent": self.reply_after_silence, "slow": self.reply_bytewise}
+        replies.get(self.owner.manner, super().reply)(status, body, headers)
+
+    def reply_after_silence(self, status, body, headers):
+        with self.owner.changed:
+            self.owner.changed.wait_for(lambda: self.owner.manner != "silent")
+        super().reply(status, body, headers)
+
+    def reply_bytewise(self, status, body, headers):
+        connection, self.wfile = self.wfile, io.BytesIO()
+        super().reply(status, body, headers)
+        answer, self.wfile = self.wfile.getvalue(), connection
+        for byte in answer:
+            self.wfile.write(bytes([byte]))
+            time.sleep(BYTE_INTERVAL_S)
+
     def do_GET(self):
         path, _, query = self.path.partition("?")
         parameters = dict(urllib.parse.parse_qsl(query))
@@ -246,15 +278,15 @@
 
 
 def configuration(version, keys):
-    """Returns a configuration with non-idempotent and streaming routes, a plain service and engines with replicas."""
+    """Returns a configuration with routes of each kind, a plain service and engines with replicas."""
 
-    def route(name, kind, service):
+    def route(name, kind, service, attempts=1):
         return {"name": name, "host": "host.example", "prefix": "/%s/" % name, "routeKind": kind, "timeoutMs": 20000,
-                "goalMs": 1500, "priority": 0, "service": service, "maxAttempts": 1, "public": False}
+                "goalMs": 1500, "priority": 0, "service": service, "maxAttempts": attempts, "public": False}
 
     return {"version": version,
             "routes": [route("write", "non_idempotent", "plain"), route("slow", "non_idempotent", "plain"),
-                       route("draft", "streaming", "engines")],
+                       route("draft", "streaming", "engines"), route("read", "idempotent", "plain", attempts=3)],
             "services": [{"name": "plain", "healthPath": "/healthz", "maxConns": 50},
                          {"name": "engines", "healthPath": "/healthz", "maxConns": 50,
                           "runtime": {"slots": 8, "kvCapacity": 30000, "migrations": True, "replicas": True,
