Write the last responses while the store's readers stop

A stop at its limit has half a second left until the kill: the responses that it just decided on are written within 200 ms, and only then were the readers of the store and the peers stopped, which may take 300 ms more. Both now happen at the same time.

--- a/apps/teaselfold-gateway/Main.cpp
+++ b/apps/teaselfold-gateway/Main.cpp
@@ -85,6 +85,7 @@
     std::unique_ptr<TelemetryHub> telemetry;
     Gateway gateway;
     std::promise<void> stopped;
+    std::promise<void> written;
     PeerChannel peers;
     PlatformStore store;
     std::unique_ptr<TrafficServer> traffic;
@@ -104,7 +105,7 @@
     , traffic(std::make_unique<TrafficServer>(trafficOptions(this->settings),
           TrafficServer::Dependencies { this->gateway, this->codec, *this->telemetry, this->peers, this->store,
               [this] { return this->telemetry->renderPrometheus(); }, &bootTimeNow,
-              [this] { this->stopped.set_value(); } }))
+              [this] { this->stopped.set_value(); }, [this] { this->written.set_value(); } }))
 {
 }
 
@@ -152,6 +153,7 @@
     this->stopped.get_future().wait();
     this->store.stop();
     this->peers.stop();
+    this->written.get_future().wait();
     this->traffic->stop();
     this->telemetry->log({ "stopped", { { "instance", this->settings.instance } } });
     this->telemetry->stop();
--- a/src/adapters/traffic/TrafficServer.cpp
+++ b/src/adapters/traffic/TrafficServer.cpp
@@ -142,7 +142,7 @@
 void TrafficServer::advanceShutdown()
 {
     const Gateway& gateway = this->dependencies.gateway;
-    if (!gateway.stopRequestedAt() || this->stopReported)
+    if (!gateway.stopRequestedAt() || this->writtenReported)
         return;
     if (!this->drainStarted)
         this->callers.beginDrain();
@@ -150,12 +150,16 @@
     const Duration elapsed = this->now - *gateway.stopRequestedAt();
     if (elapsed >= gateway.limits().drainDelay)
         this->callers.closeIdleConnections();
+    if (!gateway.isStopComplete())
+        return;
+    if (!std::exchange(this->stopReported, true))
+        this->dependencies.stopped();
     // A response that was decided on must also reach its caller's connection.
     const Duration lastWrite = gateway.limits().stopLimit + gateway.limits().responseFlushTime;
-    if (!gateway.isStopComplete() || (this->callers.hasUnsentBytes() && elapsed < lastWrite))
+    if (this->callers.hasUnsentBytes() && elapsed < lastWrite)
         return;
-    this->stopReported = true;
-    this->dependencies.stopped();
+    this->writtenReported = true;
+    this->dependencies.written();
 }
 
 void TrafficServer::execute(const GatewayActions& actions)
--- a/src/adapters/traffic/TrafficServer.h
+++ b/src/adapters/traffic/TrafficServer.h
@@ -34,8 +34,10 @@
         std::function<std::string()> metrics;
         /** Must advance while the machine is suspended, because known state also ages during that time. */
         std::function<Instant()> clock;
-        /** Called once, when shutdown is complete. */
+        /** Called once, when the gateway's stop is complete. Requests are refused from then on. */
         std::function<void()> stopped;
+        /** Called once after that, when the responses are written or the time for it is over. */
+        std::function<void()> written;
     };
 
     TrafficServer(TrafficOptions options, Dependencies dependencies);
@@ -90,6 +92,7 @@
     StatusConnections status;
     bool drainStarted { false };
     bool stopReported { false };
+    bool writtenReported { false };
 };
 
 }
