Cancel an engine's streams without closing their descriptors

An agent's cancel could close a connection of somebody else, and a cancelled stream kept its place for up to engine_timeout. Not seen in the field; found with the same cause in the store's client.

Cause: StreamRegistry::abort called HTTPSession::abort, which closes the descriptor while the stream's thread reads from it; a connection opened in between may get the same number. A stream had no session to abort while it connected.

Change: the registry holds the stream's BoundedSocket from before the connection attempt on, and cancels it.

Test: EngineStreamsStopAtOnce, two cases. Before: the descriptor was closed by the abort, and the place of a stream cancelled while it connects was free after 4,903 ms with a timeout of 5 s; now both pass, the second within the bound of 1 s.

--- a/src/adapters/engine/EngineClient.cpp
+++ b/src/adapters/engine/EngineClient.cpp
@@ -123,8 +123,11 @@
 void EngineClient::readStream(const StreamJob& job)
 {
     const bool isStart = std::holds_alternative<EngineStart>(job.command);
-    const auto connection
-        = Internal::openConnection(this->options.address, this->options.timeout, this->options.timeout, Instant::max());
+    const BoundedSocket socket;
+    if (!this->registry.attach(job.generation, job.number, socket))
+        return;
+    const auto connection = Internal::openConnection(
+        socket, this->options.address, this->options.timeout, this->options.timeout, Instant::max());
     if (!connection) {
         // Without a connection nothing was sent, so the engine did not run the start.
         if (isStart)
@@ -133,8 +136,6 @@
             this->emitIfCurrent(job, EngineStreamLost { job.generation });
         return;
     }
-    if (!this->registry.attach(job.generation, job.number, connection->session))
-        return;
     try {
         this->sendRequest(job, connection->session);
         this->receiveResponse(job, *connection);
--- a/src/adapters/engine/HttpConnection.cpp
+++ b/src/adapters/engine/HttpConnection.cpp
@@ -26,11 +26,10 @@
     return Poco::Timespan(std::chrono::duration_cast<Microseconds>(time).count());
 }
 
-std::unique_ptr<EngineSession> openConnection(
-    const Address& address, Milliseconds connectTimeout, Milliseconds receiveTimeout, Instant deadline)
+std::unique_ptr<EngineSession> openConnection(BoundedSocket socket, const Address& address, Milliseconds connectTimeout,
+    Milliseconds receiveTimeout, Instant deadline)
 {
     try {
-        BoundedSocket socket;
         socket.connect(Poco::Net::SocketAddress(address.host, address.port), toTimespan(connectTimeout));
         socket.setNoDelay(true);
         socket.setSendTimeout(toTimespan(receiveTimeout));
@@ -48,8 +47,8 @@
 HttpExchangeResult exchange(const Address& address, Milliseconds timeout, const std::string& method,
     const std::string& path, const std::string& body)
 {
-    const auto connection
-        = openConnection(address, timeout, timeout, std::chrono::steady_clock::now() + timeout + timeout);
+    const auto connection = openConnection(
+        BoundedSocket(), address, timeout, timeout, std::chrono::steady_clock::now() + timeout + timeout);
     if (!connection)
         return {};
     try {
--- a/src/adapters/engine/HttpConnection.h
+++ b/src/adapters/engine/HttpConnection.h
@@ -29,13 +29,14 @@
 
 /**
  * Opens a connection for one request.
+ * @param socket an unconnected socket, by which the request can be cancelled.
  * @param connectTimeout limit of the connection attempt.
  * @param receiveTimeout limit of each send and receive on the connection.
  * @param deadline limit of the whole response; the bytes of a response are limited in any case.
  * @return the session; null if the connection could not be established, and then nothing was sent.
  */
-std::unique_ptr<EngineSession> openConnection(
-    const Address& address, Milliseconds connectTimeout, Milliseconds receiveTimeout, Instant deadline);
+std::unique_ptr<EngineSession> openConnection(BoundedSocket socket, const Address& address, Milliseconds connectTimeout,
+    Milliseconds receiveTimeout, Instant deadline);
 
 /** The outcome of one HTTP exchange. */
 struct HttpExchangeResult {
--- a/src/adapters/engine/PlainServiceClient.cpp
+++ b/src/adapters/engine/PlainServiceClient.cpp
@@ -102,8 +102,8 @@
 ServiceEvent PlainServiceClient::execute(const ServiceForward& forward) const
 {
     const Instant deadline = std::chrono::steady_clock::now() + forward.budget;
-    const auto connection
-        = Internal::openConnection(this->address, std::min(connectTimeout, forward.budget), forward.budget, deadline);
+    const auto connection = Internal::openConnection(
+        BoundedSocket(), this->address, std::min(connectTimeout, forward.budget), forward.budget, deadline);
     if (!connection)
         return ServiceCallFailed { forward.call, Executed::No };
     try {
--- a/src/adapters/engine/StreamRegistry.cpp
+++ b/src/adapters/engine/StreamRegistry.cpp
@@ -1,26 +1,19 @@
 #include "adapters/engine/StreamRegistry.h"
 
-#include <Poco/Exception.h>
-
 namespace teaselfold::Internal {
 
-void StreamRegistry::abortSession(Stream& stream)
+void StreamRegistry::cancel(Stream& stream)
 {
-    if (stream.session == nullptr)
-        return;
-    try {
-        stream.session->abort();
-    } catch (const Poco::Exception&) {
-        // The peer has already closed the connection.
-    }
-    stream.session = nullptr;
+    if (stream.socket)
+        stream.socket->cancel();
+    stream.socket.reset();
 }
 
 std::uint64_t StreamRegistry::open(GenerationId generation)
 {
     std::lock_guard lock(this->mutex);
     Stream& stream = this->streams[generation];
-    abortSession(stream);
+    cancel(stream);
     stream.number = ++this->lastNumber;
     return stream.number;
 }
@@ -31,7 +24,7 @@
     const auto found = this->streams.find(generation);
     if (found == this->streams.end())
         return;
-    abortSession(found->second);
+    cancel(found->second);
     this->streams.erase(found);
 }
 
@@ -39,17 +32,17 @@
 {
     std::lock_guard lock(this->mutex);
     for (auto& [generation, stream] : this->streams)
-        abortSession(stream);
+        cancel(stream);
     this->streams.clear();
 }
 
-bool StreamRegistry::attach(GenerationId generation, std::uint64_t number, Poco::Net::HTTPClientSession& session)
+bool StreamRegistry::attach(GenerationId generation, std::uint64_t number, const BoundedSocket& socket)
 {
     std::lock_guard lock(this->mutex);
     const auto found = this->streams.find(generation);
     if (found == this->streams.end() || found->second.number != number)
         return false;
-    found->second.session = &session;
+    found->second.socket = socket;
     return true;
 }
 
--- a/src/adapters/engine/StreamRegistry.h
+++ b/src/adapters/engine/StreamRegistry.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "adapters/net/BoundedSocket.h"
 #include "ports/Ids.h"
 
-#include <Poco/Net/HTTPClientSession.h>
-
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 
 namespace teaselfold::Internal {
@@ -21,10 +21,11 @@
 
     void abortAll();
 
-    /** Records the session of a stream, to be aborted with it. @return false when the stream is not the current one. */
-    bool attach(GenerationId generation, std::uint64_t number, Poco::Net::HTTPClientSession& session);
+    /** Records the socket of a stream, to be cancelled with it. @return false when the stream is not the current one.
+     */
+    bool attach(GenerationId generation, std::uint64_t number, const BoundedSocket& socket);
 
-    /** Removes a stream if it is still the current one. Its session may be destroyed afterwards. */
+    /** Removes a stream if it is still the current one. */
     void close(GenerationId generation, std::uint64_t number);
 
     /** @return whether the stream is still the current one. */
@@ -36,10 +37,10 @@
 private:
     struct Stream {
         std::uint64_t number { 0 };
-        Poco::Net::HTTPClientSession* session { nullptr };
+        std::optional<BoundedSocket> socket;
     };
 
-    static void abortSession(Stream& stream);
+    static void cancel(Stream& stream);
 
     mutable std::mutex mutex;
     std::uint64_t lastNumber { 0 };
