Bound the stop of an engine's client

An agent whose engine is silent needed up to twice engine_timeout for each queued command, and as long for each of the two requests of a poll, before it could exit; the queue takes 4096 commands. Not seen in the field; found with the same cause in the store's client.

Cause: only streams were aborted by a stop; the threads of polls and of commands ended what they had begun, and the latter what was queued.

Change: a stop cancels a poll at once, and the commands after 300 ms: an engine that answers still gets those that are queued, one that does not cannot hold the exit up.

Test: three more cases in EngineStreamsStopAtOnce.

--- a/src/adapters/engine/EngineClient.cpp
+++ b/src/adapters/engine/EngineClient.cpp
@@ -30,6 +30,8 @@
     constexpr int statusConflict = 409;
     /** Queue slots per stream thread for resumes, which are not subject to the limit of open streams. */
     constexpr std::size_t resumeJobsPerStream = 2;
+    /** Time for the commands that are queued at a stop; a cancel that the engine misses costs it only a vain run. */
+    constexpr Milliseconds queuedCommandsTime(300);
 
     std::string streamPath(GenerationId generation)
     {
@@ -56,6 +58,9 @@
     this->controlCommands.close();
     this->pollTimer.close();
     this->registry.abortAll();
+    this->pollCalls.cancelAll();
+    this->commandsEnded.wait_for(queuedCommandsTime);
+    this->commandCalls.cancelAll();
     for (std::thread& thread : this->threads) {
         if (thread.joinable())
             thread.join();
@@ -225,15 +230,25 @@
             continue;
         }
         const GenerationId generation = std::get<EngineCancel>(*command).generation;
-        Internal::exchange(
-            this->options.address, this->options.timeout, HTTPRequest::HTTP_DELETE, streamPath(generation), {});
+        this->exchange(this->commandCalls, HTTPRequest::HTTP_DELETE, streamPath(generation), {});
     }
+    this->commandsEnd.set_value();
+}
+
+Internal::HttpExchangeResult EngineClient::exchange(
+    Internal::OpenCalls& calls, const std::string& method, const std::string& path, const std::string& body)
+{
+    const BoundedSocket socket;
+    calls.add(socket);
+    auto result = Internal::exchange(socket, this->options.address, this->options.timeout, method, path, body);
+    calls.remove(socket);
+    return result;
 }
 
 void EngineClient::executeOrder(const EngineOrder& order)
 {
-    const Internal::HttpExchangeResult result = Internal::exchange(
-        this->options.address, this->options.timeout, HTTPRequest::HTTP_POST, "/orders", Internal::encodeOrder(order));
+    const Internal::HttpExchangeResult result
+        = this->exchange(this->commandCalls, HTTPRequest::HTTP_POST, "/orders", Internal::encodeOrder(order));
     const std::string message = result.received ? "status " + std::to_string(result.status) : "no answer";
     this->options.sink(
         EngineOrderResult { order, result.status == statusOk, message, result.status == statusConflict });
@@ -249,16 +264,15 @@
 
 void EngineClient::poll()
 {
-    const Internal::HttpExchangeResult load
-        = Internal::exchange(this->options.address, this->options.timeout, HTTPRequest::HTTP_GET, "/load", {});
+    const Internal::HttpExchangeResult load = this->exchange(this->pollCalls, HTTPRequest::HTTP_GET, "/load", {});
     const auto report = load.status == statusOk ? Internal::decodeReport(load.body) : std::nullopt;
     if (!report) {
         this->options.sink(EngineUnreachable {});
         return;
     }
     this->options.sink(*report);
-    const Internal::HttpExchangeResult events = Internal::exchange(this->options.address, this->options.timeout,
-        HTTPRequest::HTTP_GET, "/cache_events?after=" + std::to_string(this->cacheSequence), {});
+    const Internal::HttpExchangeResult events = this->exchange(
+        this->pollCalls, HTTPRequest::HTTP_GET, "/cache_events?after=" + std::to_string(this->cacheSequence), {});
     const auto cache = events.status == statusOk ? Internal::decodeCacheEvents(events.body) : std::nullopt;
     if (!cache)
         return;
--- a/src/adapters/engine/EngineClient.h
+++ b/src/adapters/engine/EngineClient.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "adapters/engine/HttpConnection.h"
+#include "adapters/engine/OpenCalls.h"
 #include "adapters/engine/StreamRegistry.h"
 #include "ports/AgentInterfaces.h"
 #include "runtime/Ring.h"
 
 #include <atomic>
 #include <functional>
+#include <future>
 #include <memory>
 #include <thread>
 #include <variant>
@@ -38,7 +40,7 @@
     ~EngineClient() override { this->stop(); }
 
     bool submit(const EngineCommand& command) override;
-    /** Aborts the streams and joins all threads. Idempotent. */
+    /** Aborts the streams, gives the queued commands a short time and joins all threads. Idempotent. */
     void stop();
 
 private:
@@ -69,6 +71,9 @@
     void cancelAtEngineIfAborted(GenerationId generation);
     void executeOrder(const EngineOrder& order);
     void poll();
+    /** Sends a request of one kind, which a stop can cancel. */
+    Internal::HttpExchangeResult exchange(
+        Internal::OpenCalls& calls, const std::string& method, const std::string& path, const std::string& body);
 
     Options options;
     Internal::StreamRegistry registry;
@@ -76,6 +81,10 @@
     Ring<ControlCommand> controlCommands;
     /** Receives no items: its timed pop waits for the next poll and returns early once the ring is closed. */
     Ring<std::monostate> pollTimer;
+    Internal::OpenCalls commandCalls;
+    Internal::OpenCalls pollCalls;
+    std::promise<void> commandsEnd;
+    std::future<void> commandsEnded { this->commandsEnd.get_future() };
     std::atomic<std::size_t> openStreams { 0 };
     std::uint64_t cacheSequence { 0 };
     std::vector<std::thread> threads;
--- a/src/adapters/engine/HttpConnection.cpp
+++ b/src/adapters/engine/HttpConnection.cpp
@@ -44,11 +44,11 @@
     }
 }
 
-HttpExchangeResult exchange(const Address& address, Milliseconds timeout, const std::string& method,
-    const std::string& path, const std::string& body)
+HttpExchangeResult exchange(const BoundedSocket& socket, const Address& address, Milliseconds timeout,
+    const std::string& method, const std::string& path, const std::string& body)
 {
-    const auto connection = openConnection(
-        BoundedSocket(), address, timeout, timeout, std::chrono::steady_clock::now() + timeout + timeout);
+    const auto connection
+        = openConnection(socket, address, timeout, timeout, std::chrono::steady_clock::now() + timeout + timeout);
     if (!connection)
         return {};
     try {
--- a/src/adapters/engine/HttpConnection.h
+++ b/src/adapters/engine/HttpConnection.h
@@ -48,9 +48,10 @@
 
 /**
  * Sends a request on a new connection and reads the response.
+ * @param socket an unconnected socket, by which the request can be cancelled.
  * @param timeout limit of the connection attempt, and of the exchange after it as a whole.
  */
-HttpExchangeResult exchange(const Address& address, Milliseconds timeout, const std::string& method,
-    const std::string& path, const std::string& body);
+HttpExchangeResult exchange(const BoundedSocket& socket, const Address& address, Milliseconds timeout,
+    const std::string& method, const std::string& path, const std::string& body);
 
 }
--- a/test/error/EngineStreamsStopAtOnce.cpp
+++ b/test/error/EngineStreamsStopAtOnce.cpp
@@ -58,3 +58,51 @@
     });
     CHECK(time < exitTime);
 }
+
+// Guards against an exit that waits for an engine which does not answer.
+TEST_CASE("A client of an engine stops in time while no connection can be established")
+{
+    const UnansweredListener engine;
+    const auto client = connectTo(engine.address());
+    REQUIRE(client->submit(EngineCancel { GenerationId(8) }));
+    // There is no sign of an attempt to connect that the test could wait for.
+    Poco::Thread::sleep(100);
+    CHECK(timeOf([&] { client->stop(); }) < exitTime);
+}
+
+TEST_CASE("A client of an engine stops in time while the engine is silent and commands are queued")
+{
+    std::atomic<std::size_t> calls { 0 };
+    RawServer engine([&](RawServer::Connection& connection) {
+        if (connection.readHead()) {
+            ++calls;
+            connection.wait(Seconds(60));
+        }
+    });
+    const auto client = connectTo(engine.address());
+    EngineStart start;
+    start.generation = GenerationId(7);
+    REQUIRE(client->submit(start));
+    REQUIRE(client->submit(EngineCancel { GenerationId(8) }));
+    REQUIRE(client->submit(EngineCancel { GenerationId(9) }));
+    // The stream, the poll and the first command.
+    REQUIRE(becomesTrue([&] { return calls == 3; }));
+    CHECK(timeOf([&] { client->stop(); }) < exitTime);
+}
+
+TEST_CASE("A stop still sends the commands that are queued for an engine that answers")
+{
+    constexpr std::size_t cancels = 20;
+    std::atomic<std::size_t> received { 0 };
+    RawServer engine([&](RawServer::Connection& connection) {
+        const auto head = connection.readHead();
+        if (head && head->starts_with("DELETE"))
+            ++received;
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    });
+    const auto client = connectTo(engine.address());
+    for (std::size_t number = 0; number < cancels; ++number)
+        REQUIRE(client->submit(EngineCancel { GenerationId(number) }));
+    client->stop();
+    CHECK(received == cancels);
+}
