End unfinished requests when a caller server stops

An entry with a caller that sent nothing, or a byte now and then, needed half a minute and more to exit after its drain. Not seen in the field; found when each wait of each thread at a stop was looked at.

Cause: the stop ended the monitor that bounds the receiving of requests and then waited for the threads that receive them: they had only their socket timeout left, which starts again with each byte.

Change: the monitor's stop shuts down the connections whose request is incomplete; such a request has not run. The router has drained by then, and whole requests are waited for before, as they were.

--- a/src/adapters/http/ReceiveTimeoutMonitor.cpp
+++ b/src/adapters/http/ReceiveTimeoutMonitor.cpp
@@ -20,7 +20,10 @@
     const Instant deadline = std::chrono::steady_clock::now() + this->timeout;
     {
         std::lock_guard lock(this->mutex);
-        this->pendingConnections.insert_or_assign(peer, PendingConnection { socket, deadline });
+        PendingConnection connection { socket, deadline };
+        if (this->stopping)
+            return shutDown(connection.socket);
+        this->pendingConnections.insert_or_assign(peer, std::move(connection));
     }
     this->wakeUp.notify_one();
 }
@@ -40,6 +43,8 @@
     this->wakeUp.notify_all();
     if (this->thread.joinable())
         this->thread.join();
+    std::lock_guard lock(this->mutex);
+    this->shutDownExpired(Instant::max());
 }
 
 void ReceiveTimeoutMonitor::run()
@@ -61,15 +66,20 @@
             ++connection;
             continue;
         }
-        try {
-            connection->second.socket.shutdown();
-        } catch (const Poco::Exception&) {
-            // The peer closed the connection first.
-        }
+        shutDown(connection->second.socket);
         connection = this->pendingConnections.erase(connection);
     }
 }
 
+void ReceiveTimeoutMonitor::shutDown(Poco::Net::StreamSocket& socket)
+{
+    try {
+        socket.shutdown();
+    } catch (const Poco::Exception&) {
+        // The peer closed the connection first.
+    }
+}
+
 Instant ReceiveTimeoutMonitor::nextDeadline() const
 {
     const auto earlier
--- a/src/adapters/http/ReceiveTimeoutMonitor.h
+++ b/src/adapters/http/ReceiveTimeoutMonitor.h
@@ -23,11 +23,11 @@
     ReceiveTimeoutMonitor(const ReceiveTimeoutMonitor&) = delete;
     ReceiveTimeoutMonitor& operator=(const ReceiveTimeoutMonitor&) = delete;
 
-    /** Starts the timeout of a new connection. */
+    /** Starts the timeout of a new connection, which is zero after `stop`. */
     void track(const Poco::Net::StreamSocket& socket);
     /** Ends the timeout of this peer's connection, whose request is complete or has been given up. */
     void stopTracking(const std::string& peer);
-    /** Stops and joins the thread. Idempotent. */
+    /** Shuts down all connections whose request is incomplete, and joins the thread. Idempotent. */
     void stop();
 
 private:
@@ -38,6 +38,7 @@
 
     void run();
     void shutDownExpired(Instant now);
+    static void shutDown(Poco::Net::StreamSocket& socket);
     Instant nextDeadline() const;
 
     Milliseconds timeout;
