Mend what the review of the incident's fixes found

One who had not seen the work reviewed the fixes; each finding came with a failing test. They are one commit, since they meet in the same few functions.

- A run that the gateway had stopped was refused its own resumption when a stop signal came meanwhile, as it would outlast the exit: the incident's first fault again.
The time is asked only of runs that broke by themselves.
- A second try to resume reached a target that had been leaving for seconds, and was made although the target had accepted the stream, which uses the copy up.
The first try's half second bounds both; an accepted stream is not tried again, and goes on at its replica if it breaks.
- Where a run had fewer than four targets, none was ever tried again; a target that was out of use for a moment during a copy was excluded for good and its copy thrown away.
Failures and exclusions lapse after 300 ms, and the copy is kept until another one begins. event=move_abandoned.
- A request that waited, or that an endpoint refused, was sent moments before the stop limit. mayStartInStop now decides for every send, not only at the admission.
- Forecasts overflowed for made-up lengths, and were computed without a stop.
They are bounded, and asked for only in a stop.

--- a/src/core/gateway/ActiveRequest.h
+++ b/src/core/gateway/ActiveRequest.h
@@ -42,10 +42,12 @@
     std::optional<ExchangeEnd> streamEnd;
 };
 
-/** The way back of a stream whose run was stopped for a migration, until its first event from the target. */
+/** The way back of a stream whose run was stopped for a migration, until the target has accepted it. */
 struct StoppedRun {
     EndpointId target;
     ResumePoint point;
+    /** When the source was asked to stop the run. */
+    std::optional<Instant> stopCallAt;
     std::uint32_t tries { 0 };
 };
 
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -67,6 +67,11 @@
     // Since its admission, the request may have become a suspect of further crashes.
     if (const auto verdict = this->crashes.quarantineOf(active, now))
         return this->completion.refuseQuarantined(active, *verdict, now, actions);
+    if (!mayStartInStop(this->state, active, now)) {
+        const Failure stopping { ErrorCode::Stopping, "this instance is being stopped", executedStateOf(active),
+            this->state.limits.retryAfter };
+        return this->completion.fail(active, stopping, now, actions);
+    }
     if (GatewayEndpoint* endpoint = this->pickEndpoint(active, active.triedEndpoints, now)) {
         this->state.waiting.erase(active.request.id);
         return this->startExchange(active, *endpoint, std::nullopt, now, actions);
@@ -186,6 +191,7 @@
                 this->crashes.runSucceeded(*active, now);
         }
         active->responseStarted = true;
+        active->stoppedRun.reset();
         actions.emplace_back(RelayResponse { event.exchange });
         return;
     }
@@ -283,16 +289,16 @@
 
 bool ExchangeDispatcher::tryFailover(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
-    const EndpointId target = active.migration ? active.migration->target : EndpointId();
-    const bool isAccepted = StreamMigrator::isTargetPrepared(active, now)
-        ? this->state.endpoints.acceptsStoppedRun(target, now)
-        : this->state.endpoints.acceptsResumption(target, now);
-    const bool wasStopped = StreamMigrator::mayBeStopped(active);
-    if (const auto point = StreamMigrator::takeResumePoint(active)) {
-        if (wasStopped)
-            active.stoppedRun = StoppedRun { target, *point, 1 };
-        return this->resume(active, target, *point, isAccepted, now, actions);
+    if (active.migration && StreamMigrator::mayBeStopped(active)) {
+        const StreamMigration migration = *active.migration;
+        if (const auto point = StreamMigrator::takeResumePoint(active)) {
+            active.stoppedRun = StoppedRun { migration.target, *point, migration.stopCallAt, 0 };
+            return this->resumeStoppedRun(active, now, actions);
+        }
     }
+    const EndpointId target = active.migration ? active.migration->target : EndpointId();
+    if (const auto point = StreamMigrator::takeResumePoint(active))
+        return this->resumeBrokenRun(active, target, *point, now, actions);
     if (active.stoppedRun)
         return this->resumeStoppedRun(active, now, actions);
     if (StreamMigrator::isAwaitingAnswer(active))
@@ -306,30 +312,45 @@
         return false;
     const ResumePoint point { endpoint->record.address, KvCacheHandle(active.request.callerRequestId),
         active.lastEventId };
-    const bool isReplicaAccepted = this->state.endpoints.acceptsResumption(replicaEngine, now);
-    return this->resume(active, replicaEngine, point, isReplicaAccepted, now, actions);
+    return this->resumeBrokenRun(active, replicaEngine, point, now, actions);
 }
 
 bool ExchangeDispatcher::resumeStoppedRun(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
     StoppedRun& run = *active.stoppedRun;
-    if (run.tries >= maxResumptionTries || !this->state.retryBudgetOf(active.service->name).withdraw(now))
-        return false;
+    // The caller's stream was whole until the gateway stopped its run, so it goes on even if the exit may cut it again.
+    const bool isAccepted = StreamMigrator::isTargetPrepared(run.stopCallAt, now)
+        ? this->state.endpoints.acceptsStoppedRun(run.target, now)
+        : this->state.endpoints.acceptsResumption(run.target, now);
+    std::string refusal = isAccepted ? "" : "endpoint takes no requests";
+    if (run.tries >= maxResumptionTries)
+        refusal = "no tries left";
+    else if (run.tries > 0 && refusal.empty() && !this->state.retryBudgetOf(active.service->name).withdraw(now))
+        refusal = "retry budget used up";
     ++run.tries;
-    const bool isAccepted = this->state.endpoints.acceptsStoppedRun(run.target, now);
-    return this->resume(active, run.target, run.point, isAccepted, now, actions);
+    return this->resume(active, run.target, run.point, refusal, now, actions);
+}
+
+bool ExchangeDispatcher::resumeBrokenRun(
+    ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now, GatewayActions& actions)
+{
+    std::string refusal;
+    if (!this->state.endpoints.acceptsResumption(endpoint, now))
+        refusal = "endpoint takes no requests";
+    else if (!endsBeforeStop(this->state, active, now))
+        refusal = "would outlast the stop";
+    return this->resume(active, endpoint, point, refusal, now, actions);
 }
 
 bool ExchangeDispatcher::resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point,
-    bool isAccepted, Instant now, GatewayActions& actions)
+    const std::string& refusal, Instant now, GatewayActions& actions)
 {
-    const bool endsInTime = this->state.endsBeforeStop(now + expectedRemainingTime(this->state, active));
-    if (!isAccepted || !endsInTime || !this->crashes.mayResume(active, now)) {
+    const bool isSuspect = !this->crashes.mayResume(active, now);
+    if (!refusal.empty() || isSuspect) {
         auto line = Internal::requestLogEvent("not_resumed", active, now);
         line.fields.push_back({ "endpoint", endpoint.get() });
         line.fields.push_back({ "endpoint_state", std::string(this->state.endpoints.stateName(endpoint, now)) });
-        const std::string reason = isAccepted ? "suspected of crashes" : "endpoint takes no requests";
-        line.fields.push_back({ "reason", endsInTime ? reason : "would outlast the stop" });
+        line.fields.push_back({ "reason", refusal.empty() ? "suspected of crashes" : refusal });
         actions.emplace_back(std::move(line));
         return false;
     }
@@ -370,7 +391,6 @@
     this->state.endpoints.removePendingPrompt(running.endpoint, std::exchange(running.promptTokens, 0));
     running.lastEventId = event.lastEventId;
     running.lastEventAt = now;
-    active->stoppedRun.reset();
     this->crashes.runAdvanced(*active, running, now);
     if (active->lastEventAt)
         active->longestPause = std::max(active->longestPause, now - *active->lastEventAt);
--- a/src/core/gateway/ExchangeDispatcher.h
+++ b/src/core/gateway/ExchangeDispatcher.h
@@ -41,12 +41,15 @@
     std::optional<Address> placeReplica(ActiveRequest& active, const GatewayEndpoint& endpoint, Instant now);
     /**
      * Resumes a stream at the engine that holds a copy of its KV cache.
-     * @param isAccepted whether that engine takes the stream.
+     * @param refusal why that engine cannot have the stream; empty if it can.
      * @return false if the stream does not resume.
      */
-    bool resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, bool isAccepted,
+    bool resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, const std::string& refusal,
         Instant now, GatewayActions& actions);
-    /** Tries once more to resume a run that was stopped for a migration. @return false if it does not resume. */
+    /** Resumes a stream whose engine broke off. @return false if it does not resume. */
+    bool resumeBrokenRun(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now,
+        GatewayActions& actions);
+    /** Tries to resume a run that was stopped for a migration, twice at most. @return false if it does not resume. */
     bool resumeStoppedRun(ActiveRequest& active, Instant now, GatewayActions& actions);
     GatewayEndpoint* pickEndpoint(const ActiveRequest& active, const std::set<EndpointId>& excluded, Instant now) const;
     /** Withdraws one retry from the budget if the request may be repeated. @return true if a retry may be sent. */
--- a/src/core/gateway/GatewayAdmission.cpp
+++ b/src/core/gateway/GatewayAdmission.cpp
@@ -16,9 +16,14 @@
         return { code, std::move(message), Executed::No, retryAfter };
     }
 
+    /** Larger numbers of tokens are made up, and sums with them could overflow. */
+    constexpr std::uint64_t maxTokens = 1'000'000'000'000;
+
     std::uint64_t expectedOutput(const GatewayRequest& request)
     {
-        return request.expectedOutputTokens > 0 ? request.expectedOutputTokens : request.maxOutputTokens / 2;
+        const std::uint64_t output
+            = request.expectedOutputTokens > 0 ? request.expectedOutputTokens : request.maxOutputTokens / 2;
+        return std::min(output, maxTokens);
     }
 
     Milliseconds timeoutOf(const GatewayRequest& request, const GatewayRoute& route)
@@ -36,20 +41,6 @@
         && this->state.freshness.isFresh(StoreSection::Configuration, this->state.limits.maxKeyStaleness, now);
 }
 
-bool GatewayAdmission::isAcceptedInStop(const ActiveRequest& active, Instant now) const
-{
-    const auto& stop = this->state.stop;
-    if (!stop)
-        return true;
-    if (stop->isComplete)
-        return false;
-    if (now - stop->requestedAt >= this->state.limits.drainDelay)
-        return this->state.endsBeforeStop(active.deadline);
-    // Without another gateway in the zone, the load balancer would send the caller's next try here again.
-    return !isStream(active) || !active.service->engine || !this->state.peers.hasServingPeerIn(this->state.zone)
-        || this->state.endsBeforeStop(now + expectedStreamTime(this->state, active));
-}
-
 Failure GatewayAdmission::denial(ErrorCode code, std::string message, Instant now) const
 {
     if (this->state.freshness.isFresh(StoreSection::Configuration, this->state.limits.maxDenialStaleness, now))
@@ -100,10 +91,10 @@
     active.arrivedAt = now;
     active.deadline = now + timeoutOf(request, *route);
     if (found->engine) {
-        active.tokens = request.promptTokens + expectedOutput(request);
+        active.tokens = std::min(request.promptTokens, maxTokens) + expectedOutput(request);
         active.events = expectedOutput(request) / found->engine->tokensPerEvent + 1;
     }
-    if (!this->isAcceptedInStop(active, now))
+    if (!mayStartInStop(this->state, active, now))
         return notRunFailure(ErrorCode::Stopping, "this instance is being stopped", this->state.limits.retryAfter);
     return active;
 }
--- a/src/core/gateway/GatewayAdmission.h
+++ b/src/core/gateway/GatewayAdmission.h
@@ -20,12 +20,6 @@
 private:
     /** @return the team that owns the request's key, null if the route needs no key, or the reason for a refusal. */
     Outcome<const GatewayTeam*> teamOf(const GatewayRequest& request, const GatewayRoute& route, Instant now) const;
-    /**
-     * @return false if a stopping gateway should not take the request. During the drain delay after a stop request,
-     * these are streams that are expected to outlast it, if another gateway of the zone can serve them. Later, a
-     * request's deadline counts; once the stop is complete, nothing is accepted.
-     */
-    bool isAcceptedInStop(const ActiveRequest& active, Instant now) const;
     /** @return the failure for a missing route or key; a retryable one if the configuration may be out of date. */
     Failure denial(ErrorCode code, std::string message, Instant now) const;
 
--- a/src/core/gateway/StreamForecast.cpp
+++ b/src/core/gateway/StreamForecast.cpp
@@ -4,6 +4,19 @@
 
 namespace teaselfold {
 
+namespace {
+
+    /** Bounds forecasts for lengths that a caller made up. */
+    constexpr Seconds maxForecast = std::chrono::hours(24);
+
+    Duration timeOf(std::uint64_t events, Duration pace)
+    {
+        const auto time = std::chrono::duration<double>(pace) * static_cast<double>(events);
+        return time < maxForecast ? std::chrono::duration_cast<Duration>(time) : Duration(maxForecast);
+    }
+
+}
+
 std::uint64_t expectedRemainingTokens(const ActiveRequest& active)
 {
     const std::uint64_t expected = active.tokens - std::min(active.tokens, active.request.promptTokens);
@@ -20,14 +33,33 @@
     const Duration pace = hasOwnPace
         ? (*active.lastEventAt - *active.firstEventAt) / static_cast<Duration::rep>(active.lastEventId - 1)
         : average;
-    return pace * static_cast<Duration::rep>(events);
+    return timeOf(events, pace);
 }
 
 Duration expectedStreamTime(const GatewayState& state, const ActiveRequest& active)
 {
     const ServiceId& service = active.service->name;
     return state.endpoints.averageFirstEventTime(service)
-        + state.endpoints.averageEventInterval(service) * static_cast<Duration::rep>(active.events);
+        + timeOf(active.events, state.endpoints.averageEventInterval(service));
+}
+
+bool endsBeforeStop(const GatewayState& state, const ActiveRequest& active, Instant now)
+{
+    return !state.stop || state.endsBeforeStop(now + expectedRemainingTime(state, active));
+}
+
+bool mayStartInStop(const GatewayState& state, const ActiveRequest& active, Instant now)
+{
+    const auto& stop = state.stop;
+    if (!stop)
+        return true;
+    if (stop->isComplete)
+        return false;
+    if (now - stop->requestedAt >= state.limits.drainDelay)
+        return state.endsBeforeStop(active.deadline);
+    // Without another gateway in the zone, the load balancer would send the caller's next try here again.
+    return !isStream(active) || !active.service->engine || !state.peers.hasServingPeerIn(state.zone)
+        || state.endsBeforeStop(now + expectedStreamTime(state, active));
 }
 
 }
--- a/src/core/gateway/StreamForecast.h
+++ b/src/core/gateway/StreamForecast.h
@@ -7,6 +7,16 @@
 /** @return the tokens that a stream is expected to produce from now on. */
 std::uint64_t expectedRemainingTokens(const ActiveRequest& active);
 
+/** @return false if a stopping gateway may exit before a stream in progress is expected to end. */
+bool endsBeforeStop(const GatewayState& state, const ActiveRequest& active, Instant now);
+
+/**
+ * @return false if a stopping gateway should not send the request to an endpoint any more. During the drain delay after
+ * a stop request, these are streams that are expected to outlast it, if another gateway of the zone can serve them.
+ * Later, a request's deadline counts; once the stop is complete, nothing is sent.
+ */
+bool mayStartInStop(const GatewayState& state, const ActiveRequest& active, Instant now);
+
 /** @return the time until a stream in progress is expected to end, at the pace of its engine. */
 Duration expectedRemainingTime(const GatewayState& state, const ActiveRequest& active);
 
--- a/src/core/gateway/StreamMigrator.cpp
+++ b/src/core/gateway/StreamMigrator.cpp
@@ -28,9 +28,18 @@
     constexpr Milliseconds preparedTargetTime(500);
     /** Attempts to migrate a run that may fail in a row. */
     constexpr std::uint32_t maxFailedMigrations = 4;
-    /** Time after such a row until the run is tried again, since room and connections return within moments. */
+    /** Time after which failed attempts and targets no longer count: room and connections return within moments. */
     constexpr Milliseconds migrationRetryDelay(300);
 
+    /** @return true if the run has a migration that may not be replaced by another one. */
+    bool isMigrating(const ActiveRequest& active)
+    {
+        const auto& migration = active.migration;
+        return migration
+            && (migration->phase != MigrationPhase::Done || migration->mayBeStopped || migration->streamEnd
+                || migration->callCount >= maxCopyCalls);
+    }
+
     std::string_view outcomeName(MigrationOutcome outcome)
     {
         constexpr std::array<std::string_view, 5> names { "copied", "no_such_run", "in_progress", "no_room", "failed" };
@@ -50,7 +59,7 @@
 
 bool StreamMigrator::isWorthMigrating(const ActiveRequest& active, Instant now) const
 {
-    if (!active.service->engine || !active.service->engine->canMigrate || active.migration)
+    if (!active.service->engine || !active.service->engine->canMigrate || isMigrating(active))
         return false;
     if (active.replicaEngine && this->state.endpoints.acceptsRequests(*active.replicaEngine))
         return false;
@@ -58,8 +67,7 @@
     const bool mayTry
         = active.failedMigrations < maxFailedMigrations || now - active.migrationFailedAt >= migrationRetryDelay;
     return hasBegun && mayTry && this->crashes.mayResume(active, now)
-        && expectedRemainingTokens(active) >= minRemainingTokens
-        && this->state.endsBeforeStop(now + expectedRemainingTime(this->state, active));
+        && expectedRemainingTokens(active) >= minRemainingTokens && endsBeforeStop(this->state, active, now);
 }
 
 void StreamMigrator::drainEndpoint(const EndpointId& endpoint, Instant now, GatewayActions& actions)
@@ -101,7 +109,7 @@
     ActiveRequest& active, const EndpointId& source, Instant now, GatewayActions& actions)
 {
     const Exchange& exchange = this->state.exchanges.at(*active.exchange);
-    if (active.failedMigrations >= maxFailedMigrations) {
+    if (now - active.migrationFailedAt >= migrationRetryDelay) {
         active.failedMigrations = 0;
         active.failedTargets.clear();
     }
@@ -182,16 +190,19 @@
 bool StreamMigrator::canResumeAtTarget(const ActiveRequest& active, Instant now) const
 {
     return this->state.endpoints.acceptsResumption(active.migration->target, now)
-        && this->crashes.mayResume(active, now)
-        && this->state.endsBeforeStop(now + expectedRemainingTime(this->state, active));
+        && this->crashes.mayResume(active, now) && endsBeforeStop(this->state, active, now);
 }
 
 void StreamMigrator::abandonTarget(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
     const EndpointId source = active.migration->source;
+    actions.emplace_back(migrationLogEvent("move_abandoned", active, now));
+    active.migrationFailedAt = now;
     active.failedTargets.insert(active.migration->target);
     this->endMigration(*active.migration);
-    active.migration.reset();
+    active.migration->phase = MigrationPhase::Done;
+    if (!active.migration->copy)
+        active.migration.reset();
     this->startNextMigration(source, now, actions);
 }
 
@@ -213,9 +224,9 @@
     });
 }
 
-bool StreamMigrator::isTargetPrepared(const ActiveRequest& active, Instant now)
+bool StreamMigrator::isTargetPrepared(std::optional<Instant> stopCallAt, Instant now)
 {
-    return active.migration && active.migration->stopCallAt && now - *active.migration->stopCallAt < preparedTargetTime;
+    return stopCallAt && now - *stopCallAt < preparedTargetTime;
 }
 
 bool StreamMigrator::isAwaitingAnswer(const ActiveRequest& active)
--- a/src/core/gateway/StreamMigrator.h
+++ b/src/core/gateway/StreamMigrator.h
@@ -40,10 +40,11 @@
      */
     static std::optional<ResumePoint> takeResumePoint(ActiveRequest& active);
     /**
+     * @param stopCallAt when the source was last asked to stop the run, if it was.
      * @return true if the run was stopped a moment ago for a target that took requests then, so that the stream may
      * still resume there although the target has begun to leave.
      */
-    static bool isTargetPrepared(const ActiveRequest& active, Instant now);
+    static bool isTargetPrepared(std::optional<Instant> stopCallAt, Instant now);
     /** @return true if the stream ended and waits for the response to a copy call. */
     static bool isAwaitingAnswer(const ActiveRequest& active);
     /** Removes draining engines without a stream. */
@@ -62,7 +63,8 @@
     bool isWorthMigrating(const ActiveRequest& active, Instant now) const;
     /** @return true if the stream could resume at the target if its run were stopped now. */
     bool canResumeAtTarget(const ActiveRequest& active, Instant now) const;
-    /** Ends the migration of a run that goes on at its source, and looks for another target. */
+    /** Gives up the target for a run that goes on at its source, and looks for another one. A copy is kept until then.
+     */
     void abandonTarget(ActiveRequest& active, Instant now, GatewayActions& actions);
     /** Releases the tokens reserved at the target, and lets the source migrate its next run. */
     void endMigration(const StreamMigration& migration);
--- a/test/error/GatewayDrainsBeforeExit.cpp
+++ b/test/error/GatewayDrainsBeforeExit.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
 #include <map>
 
 using namespace teaselfold;
@@ -211,3 +212,67 @@
         CHECK(scenario.lastAction<StartMigration>().has_value() == endsInTime);
     }
 }
+
+// Guards against requests that are sent to an endpoint moments before the exit, where they may have run for nobody.
+TEST_CASE("A request that waits in a stop is refused as not run, and not sent shortly before the limit")
+{
+    for (const char* path : { "/draft/1", "/write/1" }) {
+        CAPTURE(path);
+        GatewayLimits limits;
+        limits.stopLimit = Milliseconds(3000);
+        limits.queueWaitFraction = 10;
+        GatewayScenario scenario(limits);
+        scenario.start();
+        ResponseSummary full = GatewayScenario::notRunRefusal();
+        full.restTime = Milliseconds(2900);
+        for (int endpoint = 0; endpoint < 3; ++endpoint) {
+            scenario.sendRequest(path);
+            scenario.respond(full);
+        }
+        scenario.clearActions();
+        const RequestId waiting = scenario.sendRequest(path);
+        REQUIRE_FALSE(scenario.lastAction<StartExchange>());
+        REQUIRE_FALSE(scenario.lastAction<RefuseRequest>());
+        scenario.handle(GatewayStopRequested { scenario.now() });
+        scenario.advance(Milliseconds(2500)).refreshFromStore().advance(Milliseconds(550));
+        CHECK_FALSE(scenario.lastAction<StartExchange>());
+        const auto refused = scenario.lastAction<RefuseRequest>();
+        REQUIRE(refused);
+        CHECK(refused->request == waiting);
+        CHECK(refused->failure.run == Executed::No);
+    }
+}
+
+// Guards against retries that are sent moments before the exit.
+TEST_CASE("A request that an endpoint refuses shortly before the limit of a stop is not sent again")
+{
+    GatewayLimits limits;
+    limits.stopLimit = Milliseconds(3000);
+    GatewayScenario scenario(limits);
+    scenario.start();
+    scenario.sendRequest("/read/1");
+    scenario.handle(GatewayStopRequested { scenario.now() });
+    scenario.advance(Milliseconds(2500)).refreshFromStore().advance(Milliseconds(450)).clearActions();
+    scenario.respond(GatewayScenario::notRunRefusal());
+    CHECK_FALSE(scenario.lastAction<StartExchange>());
+    CHECK(scenario.lastAction<RefuseRequest>()->failure.run == Executed::No);
+}
+
+// Guards against forecasts that overflow for lengths that a caller made up.
+TEST_CASE("A stopping gateway forecasts streams of any stated length")
+{
+    for (const std::uint64_t tokens : { std::uint64_t { 400'000 }, std::uint64_t { 1 } << 45U,
+             std::uint64_t { 1 } << 62U, std::numeric_limits<std::uint64_t>::max() }) {
+        CAPTURE(tokens);
+        GatewayScenario scenario;
+        const GatewayMember other { GatewayId("gateway-2"), { "10.0.0.99", 80 }, ZoneId("north") };
+        GossipMessage gossip;
+        gossip.instance = other.instance;
+        gossip.incarnation = Incarnation(7);
+        gossip.sequence = 1;
+        scenario.start().handle(MembersListed { { other } }).handle(GossipReceived { gossip });
+        scenario.handle(GatewayStopRequested { scenario.now() }).advance(Milliseconds(500)).clearActions();
+        scenario.sendStream(tokens);
+        CHECK_FALSE(scenario.lastAction<StartExchange>());
+    }
+}
