--- a/src/core/gateway/ActiveRequest.h
+++ b/src/core/gateway/ActiveRequest.h
@@ -88,10 +88,11 @@
     std::uint32_t brokenStarts { 0 };
     /** The run got past its start at an engine, so its prompt crashes none. */
     bool isPastStart { false };
+    /** Migrations that failed in a row. */
     std::uint32_t failedMigrations { 0 };
     /** When the last migration failed. */
     Instant migrationFailedAt;
-    /** Targets of the failed migrations, excluded until the stream resumes elsewhere. */
+    /** Targets of the failed migrations, excluded for a short time. */
     std::set<EndpointId> failedTargets;
 };
 
--- a/src/core/gateway/EndpointDirectory.h
+++ b/src/core/gateway/EndpointDirectory.h
@@ -131,7 +131,7 @@
     bool isResting(const EndpointId& endpoint, Instant now) const;
     /** @return true if a stream that would be lost otherwise may resume at the endpoint. */
     bool acceptsResumption(const EndpointId& endpoint, Instant now) const;
-    /** @return the same for a stream whose run was stopped when the endpoint still took requests. */
+    /** @return true if a stream may resume whose run was stopped when the endpoint still took requests. */
     bool acceptsStoppedRun(const EndpointId& endpoint, Instant now) const;
     /** @return why the endpoint takes no requests now, or "ready"; for logs. */
     std::string_view stateName(const EndpointId& endpoint, Instant now) const;
