Refuse requests for a stop in one place, and log it

A request that waited for an endpoint when a stop refused it left no line: the refusal was written out in the dispatcher and, a second time, where the limit ends all requests. RequestCompletion now holds it once; refuseForStop logs event=refused reason=stopping. No decision changes. A loop that stood twice in a test is one function.

--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -67,11 +67,8 @@
     // Since its admission, the request may have become a suspect of further crashes.
     if (const auto verdict = this->crashes.quarantineOf(active, now))
         return this->completion.refuseQuarantined(active, *verdict, now, actions);
-    if (!mayStartInStop(this->state, active, now)) {
-        const Failure stopping { ErrorCode::Stopping, "this instance is being stopped", executedStateOf(active),
-            this->state.limits.retryAfter };
-        return this->completion.fail(active, stopping, now, actions);
-    }
+    if (!mayStartInStop(this->state, active, now))
+        return this->completion.refuseForStop(active, now, actions);
     if (GatewayEndpoint* endpoint = this->pickEndpoint(active, active.triedEndpoints, now)) {
         this->state.waiting.erase(active.request.id);
         return this->startExchange(active, *endpoint, std::nullopt, now, actions);
--- a/src/core/gateway/RequestCompletion.cpp
+++ b/src/core/gateway/RequestCompletion.cpp
@@ -16,6 +16,22 @@
         actions);
 }
 
+void RequestCompletion::refuseForStop(ActiveRequest& active, Instant now, GatewayActions& actions)
+{
+    auto line = Internal::requestLogEvent("refused", active, now);
+    line.fields.push_back({ "reason", "stopping" });
+    actions.emplace_back(std::move(line));
+    this->failForStop(active, now, actions);
+}
+
+void RequestCompletion::failForStop(ActiveRequest& active, Instant now, GatewayActions& actions)
+{
+    this->fail(active,
+        { ErrorCode::Stopping, "this instance is being stopped", executedStateOf(active),
+            this->state.limits.retryAfter },
+        now, actions);
+}
+
 Milliseconds RequestCompletion::retryAfterOf(const ActiveRequest& active, Instant now)
 {
     const Milliseconds shortest = this->state.limits.retryAfter;
@@ -115,10 +131,7 @@
     for (const RequestId id : cut) {
         ActiveRequest& active = this->state.requests.at(id);
         this->cancelExchange(active, actions);
-        this->fail(active,
-            { ErrorCode::Stopping, "this instance is being stopped", executedStateOf(active),
-                this->state.limits.retryAfter },
-            now, actions);
+        this->failForStop(active, now, actions);
     }
 }
 
--- a/src/core/gateway/RequestCompletion.h
+++ b/src/core/gateway/RequestCompletion.h
@@ -22,6 +22,8 @@
     void fail(ActiveRequest& active, Failure failure, Instant now, GatewayActions& actions);
     /** Refuses a request that no endpoint can take now. */
     void refuseUnserved(ActiveRequest& active, const std::string& reason, Instant now, GatewayActions& actions);
+    /** Refuses a request that may not be sent to an endpoint any more because of a stop. */
+    void refuseForStop(ActiveRequest& active, Instant now, GatewayActions& actions);
     /** Refuses a request that is quarantined, or that has a quarantined part of a prompt. */
     void refuseQuarantined(
         ActiveRequest& active, const QuarantineVerdict& verdict, Instant now, GatewayActions& actions);
@@ -39,6 +41,8 @@
 private:
     /** Cancels the request's exchange, if any; its endpoint may have run it. */
     void cancelExchange(ActiveRequest& active, GatewayActions& actions);
+    /** Ends a request with the failure that a stop is the reason for. */
+    void failForStop(ActiveRequest& active, Instant now, GatewayActions& actions);
     void remove(const ActiveRequest& active, Instant now, GatewayActions& actions);
 
     GatewayState& state;
--- a/test/error/RunsAreMovedAgainWhileTheirEngineLeaves.cpp
+++ b/test/error/RunsAreMovedAgainWhileTheirEngineLeaves.cpp
@@ -4,6 +4,22 @@
 
 using namespace teaselfold;
 
+namespace {
+
+/** Answers copy calls with the outcome until no other one follows. @return the number of calls. */
+int failAllTries(GatewayScenario& scenario, ExchangeId exchange, MigrationOutcome outcome)
+{
+    int calls = 0;
+    while (calls < 20 && scenario.lastAction<StartMigration>()) {
+        ++calls;
+        scenario.clearActions();
+        scenario.handle(MigrationResponseReceived { exchange, outcome, {} });
+    }
+    return calls;
+}
+
+}
+
 // Guards against streams that end with their leaving engine, seconds after all tries to move them failed at once.
 TEST_CASE("A run whose migrations failed is tried again while its leaving engine goes on with it")
 {
@@ -20,13 +36,7 @@
         EndpointRecord source = GatewayScenario::engineEndpoint(scenario.lastExchange()->endpoint.get());
         source.isDraining = true;
         scenario.handle(EndpointsChanged { { source }, {} });
-        int calls = 0;
-        while (calls < 20 && scenario.lastAction<StartMigration>()) {
-            ++calls;
-            scenario.clearActions();
-            scenario.handle(MigrationResponseReceived { exchange, outcome, {} });
-        }
-        REQUIRE(calls == 4);
+        REQUIRE(failAllTries(scenario, exchange, outcome) == 4);
         for (std::uint64_t event = 2; event < 12; ++event)
             scenario.advance(Milliseconds(200)).handle(EventsRelayed { exchange, event });
         CHECK(scenario.lastAction<StartMigration>());
@@ -45,13 +55,7 @@
     EndpointRecord source = GatewayScenario::engineEndpoint(scenario.lastExchange()->endpoint.get());
     source.isDraining = true;
     scenario.handle(EndpointsChanged { { source }, {} });
-    int calls = 0;
-    while (calls < 20 && scenario.lastAction<StartMigration>()) {
-        ++calls;
-        scenario.clearActions();
-        scenario.handle(MigrationResponseReceived { exchange, MigrationOutcome::Failed, {} });
-    }
-    REQUIRE(calls == 2);
+    REQUIRE(failAllTries(scenario, exchange, MigrationOutcome::Failed) == 2);
     for (std::uint64_t event = 2; event < 5; ++event)
         scenario.advance(Milliseconds(200)).handle(EventsRelayed { exchange, event });
     CHECK(scenario.lastAction<StartMigration>());
--- a/test/error/StopsAreLogged.cpp
+++ b/test/error/StopsAreLogged.cpp
@@ -80,3 +80,28 @@
     scenario.endExchange(ExchangeEnd::Broken);
     CHECK(loggedField(scenario.takeActions(), "not_resumed", "endpoint_state") == "zone_out");
 }
+
+// Guards against requests that wait for an endpoint and are refused in a stop without a trace in the log.
+TEST_CASE("A waiting request that a stop refuses is logged")
+{
+    GatewayLimits limits;
+    limits.stopLimit = Milliseconds(3000);
+    limits.queueWaitFraction = 10;
+    GatewayScenario scenario(limits);
+    scenario.start();
+    ResponseSummary full = GatewayScenario::notRunRefusal();
+    full.restTime = Milliseconds(5000);
+    for (int endpoint = 0; endpoint < 3; ++endpoint) {
+        scenario.sendRequest("/write/1");
+        scenario.respond(full);
+    }
+    scenario.sendRequest("/write/2");
+    scenario.handle(GatewayStopRequested { scenario.now() })
+        .advance(Milliseconds(2500))
+        .refreshFromStore()
+        .clearActions();
+    scenario.advance(Milliseconds(200));
+    const GatewayActions actions = scenario.takeActions();
+    CHECK(loggedField(actions, "refused", "request") == "caller-4");
+    CHECK(loggedField(actions, "refused", "reason") == "stopping");
+}
