Log how a request ends whose caller's connection or whose time ends first

A caller that leaves and a connection that fails on the gateway's side wrote the same line, abandoned request=..., with neither endpoint nor progress; a response whose last bytes were discarded with its connection or at the exit wrote none; timed_out did not tell what the endpoint was doing.

abandoned and timed_out carry the fields of cut, abandoned the reason for which the connection ended, and response_lost names a response that was not written whole, with the number of bytes. No decision changes. The three tests of StopsAreLogged failed to compile or found no such field before.

--- a/src/adapters/link/AgentLinkServer.cpp
+++ b/src/adapters/link/AgentLinkServer.cpp
@@ -200,17 +200,17 @@
 void AgentLinkServer::dropLink(ConnectionId connection, std::string_view reason)
 {
     this->loop.close(connection);
-    this->closed(connection, reason);
+    this->closed(connection, ConnectionClosure { reason });
 }
 
-void AgentLinkServer::closed(ConnectionId connection, std::string_view reason)
+void AgentLinkServer::closed(ConnectionId connection, const ConnectionClosure& closure)
 {
     const auto found = this->links.find(connection);
     if (found == this->links.end())
         return;
     const EntryId entry = found->second.entry;
     this->links.erase(found);
-    this->logLinkEvent("link_down", entry, reason);
+    this->logLinkEvent("link_down", entry, closure.reason);
     if (entry == EntryId())
         return;
     this->connectionOf.erase(entry);
--- a/src/adapters/link/AgentLinkServer.h
+++ b/src/adapters/link/AgentLinkServer.h
@@ -54,7 +54,7 @@
 
     void connected(ConnectionId connection) override;
     bool received(ConnectionId connection, std::string_view frame) override;
-    void closed(ConnectionId connection, std::string_view reason) override;
+    void closed(ConnectionId connection, const ConnectionClosure& closure) override;
     bool canReceive() override;
     void woken() override;
     void tick(Instant now) override;
--- a/src/adapters/link/EntryLinkClient.cpp
+++ b/src/adapters/link/EntryLinkClient.cpp
@@ -166,13 +166,13 @@
     return true;
 }
 
-void EntryLinkClient::closed(ConnectionId connection, std::string_view reason)
+void EntryLinkClient::closed(ConnectionId connection, const ConnectionClosure& closure)
 {
     const auto found = this->endpointOf.find(connection);
     if (found == this->endpointOf.end())
         return;
     const EndpointId endpoint = found->second;
-    this->dropLink(endpoint, reason);
+    this->dropLink(endpoint, closure.reason);
 }
 
 bool EntryLinkClient::canReceive() { return this->routerWriter.flush(); }
--- a/src/adapters/net/SocketLoop.cpp
+++ b/src/adapters/net/SocketLoop.cpp
@@ -456,8 +456,9 @@
 
 void SocketLoop::fail(ConnectionId id, std::string_view reason)
 {
+    const ConnectionClosure closure { reason, this->queuedBytes(id) };
     this->close(id);
-    this->handler->closed(id, reason);
+    this->handler->closed(id, closure);
 }
 
 void SocketLoop::setMaxMessageBytes(ConnectionId id, std::size_t bytes)
--- a/src/adapters/net/SocketLoop.h
+++ b/src/adapters/net/SocketLoop.h
@@ -26,6 +26,13 @@
 /** Identifies a TCP connection of a socket loop. Never reused within a process. */
 using ConnectionId = Id<struct ConnectionTag, std::uint64_t>;
 
+/** How a connection ended. */
+struct ConnectionClosure {
+    std::string_view reason;
+    /** Number of bytes that were queued but not written. */
+    std::size_t unsentBytes { 0 };
+};
+
 /** Receives the events of a loop's connections. Called on the loop's thread only. */
 class SocketHandler {
 public:
@@ -34,7 +41,7 @@
     /** Handles a complete message. @return false to close the connection; `closed` is not called then. */
     virtual bool received(ConnectionId connection, std::string_view message) = 0;
     /** The connection was closed, or could not be established. Not called after `SocketLoop::close`. */
-    virtual void closed(ConnectionId connection, std::string_view reason) = 0;
+    virtual void closed(ConnectionId connection, const ConnectionClosure& closure) = 0;
     /** All queued bytes of the connection have been written. */
     virtual void drained(ConnectionId) { }
     /** @return true when the handler can take another message; while it is false the loop delivers none. */
--- a/src/adapters/traffic/CallerConnections.cpp
+++ b/src/adapters/traffic/CallerConnections.cpp
@@ -157,15 +157,18 @@
     this->context.loop.closeGracefully(connection);
 }
 
-void CallerConnections::closed(ConnectionId connection)
+void CallerConnections::closed(ConnectionId connection, const ConnectionClosure& closure)
 {
     const auto found = this->callers.find(connection);
     if (found == this->callers.end())
         return;
-    if (found->second.phase == Phase::Response) {
-        this->requests.erase(found->second.request);
-        this->context.events.emplace_back(RequestAbandoned { found->second.request });
-    }
+    const Caller& caller = found->second;
+    if (caller.phase == Phase::Response) {
+        this->requests.erase(caller.request);
+        this->context.events.emplace_back(RequestAbandoned { caller.request, std::string(closure.reason) });
+    } else if (closure.unsentBytes > 0)
+        this->context.events.emplace_back(
+            ResponseLost { caller.lastEnded, std::string(closure.reason), closure.unsentBytes });
     this->callers.erase(found);
 }
 
@@ -217,6 +220,15 @@
         [&](const auto& caller) { return this->context.loop.queuedBytes(caller.first) > 0; });
 }
 
+void CallerConnections::reportUnsentResponses()
+{
+    for (const auto& [connection, caller] : this->callers) {
+        const std::size_t unsent = this->context.loop.queuedBytes(connection);
+        if (unsent > 0)
+            this->context.events.emplace_back(ResponseLost { caller.lastEnded, "exit", unsent });
+    }
+}
+
 const CallerRequest* CallerConnections::find(RequestId request) const
 {
     const auto found = this->requests.find(request);
@@ -278,6 +290,7 @@
     this->requests.erase(id);
     Caller& caller = this->callers.at(request.connection);
     caller.phaseStartedAt = this->context.now;
+    caller.lastEnded = request.callerRequestId;
     if (request.closeAfterResponse) {
         caller.phase = Phase::Closing;
         this->context.loop.closeGracefully(request.connection);
@@ -307,8 +320,10 @@
         return;
     const ConnectionId connection = request->connection;
     const bool endsWithConnection = request->endsWithConnection;
+    Caller& caller = this->callers.at(connection);
+    caller.lastEnded = request->callerRequestId;
+    caller.phase = Phase::Closing;
     this->requests.erase(id);
-    this->callers.at(connection).phase = Phase::Closing;
     // A missing last chunk, a missing rest of the declared length or a reset tells the caller that the response is
     // incomplete.
     if (endsWithConnection)
--- a/src/adapters/traffic/CallerConnections.h
+++ b/src/adapters/traffic/CallerConnections.h
@@ -32,8 +32,9 @@
 
     void connected(ConnectionId connection);
     void received(ConnectionId connection, std::string_view bytes);
-    /** Removes a closed connection, and reports its open request as abandoned. */
-    void closed(ConnectionId connection);
+    /** Removes a closed connection. Reports its open request as abandoned, and a response that was not written whole.
+     */
+    void closed(ConnectionId connection, const ConnectionClosure& closure);
     bool owns(ConnectionId connection) const { return this->callers.contains(connection); }
     /** Rejects requests that exceed the read timeout, and closes connections that exceed the idle timeout. */
     void tick();
@@ -42,6 +43,8 @@
     void beginDrain() { this->draining = true; }
     /** @return true when a part of a response is queued but not yet written. */
     bool hasUnsentBytes() const;
+    /** Reports the responses of which a part is still queued as lost, because the process exits. */
+    void reportUnsentResponses();
     /** Closes connections on which no request is being read or processed and no response is being written. */
     void closeIdleConnections();
 
@@ -77,6 +80,8 @@
         RequestHead head;
         std::string body;
         RequestId request;
+        /** The caller's id of the last request whose response was queued whole or aborted. */
+        std::string lastEnded;
         Instant phaseStartedAt;
     };
 
--- a/src/adapters/traffic/TrafficServer.cpp
+++ b/src/adapters/traffic/TrafficServer.cpp
@@ -91,15 +91,15 @@
     return true;
 }
 
-void TrafficServer::closed(ConnectionId connection, std::string_view reason)
+void TrafficServer::closed(ConnectionId connection, const ConnectionClosure& closure)
 {
     this->now = this->dependencies.clock();
     if (this->callers.owns(connection))
-        this->callers.closed(connection);
+        this->callers.closed(connection, closure);
     else if (this->status.owns(connection))
         this->status.closed(connection);
     else
-        this->endpoints.closed(connection, reason == "closed_by_peer");
+        this->endpoints.closed(connection, closure.reason == "closed_by_peer");
     this->processEvents();
 }
 
@@ -159,6 +159,8 @@
     if (this->callers.hasUnsentBytes() && elapsed < lastWrite)
         return;
     this->writtenReported = true;
+    this->callers.reportUnsentResponses();
+    this->processEvents();
     this->dependencies.written();
 }
 
--- a/src/adapters/traffic/TrafficServer.h
+++ b/src/adapters/traffic/TrafficServer.h
@@ -56,7 +56,7 @@
 
     void connected(ConnectionId connection) override;
     bool received(ConnectionId connection, std::string_view bytes) override;
-    void closed(ConnectionId connection, std::string_view reason) override;
+    void closed(ConnectionId connection, const ConnectionClosure& closure) override;
     void drained(ConnectionId connection) override;
     bool canReceive() override { return true; }
     void woken() override;
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -33,10 +33,10 @@
     static const HandlerTable<Gateway, void, GatewayEvent, Instant, GatewayActions&>& events()
     {
         static const HandlerTable<Gateway, void, GatewayEvent, Instant, GatewayActions&> table(&Gateway::requestArrived,
-            &Gateway::requestAbandoned, &Gateway::responseReceived, &Gateway::exchangeEnded, &Gateway::eventsRelayed,
-            &Gateway::migrationResponseReceived, &Gateway::configurationRead, &Gateway::endpointsListed,
-            &Gateway::endpointsChanged, &Gateway::outOfServiceZonesRead, &Gateway::storeReadSucceeded,
-            &Gateway::storeReadFailed, &Gateway::membersListed, &Gateway::gossipReceived,
+            &Gateway::requestAbandoned, &Gateway::responseLost, &Gateway::responseReceived, &Gateway::exchangeEnded,
+            &Gateway::eventsRelayed, &Gateway::migrationResponseReceived, &Gateway::configurationRead,
+            &Gateway::endpointsListed, &Gateway::endpointsChanged, &Gateway::outOfServiceZonesRead,
+            &Gateway::storeReadSucceeded, &Gateway::storeReadFailed, &Gateway::membersListed, &Gateway::gossipReceived,
             &Gateway::storeReadingReceived, &Gateway::limitsChanged, &Gateway::stopRequested);
         return table;
     }
@@ -126,7 +126,14 @@
 
 void Gateway::requestAbandoned(const RequestAbandoned& event, Instant now, GatewayActions& actions)
 {
-    this->completion.abandon(event.request, now, actions);
+    this->completion.abandon(event.request, event.reason, now, actions);
+}
+
+void Gateway::responseLost(const ResponseLost& event, Instant, GatewayActions& actions)
+{
+    actions.emplace_back(LogEvent { "response_lost",
+        { { "request", event.callerRequestId }, { "reason", event.reason },
+            { "unsent_bytes", std::to_string(event.unsentBytes) } } });
 }
 
 void Gateway::responseReceived(const ResponseReceived& event, Instant now, GatewayActions& actions)
--- a/src/core/gateway/GatewayLog.cpp
+++ b/src/core/gateway/GatewayLog.cpp
@@ -89,9 +89,9 @@
     return line;
 }
 
-LogEvent cutLogEvent(const GatewayState& state, const ActiveRequest& active, Instant now)
+LogEvent endedLogEvent(std::string name, const GatewayState& state, const ActiveRequest& active, Instant now)
 {
-    auto line = requestLogEvent("cut", active, now);
+    auto line = requestLogEvent(std::move(name), active, now);
     line.fields.push_back({ "progress", std::string(progressName(active)) });
     const Executed run = active.exchange ? Executed::Unknown : executedStateOf(active);
     line.fields.push_back({ "run", std::string(executedName(run)) });
--- a/src/core/gateway/GatewayLog.h
+++ b/src/core/gateway/GatewayLog.h
@@ -17,8 +17,11 @@
  */
 LogEvent brokenExchangeLogEvent(const ActiveRequest& active, const Exchange& exchange, Instant now);
 
-/** @return the log event of a request that an exit cuts: its endpoint, and how far its run got there. */
-LogEvent cutLogEvent(const GatewayState& state, const ActiveRequest& active, Instant now);
+/**
+ * @return the log event of a request that ends while its endpoint may still work on it: the endpoint, and how far the
+ * run got there.
+ */
+LogEvent endedLogEvent(std::string name, const GatewayState& state, const ActiveRequest& active, Instant now);
 
 /** @return the log event of a completed stop, with the number of requests that ended in each way. */
 LogEvent stopLogEvent(const PlannedStop& stop, Instant now);
--- a/src/core/gateway/RequestCompletion.cpp
+++ b/src/core/gateway/RequestCompletion.cpp
@@ -98,15 +98,17 @@
     this->remove(active, now, actions);
 }
 
-void RequestCompletion::abandon(RequestId request, Instant now, GatewayActions& actions)
+void RequestCompletion::abandon(RequestId request, const std::string& reason, Instant now, GatewayActions& actions)
 {
     const auto found = this->state.requests.find(request);
     if (found == this->state.requests.end())
         return;
     ActiveRequest& active = found->second;
+    auto line = Internal::endedLogEvent("abandoned", this->state, active, now);
+    line.fields.push_back({ "reason", reason });
+    actions.emplace_back(std::move(line));
     this->cancelExchange(active, actions);
     Internal::observe(actions, active, Metric::Cancelled);
-    actions.emplace_back(LogEvent { "abandoned", { { "request", active.request.callerRequestId } } });
     this->remove(active, now, actions);
 }
 
@@ -125,7 +127,7 @@
     std::vector<RequestId> cut;
     for (const auto& [id, active] : this->state.requests) {
         cut.push_back(id);
-        actions.emplace_back(Internal::cutLogEvent(this->state, active, now));
+        actions.emplace_back(Internal::endedLogEvent("cut", this->state, active, now));
         this->state.countInStop(&PlannedStop::cut);
     }
     for (const RequestId id : cut) {
@@ -137,10 +139,8 @@
 
 void RequestCompletion::expire(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
+    actions.emplace_back(Internal::endedLogEvent("timed_out", this->state, active, now));
     this->cancelExchange(active, actions);
-    auto line = Internal::requestLogEvent("timed_out", active, now);
-    line.fields.push_back({ "run", std::string(executedName(executedStateOf(active))) });
-    actions.emplace_back(std::move(line));
     if (active.mayHaveRun)
         return this->fail(
             active, { ErrorCode::DeadlineExceeded, "no answer in time", Executed::Unknown, {} }, now, actions);
--- a/src/core/gateway/RequestCompletion.h
+++ b/src/core/gateway/RequestCompletion.h
@@ -27,8 +27,8 @@
     /** Refuses a request that is quarantined, or that has a quarantined part of a prompt. */
     void refuseQuarantined(
         ActiveRequest& active, const QuarantineVerdict& verdict, Instant now, GatewayActions& actions);
-    /** Ends a request whose caller disconnected. */
-    void abandon(RequestId request, Instant now, GatewayActions& actions);
+    /** Ends a request whose caller's connection ended. @param reason how it ended, for the log. */
+    void abandon(RequestId request, const std::string& reason, Instant now, GatewayActions& actions);
     /** Ends a request that reached its deadline. */
     void expire(ActiveRequest& active, Instant now, GatewayActions& actions);
     /** Ends and logs all requests, because the stop has reached its limit. */
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -43,9 +43,20 @@
     GatewayRequest request;
 };
 
-/** The caller closed its connection before the response was complete. */
+/** The caller's connection ended before the response was complete. */
 struct RequestAbandoned {
     RequestId request;
+    /** How the connection ended, for logs: the caller closed it, or reading or writing failed. */
+    std::string reason {};
+};
+
+/** The last part of a response was not written before its connection or the process ended. */
+struct ResponseLost {
+    /** The caller's id of the request. */
+    std::string callerRequestId;
+    /** How the connection ended, for logs. */
+    std::string reason;
+    std::size_t unsentBytes { 0 };
 };
 
 /** Load that an endpoint reports along with a response. */
@@ -168,10 +179,10 @@
     Instant signalledAt;
 };
 
-using GatewayEvent = std::variant<RequestArrived, RequestAbandoned, ResponseReceived, ExchangeEnded, EventsRelayed,
-    MigrationResponseReceived, ConfigurationRead, EndpointsListed, EndpointsChanged, OutOfServiceZonesRead,
-    StoreReadSucceeded, StoreReadFailed, MembersListed, GossipReceived, StoreReadingReceived, LimitsChanged,
-    GatewayStopRequested>;
+using GatewayEvent = std::variant<RequestArrived, RequestAbandoned, ResponseLost, ResponseReceived, ExchangeEnded,
+    EventsRelayed, MigrationResponseReceived, ConfigurationRead, EndpointsListed, EndpointsChanged,
+    OutOfServiceZonesRead, StoreReadSucceeded, StoreReadFailed, MembersListed, GossipReceived, StoreReadingReceived,
+    LimitsChanged, GatewayStopRequested>;
 
 /** Point at which an endpoint resumes a stream that another endpoint started. */
 struct ResumePoint {
--- a/test/error/StopsAreLogged.cpp
+++ b/test/error/StopsAreLogged.cpp
@@ -105,3 +105,47 @@
     CHECK(loggedField(actions, "refused", "request") == "caller-4");
     CHECK(loggedField(actions, "refused", "reason") == "stopping");
 }
+
+// Guards against callers whose connection ends on the gateway's side and which the log shows as callers that left.
+TEST_CASE("A request whose caller's connection ends is logged with the reason, its endpoint and its progress")
+{
+    GatewayScenario scenario;
+    scenario.start();
+    const RequestId request = scenario.sendRequest("/draft/1");
+    scenario.respond(GatewayScenario::streamStart());
+    scenario.handle(EventsRelayed { scenario.lastExchange()->exchange, 5 });
+    scenario.advance(Milliseconds(100)).clearActions();
+    scenario.handle(RequestAbandoned { request, "write_failed" });
+    const GatewayActions actions = scenario.takeActions();
+    CHECK(loggedField(actions, "abandoned", "reason") == "write_failed");
+    CHECK(loggedField(actions, "abandoned", "endpoint") == scenario.lastExchange()->endpoint.get());
+    CHECK(loggedField(actions, "abandoned", "progress") == "streaming");
+    CHECK(loggedField(actions, "abandoned", "last_event") == "5");
+    CHECK(loggedField(actions, "abandoned", "age_ms") == "100");
+}
+
+// Guards against requests that time out without a trace of what their endpoint was doing.
+TEST_CASE("A request that times out is logged with its endpoint and its progress")
+{
+    GatewayScenario scenario;
+    scenario.start();
+    scenario.sendRequest("/write/1");
+    scenario.clearActions();
+    scenario.advance(Milliseconds(6000));
+    const GatewayActions actions = scenario.takeActions();
+    CHECK(loggedField(actions, "timed_out", "endpoint") == scenario.lastExchange()->endpoint.get());
+    CHECK(loggedField(actions, "timed_out", "progress") == "sent");
+    CHECK(loggedField(actions, "timed_out", "run") == "unknown");
+}
+
+// Guards against responses whose last part a closed connection or an exit discards without a trace.
+TEST_CASE("A response that is not written whole is logged")
+{
+    GatewayScenario scenario;
+    scenario.start().clearActions();
+    scenario.handle(ResponseLost { "caller-1", "exit", 700 });
+    const GatewayActions actions = scenario.takeActions();
+    CHECK(loggedField(actions, "response_lost", "request") == "caller-1");
+    CHECK(loggedField(actions, "response_lost", "reason") == "exit");
+    CHECK(loggedField(actions, "response_lost", "unsent_bytes") == "700");
+}
