Write the log on a duty of its own that does not wait for a reader beyond a stop

What was seen: a gateway whose log is a pipe that nobody reads, or reads slowly, was not gone 10 s after SIGTERM and was killed at each stop; its metrics stood still as well. Whether that is what the users saw around SIGTERM is not shown.

Cause: one duty wrote the log with blocking calls and recorded the metrics behind it, and the stop joined that duty after it had emptied its ring. Whoever collects the lines decided when the process ended: an exit that waits for somebody else.

Change: the log has a duty and a ring of its own. LineWriter polls the descriptor before each write and gives up at a limit, which the stop sets to 100 ms after its beginning. Gateway, entry and agent use the same hub.

--- a/apps/teaselfold-agent/AgentProcess.cpp
+++ b/apps/teaselfold-agent/AgentProcess.cpp
@@ -48,7 +48,7 @@
 
 AgentProcess::AgentProcess(const AgentSettings& agentSettings)
     : settings(agentSettings)
-    , telemetry(TelemetryHubBuilder().withLogSink(writeLog).build())
+    , telemetry(TelemetryHubBuilder().withLogOutput(std::make_unique<GlogLog>()).build())
     , duty(createDecisions(agentSettings, this->incarnation, this->randomness))
 {
     Ring<AgentEvent>& ring = this->duty.ring();
--- a/apps/teaselfold-entry/Main.cpp
+++ b/apps/teaselfold-entry/Main.cpp
@@ -108,7 +108,7 @@
 };
 
 EntryProcess::EntryProcess(const EntrySettings& settings)
-    : telemetry(TelemetryHubBuilder().withLogSink(writeLog).build())
+    : telemetry(TelemetryHubBuilder().withLogOutput(std::make_unique<GlogLog>()).build())
     , router(this->buildRouter(settings))
     , control(this->buildControl(settings))
     , admin(adminOptions(settings), this->control.ring(),
@@ -203,6 +203,6 @@
     EntryProcess process(std::get<EntrySettings>(parsed));
     const auto failure = process.run(signals);
     if (failure)
-        writeLog({ "start_failed", { { "reason", failure->message } } });
+        GlogLog().write({ "start_failed", { { "reason", failure->message } } });
     return static_cast<int>(failure ? ExitCode::Failed : ExitCode::Done);
 }
--- a/apps/teaselfold-gateway/Main.cpp
+++ b/apps/teaselfold-gateway/Main.cpp
@@ -94,7 +94,7 @@
 GatewayProcess::GatewayProcess(const GatewaySettings& gatewaySettings, SettingsReader settingsReader)
     : settings(gatewaySettings)
     , readSettings(std::move(settingsReader))
-    , telemetry(TelemetryHubBuilder().withLogSink(writeLog).build())
+    , telemetry(TelemetryHubBuilder().withLogOutput(std::make_unique<GlogLog>()).build())
     , gateway(
           gatewayLimits(this->settings), { GatewayId(this->settings.instance), this->settings.zone }, this->randomness)
     , peers(this->settings.peers, [this](GatewayEvent event) { this->traffic->ring().tryPush(std::move(event)); })
@@ -175,6 +175,6 @@
     });
     const auto failure = process.run(signals);
     if (failure)
-        writeLog({ "start_failed", { { "reason", failure->message } } });
+        GlogLog().write({ "start_failed", { { "reason", failure->message } } });
     return static_cast<int>(failure ? ExitCode::Failed : ExitCode::Done);
 }
--- a/src/adapters/logging/GlogLog.cpp
+++ b/src/adapters/logging/GlogLog.cpp
@@ -3,6 +3,7 @@
 #include "ports/Time.h"
 
 #include <glog/logging.h>
+#include <unistd.h>
 
 #include <array>
 #include <ctime>
@@ -68,14 +69,33 @@
         return text.data() + std::string(3 - fraction.size(), '0') + fraction + "Z";
     }
 
+    /** Passes one message of glog to a line writer. */
+    class LineSink final : public google::LogSink {
+    public:
+        explicit LineSink(LineWriter& lines)
+            : lines(lines)
+        {
+        }
+
+        void send(google::LogSeverity, const char*, const char*, int, const google::LogMessageTime&,
+            const char* message, std::size_t length) override
+        {
+            this->written = this->lines.write(std::string(message, length) + '\n');
+        }
+
+        bool isWritten() const { return this->written; }
+
+    private:
+        LineWriter& lines;
+        bool written { false };
+    };
+
 }
 
 void startLogging(const std::string& program)
 {
     // glog stores the pointer, so the name must outlive the call.
     static const std::string name = program;
-    FLAGS_logtostderr = true;
-    FLAGS_log_prefix = false;
     google::InitGoogleLogging(name.c_str());
 }
 
@@ -92,6 +112,16 @@
     return line;
 }
 
-void writeLog(const LogEvent& event) { LOG(INFO) << formatLogLine(event) << " time=" << formatCurrentTime(); }
+GlogLog::GlogLog()
+    : lines(STDERR_FILENO)
+{
+}
+
+bool GlogLog::write(const LogEvent& event)
+{
+    LineSink sink(this->lines);
+    LOG_TO_SINK_BUT_NOT_TO_LOGFILE(&sink, INFO) << formatLogLine(event) << " time=" << formatCurrentTime();
+    return sink.isWritten();
+}
 
 }
--- a/src/adapters/logging/GlogLog.h
+++ b/src/adapters/logging/GlogLog.h
@@ -1,18 +1,28 @@
 #pragma once
 
-#include "ports/Telemetry.h"
+#include "adapters/logging/LineWriter.h"
+#include "ports/LogOutput.h"
 
 #include <string>
 
 namespace teaselfold {
 
-/** Makes glog write to standard error. Call once, before the first event. @param program the program name, argv[0]. */
+/** Prepares glog. Call once, before the first event. @param program the program name, argv[0]. */
 void startLogging(const std::string& program);
 
 /** @return the line `event=<name> key=value ...`. Values are quoted and escaped as needed to keep it on one line. */
 std::string formatLogLine(const LogEvent& event);
 
-/** Writes the event as one line. Safe to call from any thread. */
-void writeLog(const LogEvent& event);
+/** Writes each event as one line to standard error. Used by one thread at a time. */
+class GlogLog final : public LogOutput {
+public:
+    GlogLog();
+
+    bool write(const LogEvent& event) override;
+    void limitWaits(Instant until) override { this->lines.limitWaits(until); }
+
+private:
+    LineWriter lines;
+};
 
 }
--- a/src/adapters/metrics/TelemetryHub.cpp
+++ b/src/adapters/metrics/TelemetryHub.cpp
@@ -11,6 +11,8 @@
 
     constexpr std::size_t ringCapacity = 16384;
     constexpr Seconds tickPeriod(1);
+    /** Time after the begin of a stop in which the log's reader may take the queued events. */
+    constexpr Milliseconds longestStop(100);
 
     /** Appends the gauges grouped by name, because the text format requires one contiguous block per metric. */
     void appendGauges(std::string& text, const std::vector<const GaugeSource*>& sources)
@@ -30,34 +32,45 @@
 
 }
 
-TelemetryHub::TelemetryHub(LogSink sink)
-    : sink(std::move(sink))
-    , duty("telemetry", ringCapacity, tickPeriod)
+TelemetryHub::TelemetryHub(std::unique_ptr<LogOutput> output)
+    : output(std::move(output))
+    , logDuty("log", ringCapacity, tickPeriod)
+    , metricsDuty("metrics", ringCapacity, tickPeriod)
 {
 }
 
+void TelemetryHub::start()
+{
+    this->logDuty.start(*this);
+    this->metricsDuty.start(*this);
+}
+
+void TelemetryHub::stop()
+{
+    this->output->limitWaits(std::chrono::steady_clock::now() + longestStop);
+    this->logDuty.stop();
+    this->metricsDuty.stop();
+}
+
 void TelemetryHub::log(const LogEvent& event)
 {
-    if (!this->duty.ring().tryPush(event))
+    if (!this->logDuty.ring().tryPush(event))
         ++this->droppedCount;
 }
 
 void TelemetryHub::observe(const Observation& observation)
 {
-    if (!this->duty.ring().tryPush(observation))
+    if (!this->metricsDuty.ring().tryPush(observation))
         ++this->droppedCount;
 }
 
-void TelemetryHub::handle(const Event& event, Instant)
+void TelemetryHub::handle(const LogEvent& event, Instant)
 {
-    static const HandlerTable<TelemetryHub, void, Event> handlers(
-        &TelemetryHub::handleLog, &TelemetryHub::handleObservation);
-    handlers.dispatch(*this, event);
+    if (!this->output->write(event))
+        ++this->droppedCount;
 }
 
-void TelemetryHub::handleLog(const LogEvent& event) { this->sink(event); }
-
-void TelemetryHub::handleObservation(const Observation& observation)
+void TelemetryHub::handle(const Observation& observation, Instant)
 {
     std::lock_guard lock(this->storeMutex);
     this->store.record(observation);
@@ -71,22 +84,23 @@
         text = this->store.render();
     }
     const std::string name = std::string(Internal::metricPrefix) + "telemetry_dropped_total";
-    Internal::appendMetricHeader(text, name, "counter", "Log events and observations that found the ring full.");
+    Internal::appendMetricHeader(text, name, "counter",
+        "Log events and observations that found their ring full, and log events that could not be written.");
     Internal::appendSample(text, name, {}, static_cast<double>(this->droppedCount.load()));
     appendGauges(text, this->sources);
     return text;
 }
 
-TelemetryHubBuilder& TelemetryHubBuilder::withLogSink(TelemetryHub::LogSink logSink)
+TelemetryHubBuilder& TelemetryHubBuilder::withLogOutput(std::unique_ptr<LogOutput> logOutput)
 {
-    this->sink = std::move(logSink);
+    this->output = std::move(logOutput);
     return *this;
 }
 
-std::unique_ptr<TelemetryHub> TelemetryHubBuilder::build() const
+std::unique_ptr<TelemetryHub> TelemetryHubBuilder::build()
 {
-    internalCheck(this->sink != nullptr, "a telemetry hub requires a log sink");
-    return std::make_unique<TelemetryHub>(this->sink);
+    internalCheck(this->output != nullptr, "a telemetry hub requires a log output");
+    return std::make_unique<TelemetryHub>(std::move(this->output));
 }
 
 }
--- a/src/adapters/metrics/TelemetryHub.h
+++ b/src/adapters/metrics/TelemetryHub.h
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "adapters/metrics/MetricStore.h"
-#include "core/common/HandlerTable.h"
 #include "ports/EntryInterfaces.h"
+#include "ports/LogOutput.h"
 #include "runtime/Duty.h"
 
 #include <atomic>
-#include <functional>
 #include <memory>
 #include <mutex>
 #include <vector>
@@ -28,18 +27,21 @@
     virtual std::vector<Gauge> gauges() const = 0;
 };
 
-/** Collects logs and metrics. Callers push into a bounded ring; the telemetry duty writes and aggregates. */
-class TelemetryHub final : public Telemetry, private DutyHandler<std::variant<LogEvent, Observation>> {
+/**
+ * Collects logs and metrics. Callers push into bounded rings; one duty writes the log, another one aggregates the
+ * metrics, so that whoever reads the log slowly delays neither callers nor metrics nor the exit.
+ */
+class TelemetryHub final : public Telemetry, private DutyHandler<LogEvent>, private DutyHandler<Observation> {
 public:
-    using LogSink = std::function<void(const LogEvent&)>;
-
-    explicit TelemetryHub(LogSink sink);
+    /** @param output where the log goes; used by the hub's thread only. */
+    explicit TelemetryHub(std::unique_ptr<LogOutput> output);
     ~TelemetryHub() override { this->stop(); }
 
-    /** Starts the telemetry duty. */
-    void start() { this->duty.start(*this); }
-    /** Processes the queued events and joins the thread. Idempotent. */
-    void stop() { this->duty.stop(); }
+    /** Starts both duties. */
+    void start();
+    /** Processes the queued events and joins the threads. Waits a short time at most for the log's reader. Idempotent.
+     */
+    void stop();
 
     /** Never blocks. If the ring is full, the event is dropped and counted. */
     void log(const LogEvent& event) override;
@@ -53,30 +55,28 @@
     std::string renderPrometheus() const;
 
 private:
-    using Event = std::variant<LogEvent, Observation>;
-
-    void handle(const Event& event, Instant now) override;
+    void handle(const LogEvent& event, Instant now) override;
+    void handle(const Observation& observation, Instant now) override;
     void tick(Instant) override { }
-    void handleLog(const LogEvent& event);
-    void handleObservation(const Observation& observation);
 
-    LogSink sink;
+    std::unique_ptr<LogOutput> output;
     mutable std::mutex storeMutex;
     MetricStore store;
     std::vector<const GaugeSource*> sources;
     std::atomic<std::uint64_t> droppedCount { 0 };
-    Duty<Event> duty;
+    Duty<LogEvent> logDuty;
+    Duty<Observation> metricsDuty;
 };
 
 /** Builds a TelemetryHub. */
 class TelemetryHubBuilder {
 public:
-    /** @param sink writes one log event; called only by the telemetry duty. */
-    TelemetryHubBuilder& withLogSink(TelemetryHub::LogSink sink);
-    std::unique_ptr<TelemetryHub> build() const;
+    /** @param output writes the log events. */
+    TelemetryHubBuilder& withLogOutput(std::unique_ptr<LogOutput> output);
+    std::unique_ptr<TelemetryHub> build();
 
 private:
-    TelemetryHub::LogSink sink;
+    std::unique_ptr<LogOutput> output;
 };
 
 }
--- a/test/correctness/MetricsAreBounded.cpp
+++ b/test/correctness/MetricsAreBounded.cpp
@@ -14,6 +14,25 @@
     return { Metric::FirstToken, TeamId(team), PriorityClass::Standard, milliseconds, "" };
 }
 
+/** Appends the log lines to a list. */
+class LineList final : public LogOutput {
+public:
+    explicit LineList(std::vector<std::string>& lines)
+        : lines(lines)
+    {
+    }
+
+    bool write(const LogEvent& event) override
+    {
+        this->lines.push_back(formatLogLine(event));
+        return true;
+    }
+    void limitWaits(Instant) override { }
+
+private:
+    std::vector<std::string>& lines;
+};
+
 class FixedGauges final : public GaugeSource {
 public:
     std::vector<Gauge> gauges() const override { return { { "configuration_version", {}, 12 } }; }
@@ -53,9 +72,7 @@
 {
     std::vector<std::string> lines;
     const FixedGauges gauges;
-    auto hub = TelemetryHubBuilder()
-                   .withLogSink([&](const LogEvent& event) { lines.push_back(formatLogLine(event)); })
-                   .build();
+    auto hub = TelemetryHubBuilder().withLogOutput(std::make_unique<LineList>(lines)).build();
     hub->addGaugeSource(gauges);
     hub->start();
     hub->log({ "link_up", { { "endpoint", "drafter-1" } } });
