Tell in the log how many of its lines were lost

What was seen: with a log that is read slowly or not at all, 271 of 6,550 requests had their sent line, and nothing in the log told that lines were missing; only a counter did, which observations shared. Whoever reads such a log takes a lost line for an event that did not happen: the users' record of a lost answer has no line of the gateway that took the request.

Change: a line that finds the ring full, or is not written, counts as lost; event=log_lines_lost count=... is written before the next line, and log_lines_lost_total counts them apart from observations. The test found no such line before: the hub had none to write.

--- a/src/adapters/metrics/TelemetryHub.cpp
+++ b/src/adapters/metrics/TelemetryHub.cpp
@@ -55,7 +55,7 @@
 void TelemetryHub::log(const LogEvent& event)
 {
     if (!this->logDuty.ring().tryPush(event))
-        ++this->droppedCount;
+        ++this->lostLines;
 }
 
 void TelemetryHub::observe(const Observation& observation)
@@ -66,8 +66,19 @@
 
 void TelemetryHub::handle(const LogEvent& event, Instant)
 {
+    this->reportLostLines();
     if (!this->output->write(event))
-        ++this->droppedCount;
+        ++this->lostLines;
+}
+
+void TelemetryHub::reportLostLines()
+{
+    const std::uint64_t lost = this->lostLines.load();
+    if (lost == this->reportedLostLines)
+        return;
+    const std::uint64_t unreported = lost - this->reportedLostLines;
+    if (this->output->write({ "log_lines_lost", { { "count", std::to_string(unreported) } } }))
+        this->reportedLostLines = lost;
 }
 
 void TelemetryHub::handle(const Observation& observation, Instant)
@@ -84,9 +95,11 @@
         text = this->store.render();
     }
     const std::string name = std::string(Internal::metricPrefix) + "telemetry_dropped_total";
-    Internal::appendMetricHeader(text, name, "counter",
-        "Log events and observations that found their ring full, and log events that could not be written.");
+    Internal::appendMetricHeader(text, name, "counter", "Observations that found the ring full.");
     Internal::appendSample(text, name, {}, static_cast<double>(this->droppedCount.load()));
+    const std::string linesName = std::string(Internal::metricPrefix) + "log_lines_lost_total";
+    Internal::appendMetricHeader(text, linesName, "counter", "Log lines that found the ring full or were not written.");
+    Internal::appendSample(text, linesName, {}, static_cast<double>(this->lostLines.load()));
     appendGauges(text, this->sources);
     return text;
 }
--- a/src/adapters/metrics/TelemetryHub.h
+++ b/src/adapters/metrics/TelemetryHub.h
@@ -43,7 +43,7 @@
      */
     void stop();
 
-    /** Never blocks. If the ring is full, the event is dropped and counted. */
+    /** Never blocks. If the ring is full, the event is lost, and a later line of the log tells how many were. */
     void log(const LogEvent& event) override;
     /** Never blocks. If the ring is full, the observation is dropped and counted. */
     void observe(const Observation& observation) override;
@@ -58,12 +58,16 @@
     void handle(const LogEvent& event, Instant now) override;
     void handle(const Observation& observation, Instant now) override;
     void tick(Instant) override { }
+    /** Writes a line with the number of lines that were lost since the last such line. Called by the log's duty. */
+    void reportLostLines();
 
     std::unique_ptr<LogOutput> output;
     mutable std::mutex storeMutex;
     MetricStore store;
     std::vector<const GaugeSource*> sources;
     std::atomic<std::uint64_t> droppedCount { 0 };
+    std::atomic<std::uint64_t> lostLines { 0 };
+    std::uint64_t reportedLostLines { 0 };
     Duty<LogEvent> logDuty;
     Duty<Observation> metricsDuty;
 };
--- a/test/error/SlowLogReadersDelayNothing.cpp
+++ b/test/error/SlowLogReadersDelayNothing.cpp
@@ -110,3 +110,25 @@
     CHECK(written.get() == 50);
     CHECK(received.substr(49 * line.size()) == line);
 }
+
+// Guards against lines whose absence nothing in the log tells.
+TEST_CASE("The log tells how many lines a slow reader has lost")
+{
+    Pipe pipe;
+    auto hub = TelemetryHubBuilder().withLogOutput(std::make_unique<PipeLog>(pipe)).build();
+    hub->start();
+    constexpr int lines = 30000;
+    for (int line = 0; line < lines; ++line)
+        hub->log({ "line", {} });
+    std::string received;
+    const Instant end = std::chrono::steady_clock::now() + Seconds(10);
+    while (received.find("event=log_lines_lost") == std::string::npos && std::chrono::steady_clock::now() < end) {
+        received += pipe.readSome();
+        // A line that fits the ring again is written after the report.
+        hub->log({ "line", {} });
+    }
+    CHECK(received.find("event=log_lines_lost count=") != std::string::npos);
+    CHECK(hub->renderPrometheus().find("teaselfold_log_lines_lost_total 0\n") == std::string::npos);
+    auto stopped = std::async(std::launch::async, [&] { hub->stop(); });
+    CHECK(stopped.wait_for(Seconds(2)) == std::future_status::ready);
+}
