Write the log to standard output

The users asked for it, and collectors that read only standard output got nothing: all lines went to standard error, which glog writes to by default. slow-log-readers.sh failed before at 'the log goes to standard output only'. Messages about the command line stay on standard error.

--- a/src/adapters/logging/GlogLog.cpp
+++ b/src/adapters/logging/GlogLog.cpp
@@ -113,7 +113,7 @@
 }
 
 GlogLog::GlogLog()
-    : lines(STDERR_FILENO)
+    : lines(STDOUT_FILENO)
 {
 }
 
--- a/src/adapters/logging/GlogLog.h
+++ b/src/adapters/logging/GlogLog.h
@@ -13,7 +13,7 @@
 /** @return the line `event=<name> key=value ...`. Values are quoted and escaped as needed to keep it on one line. */
 std::string formatLogLine(const LogEvent& event);
 
-/** Writes each event as one line to standard error. Used by one thread at a time. */
+/** Writes each event as one line to standard output. Used by one thread at a time. */
 class GlogLog final : public LogOutput {
 public:
     GlogLog();
--- a/test/process/lib/slow_log_readers.py
+++ b/test/process/lib/slow_log_readers.py
@@ -71,6 +71,8 @@
             caller.join()
         require("%s: every call is answered" % title, statuses == [200] * (CALLERS * CALLS_PER_CALLER))
         wait_until("%s: the metrics count every call" % title, lambda: has_counted_all(gateway))
+        require("%s: the log goes to standard output only" % title, gateway.received["err"] == b""
+                and (bytes_per_s == 0 or gateway.received["out"].startswith(b"event=started ")))
         start = time.monotonic()
         gateway.process.send_signal(signal.SIGTERM)
         try:
