Refuse a stream in a stop by its longest output instead of its expected one

Cause: the forecast that lets a stream in used its expected output, which is a median: the caller's hint, or half of the maximum. Half of the streams that just fit are longer. It also used the average pace, while engines differ. A promise was made on an estimate although a bound is known.

Change: the maximum output at the pace of the slowest engine of the service decides. The caller is refused at once as not run, and only where another gateway of the zone serves.

The new test failed before: a stream of at most 1,000 tokens, expected 500, was sent 7.0 s before the exit. Other forecasts, of runs in progress, keep to what is expected: they choose between two ways to go on.

--- a/src/core/gateway/ActiveRequest.h
+++ b/src/core/gateway/ActiveRequest.h
@@ -67,6 +67,8 @@
     std::uint64_t tokens { 0 };
     /** Expected number of events of a stream. */
     std::uint64_t events { 0 };
+    /** Number of events of a stream with the longest output that its caller allows. */
+    std::uint64_t maxEvents { 0 };
     std::uint32_t attempts { 0 };
     std::set<EndpointId> triedEndpoints;
     std::optional<ExchangeId> exchange;
--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace teaselfold {
 
@@ -264,28 +265,33 @@
         addToAverage(found->firstEventTime, time);
 }
 
-Duration EndpointDirectory::averageOf(
+std::vector<Duration> EndpointDirectory::measuredTimes(
     std::optional<Duration> GatewayEndpoint::*time, Duration assumed, const ServiceId& service) const
 {
-    Duration sum = assumed;
-    Duration::rep count = 1;
+    std::vector<Duration> times { assumed };
     for (const auto& [id, endpoint] : this->endpoints) {
-        if (endpoint.record.service != service || !(endpoint.*time))
-            continue;
-        sum += *(endpoint.*time);
-        ++count;
+        if (endpoint.record.service == service && endpoint.*time)
+            times.push_back(*(endpoint.*time));
     }
-    return sum / count;
+    return times;
 }
 
 Duration EndpointDirectory::averageEventInterval(const ServiceId& service) const
 {
-    return this->averageOf(&GatewayEndpoint::eventInterval, assumedEventInterval, service);
+    const auto times = this->measuredTimes(&GatewayEndpoint::eventInterval, assumedEventInterval, service);
+    return std::accumulate(times.begin(), times.end(), Duration(0)) / static_cast<Duration::rep>(times.size());
+}
+
+Duration EndpointDirectory::longestEventInterval(const ServiceId& service) const
+{
+    const auto times = this->measuredTimes(&GatewayEndpoint::eventInterval, assumedEventInterval, service);
+    return *std::max_element(times.begin(), times.end());
 }
 
-Duration EndpointDirectory::averageFirstEventTime(const ServiceId& service) const
+Duration EndpointDirectory::longestFirstEventTime(const ServiceId& service) const
 {
-    return this->averageOf(&GatewayEndpoint::firstEventTime, assumedFirstEventTime, service);
+    const auto times = this->measuredTimes(&GatewayEndpoint::firstEventTime, assumedFirstEventTime, service);
+    return *std::max_element(times.begin(), times.end());
 }
 
 void EndpointDirectory::recordLoad(const EndpointId& endpoint, const ReportedLoad& load, Instant now)
--- a/src/core/gateway/EndpointDirectory.h
+++ b/src/core/gateway/EndpointDirectory.h
@@ -116,8 +116,11 @@
     void recordFirstEvent(const EndpointId& endpoint, Duration time);
     /** @return the average interval between events of a stream at the engines of a service. */
     Duration averageEventInterval(const ServiceId& service) const;
-    /** @return the average time from sending a stream's request to its first event at the engines of a service. */
-    Duration averageFirstEventTime(const ServiceId& service) const;
+    /** @return the average interval between events at the slowest engine of a service. */
+    Duration longestEventInterval(const ServiceId& service) const;
+    /** @return the average time from sending a stream's request to its first event at the slowest engine of a service.
+     */
+    Duration longestFirstEventTime(const ServiceId& service) const;
     void recordLoad(const EndpointId& endpoint, const ReportedLoad& load, Instant now);
     void recordSuccess(const EndpointId& endpoint);
     /** Records that the endpoint announced in an answer that it leaves. @return true if that was not known. */
@@ -149,9 +152,8 @@
         return endpoint.record.isDraining || endpoint.announcedLeaving;
     }
     bool isUsable(const GatewayEndpoint& endpoint) const;
-    /** @return the average of a measured time over the endpoints of a service. @param assumed counted as one of them.
-     */
-    Duration averageOf(
+    /** @return the measured times of the endpoints of a service, and first the assumed one. */
+    std::vector<Duration> measuredTimes(
         std::optional<Duration> GatewayEndpoint::*time, Duration assumed, const ServiceId& service) const;
     /** @return true while the endpoint rests, or has had a request a moment ago and rested shortly before. */
     static bool isHeldBack(const GatewayEndpoint& endpoint, Instant now);
--- a/src/core/gateway/GatewayAdmission.cpp
+++ b/src/core/gateway/GatewayAdmission.cpp
@@ -93,6 +93,8 @@
     if (found->engine) {
         active.tokens = std::min(request.promptTokens, maxTokens) + expectedOutput(request);
         active.events = expectedOutput(request) / found->engine->tokensPerEvent + 1;
+        active.maxEvents
+            = std::max(active.events, std::min(request.maxOutputTokens, maxTokens) / found->engine->tokensPerEvent + 1);
     }
     if (!mayStartInStop(this->state, active, now))
         return notRunFailure(ErrorCode::Stopping, "this instance is being stopped", this->state.limits.retryAfter);
--- a/src/core/gateway/StreamForecast.cpp
+++ b/src/core/gateway/StreamForecast.cpp
@@ -36,11 +36,11 @@
     return timeOf(events, pace);
 }
 
-Duration expectedStreamTime(const GatewayState& state, const ActiveRequest& active)
+Duration longestStreamTime(const GatewayState& state, const ActiveRequest& active)
 {
     const ServiceId& service = active.service->name;
-    return state.endpoints.averageFirstEventTime(service)
-        + timeOf(active.events, state.endpoints.averageEventInterval(service));
+    return state.endpoints.longestFirstEventTime(service)
+        + timeOf(active.maxEvents, state.endpoints.longestEventInterval(service));
 }
 
 bool endsBeforeStop(const GatewayState& state, const ActiveRequest& active, Instant now)
@@ -59,7 +59,7 @@
         return state.endsBeforeStop(active.deadline);
     // Without another gateway in the zone, the load balancer would send the caller's next try here again.
     return !isStream(active) || !active.service->engine || !state.peers.hasServingPeerIn(state.zone)
-        || state.endsBeforeStop(now + expectedStreamTime(state, active));
+        || state.endsBeforeStop(now + longestStreamTime(state, active));
 }
 
 }
--- a/src/core/gateway/StreamForecast.h
+++ b/src/core/gateway/StreamForecast.h
@@ -12,7 +12,7 @@
 
 /**
  * @return false if a stopping gateway should not send the request to an endpoint any more. During the drain delay after
- * a stop request, these are streams that are expected to outlast it, if another gateway of the zone can serve them.
+ * a stop request, these are streams that may outlast it, if another gateway of the zone can serve them.
  * Later, a request's deadline counts; once the stop is complete, nothing is sent.
  */
 bool mayStartInStop(const GatewayState& state, const ActiveRequest& active, Instant now);
@@ -20,7 +20,7 @@
 /** @return the time until a stream in progress is expected to end, at the pace of its engine. */
 Duration expectedRemainingTime(const GatewayState& state, const ActiveRequest& active);
 
-/** @return the time that a new stream is expected to take, at the average pace of its service's engines. */
-Duration expectedStreamTime(const GatewayState& state, const ActiveRequest& active);
+/** @return the time that a new stream takes with the longest allowed output at the slowest of its service's engines. */
+Duration longestStreamTime(const GatewayState& state, const ActiveRequest& active);
 
 }
--- a/test/error/GatewayDrainsBeforeExit.cpp
+++ b/test/error/GatewayDrainsBeforeExit.cpp
@@ -157,6 +157,26 @@
     }
 }
 
+// Guards against streams that a stopping gateway takes on by their expected length, which half of all streams exceed.
+TEST_CASE("A stopping gateway refuses a stream whose longest output would outlast its exit")
+{
+    for (const auto& [maxOutputTokens, isAccepted] :
+        { std::pair<std::uint64_t, bool> { 600, true }, { 1000, false } }) {
+        CAPTURE(maxOutputTokens);
+        GatewayScenario scenario;
+        const GatewayMember other { GatewayId("gateway-2"), { "10.0.0.99", 80 }, ZoneId("north") };
+        GossipMessage gossip;
+        gossip.instance = other.instance;
+        gossip.incarnation = Incarnation(7);
+        gossip.sequence = 1;
+        scenario.start().handle(MembersListed { { other } }).handle(GossipReceived { gossip });
+        scenario.handle(GatewayStopRequested { scenario.now() }).advance(Milliseconds(500)).clearActions();
+        scenario.sendStream(maxOutputTokens);
+        CHECK(scenario.lastAction<StartExchange>().has_value() == isAccepted);
+        CHECK(scenario.lastAction<RefuseRequest>().has_value() != isAccepted);
+    }
+}
+
 // Guards against a drain that begins when the gateway hears of the signal, so that the platform's kill comes before its
 // end.
 TEST_CASE("The drain delay and the stop limit count from the stop signal")
