Resume a broken stream in a stop while its run has time for events

Cause: a forecast of the whole stream, wrong for about half of them, decided whether the stream goes on at all. Not resumed, it is lost for certain.

Change: it resumes unless the exit comes before a first event could. Runs that still work are moved on the same forecast as before, since they have an engine.

--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -334,8 +334,8 @@
     std::string refusal;
     if (!this->state.endpoints.acceptsResumption(endpoint, now))
         refusal = "endpoint takes no requests";
-    else if (!endsBeforeStop(this->state, active, now))
-        refusal = "would outlast the stop";
+    else if (!hasTimeForEventsBeforeStop(this->state, active, now))
+        refusal = "the exit is too near";
     return this->resume(active, endpoint, point, refusal, now, actions);
 }
 
--- a/src/core/gateway/StreamForecast.cpp
+++ b/src/core/gateway/StreamForecast.cpp
@@ -48,6 +48,11 @@
     return !state.stop || state.endsBeforeStop(now + expectedRemainingTime(state, active));
 }
 
+bool hasTimeForEventsBeforeStop(const GatewayState& state, const ActiveRequest& active, Instant now)
+{
+    return state.endsBeforeStop(now + state.endpoints.longestFirstEventTime(active.service->name));
+}
+
 bool mayStartInStop(const GatewayState& state, const ActiveRequest& active, Instant now)
 {
     const auto& stop = state.stop;
