--- a/src/core/gateway/StreamForecast.h
+++ b/src/core/gateway/StreamForecast.h
@@ -10,9 +10,12 @@
 /** @return false if a stopping gateway may exit before a stream in progress is expected to end. */
 bool endsBeforeStop(const GatewayState& state, const ActiveRequest& active, Instant now);
 
+/** @return false if a stopping gateway may exit before a stream that resumes now produces an event. */
+bool hasTimeForEventsBeforeStop(const GatewayState& state, const ActiveRequest& active, Instant now);
+
 /**
  * @return false if a stopping gateway should not send the request to an endpoint any more. During the drain delay after
- * a stop request, these are streams that are expected to outlast it, if another gateway of the zone can serve them.
+ * a stop request, these are streams that may outlast it, if another gateway of the zone can serve them.
  * Later, a request's deadline counts; once the stop is complete, nothing is sent.
  */
 bool mayStartInStop(const GatewayState& state, const ActiveRequest& active, Instant now);
@@ -20,7 +23,7 @@
 /** @return the time until a stream in progress is expected to end, at the pace of its engine. */
 Duration expectedRemainingTime(const GatewayState& state, const ActiveRequest& active);
 
-/** @return the time that a new stream is expected to take, at the average pace of its service's engines. */
-Duration expectedStreamTime(const GatewayState& state, const ActiveRequest& active);
+/** @return the time that a new stream takes with the longest allowed output at the slowest of its service's engines. */
+Duration longestStreamTime(const GatewayState& state, const ActiveRequest& active);
 
 }
