Write log lines that the reader takes at once after the limit for waits too

What was seen: after the limit that a stop sets, every line is lost, also one for which the pipe has room.

Cause: the limit was compared with the clock before the descriptor was polled, so it bounded writes rather than waits.

Change: the descriptor is polled first, and the limit ends waits only. A full pipe still ends the write at the limit. The new test failed before: the write to an empty pipe returned false.

--- a/src/adapters/logging/LineWriter.cpp
+++ b/src/adapters/logging/LineWriter.cpp
@@ -22,19 +22,20 @@
 {
     std::array<pollfd, 2> polled { pollfd { this->descriptor, POLLOUT, 0 },
         pollfd { this->wakeUps.socket().impl()->sockfd(), POLLIN, 0 } };
-    for (Instant now = std::chrono::steady_clock::now(); now < this->waitLimit.load();
-         now = std::chrono::steady_clock::now()) {
+    while (true) {
         if (poll(polled.data(), 1, 0) > 0)
             return true;
-        const auto left
-            = std::chrono::ceil<Milliseconds>(std::min<Duration>(this->waitLimit.load() - now, longestPoll));
+        const Instant now = std::chrono::steady_clock::now();
+        const Instant limit = this->waitLimit.load();
+        if (now >= limit)
+            return false;
+        const auto left = std::chrono::ceil<Milliseconds>(std::min<Duration>(limit - now, longestPoll));
         poll(polled.data(), polled.size(), static_cast<int>(left.count()));
         if (polled[0].revents != 0)
             return true;
         if (polled[1].revents != 0)
             this->wakeUps.reset();
     }
-    return false;
 }
 
 bool LineWriter::write(std::string_view line)
--- a/test/error/SlowLogReadersDelayNothing.cpp
+++ b/test/error/SlowLogReadersDelayNothing.cpp
@@ -132,3 +132,13 @@
     auto stopped = std::async(std::launch::async, [&] { hub->stop(); });
     CHECK(stopped.wait_for(Seconds(2)) == std::future_status::ready);
 }
+
+// Guards against the last lines of a stop, which nobody gets although the reader takes every line at once.
+TEST_CASE("A line that the reader takes at once is written after the limit for waits too")
+{
+    Pipe pipe;
+    LineWriter lines(pipe.writeEnd());
+    lines.limitWaits(std::chrono::steady_clock::now() - Milliseconds(1));
+    REQUIRE(lines.write("event=stopped\n"));
+    CHECK(pipe.readSome() == "event=stopped\n");
+}
