--- a/test/error/SlowLogReadersDelayNothing.cpp
+++ b/test/error/SlowLogReadersDelayNothing.cpp
@@ -142,3 +142,34 @@
     REQUIRE(lines.write("event=stopped\n"));
     CHECK(pipe.readSome() == "event=stopped\n");
 }
+
+// Guards against a log that blocks its process because another process of the same pipe has taken the free space.
+TEST_CASE("Processes that share the pipe of their logs do not block each other beyond the limit for waits")
+{
+    Pipe pipe;
+    constexpr int writers = 8;
+    std::vector<std::unique_ptr<LineWriter>> logs;
+    std::vector<std::future<void>> ends;
+    for (int writer = 0; writer < writers; ++writer)
+        logs.push_back(std::make_unique<LineWriter>(pipe.writeEnd()));
+    for (const auto& log : logs) {
+        ends.push_back(std::async(std::launch::async, [&log] {
+            while (log->write(std::string(3999, 'x') + "\n")) { }
+        }));
+    }
+    for (int reads = 0; reads < 200; ++reads) {
+        pipe.readSome();
+        std::this_thread::sleep_for(Milliseconds(1));
+    }
+    for (const auto& log : logs)
+        log->limitWaits(std::chrono::steady_clock::now());
+    const Instant end = std::chrono::steady_clock::now() + Seconds(2);
+    int blocked = 0;
+    for (auto& ended : ends)
+        blocked += ended.wait_until(end) == std::future_status::ready ? 0 : 1;
+    CHECK(blocked == 0);
+    for (auto& ended : ends) {
+        while (ended.wait_for(Milliseconds(1)) != std::future_status::ready)
+            pipe.readSome();
+    }
+}
