Log a failed start on the log's duty, so that the exit does not wait for a reader

What was seen: a gateway that cannot bind a port, with a log that nobody reads, was not gone after 3.6 s (in a trial 6 s); it never exits, so nothing starts it again.

Cause: start_failed was written from the main thread by a log output of its own, for which no limit is set. The logging library also holds a lock while a line waits, so a line of the log's duty that waits for the reader would stop the main thread as well.

Change: the hub takes the line, and its stop bounds the wait. The entry gets the same change; its case was not run with such a log.

The check 'a failed start, a log that nobody reads' of slow-log-readers.sh failed before.

--- a/apps/teaselfold-entry/Main.cpp
+++ b/apps/teaselfold-entry/Main.cpp
@@ -170,7 +170,9 @@
     std::optional<Failure> failure = this->admin.start();
     if (!failure)
         failure = this->callers->start();
-    if (!failure) {
+    if (failure)
+        this->telemetry->log({ "start_failed", { { "reason", failure->message } } });
+    else {
         waitForStop(signals);
         this->router.ring().push(RouterStopRequested {});
         this->drained.get_future().wait();
@@ -202,7 +204,5 @@
     startLogging(argv[0]);
     EntryProcess process(std::get<EntrySettings>(parsed));
     const auto failure = process.run(signals);
-    if (failure)
-        GlogLog().write({ "start_failed", { { "reason", failure->message } } });
     return static_cast<int>(failure ? ExitCode::Failed : ExitCode::Done);
 }
--- a/apps/teaselfold-gateway/Main.cpp
+++ b/apps/teaselfold-gateway/Main.cpp
@@ -75,6 +75,10 @@
      * @return when it arrived; the beginning of the reload during which it arrived, if any.
      */
     Instant waitForStop(const HandledSignals& signals);
+    /** Binds the ports. @return the failure when one cannot be bound. */
+    std::optional<Failure> bindPorts();
+    /** Serves until a stop signal arrives and the drain completes. */
+    void serveUntilStop(const HandledSignals& signals);
     /** @param requested true after a SIGHUP: invalid settings are logged and unchanged ones applied again. */
     void reloadSettings(bool requested);
 
@@ -139,15 +143,17 @@
     this->traffic->ring().push(LimitsChanged { gatewayLimits(this->settings) });
 }
 
-std::optional<Failure> GatewayProcess::run(const HandledSignals& signals)
+std::optional<Failure> GatewayProcess::bindPorts()
 {
-    this->telemetry->start();
-    this->telemetry->log(
-        { "started", { { "instance", this->settings.instance }, { "zone", this->settings.zone.get() } } });
     if (auto failure = this->traffic->start())
         return failure;
     if (const auto reason = this->peers.start())
         return Failure { ErrorCode::Internal, "cannot listen for peers: " + *reason, Executed::No, {} };
+    return std::nullopt;
+}
+
+void GatewayProcess::serveUntilStop(const HandledSignals& signals)
+{
     this->store.start();
     this->traffic->ring().push(GatewayStopRequested { this->waitForStop(signals) });
     this->stopped.get_future().wait();
@@ -156,8 +162,20 @@
     this->written.get_future().wait();
     this->traffic->stop();
     this->telemetry->log({ "stopped", { { "instance", this->settings.instance } } });
+}
+
+std::optional<Failure> GatewayProcess::run(const HandledSignals& signals)
+{
+    this->telemetry->start();
+    this->telemetry->log(
+        { "started", { { "instance", this->settings.instance }, { "zone", this->settings.zone.get() } } });
+    auto failure = this->bindPorts();
+    if (failure)
+        this->telemetry->log({ "start_failed", { { "reason", failure->message } } });
+    else
+        this->serveUntilStop(signals);
     this->telemetry->stop();
-    return std::nullopt;
+    return failure;
 }
 
 }
@@ -174,7 +192,5 @@
         return readGatewayCommandLine({ "teaselfold-gateway", TEASELFOLD_VERSION }, arguments);
     });
     const auto failure = process.run(signals);
-    if (failure)
-        GlogLog().write({ "start_failed", { { "reason", failure->message } } });
     return static_cast<int>(failure ? ExitCode::Failed : ExitCode::Done);
 }
--- a/test/process/lib/slow_log_readers.py
+++ b/test/process/lib/slow_log_readers.py
@@ -86,7 +86,46 @@
         gateway.process.wait()
 
 
+def full_pipe():
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    try:
+        while True:
+            os.write(writer, b"x")
+    except BlockingIOError:
+        os.set_blocking(writer, True)
+    return reader, writer
+
+
+def fail_to_start(gateway, output):
+    """Starts a second gateway on the ports of the first one. Returns its exit status; None if it does not exit."""
+    process = subprocess.Popen([gateway.program, "--config", gateway.file.name], stdout=output, stderr=output)
+    try:
+        return process.wait(LONGEST_IDLE_STOP_S)
+    except subprocess.TimeoutExpired:
+        return None
+    finally:
+        process.kill()
+        process.wait()
+
+
+# Guards against processes that cannot start and are never started again, because their last line waits for a reader.
+def check_failed_starts(binaries):
+    gateway = Gateway(binaries, Store())
+    try:
+        wait_until("a failed start: the ports are in use", lambda: gateway.get(gateway.status, "/v1/readyz")[0] != 0)
+        for title, pipe in (("that is read", os.pipe()), ("that nobody reads", full_pipe())):
+            status = fail_to_start(gateway, pipe[1])
+            require("a failed start, a log %s: the gateway exits with a failure" % title, status not in (0, None))
+            if title == "that is read":
+                require("a failed start: the log tells why", b"event=start_failed reason=" in os.read(pipe[0], 65536))
+    finally:
+        gateway.process.kill()
+        gateway.process.wait()
+
+
 def main():
+    check_failed_starts(sys.argv[1])
     check(sys.argv[1], "a log that is read", None)
     check(sys.argv[1], "a log that nobody reads", 0)
     check(sys.argv[1], "a log that is read slowly", SLOW_BYTES_PER_S)
