Stop the administration port without waiting for its clients

What was seen: a client of the administration port, such as a scraper, that sends its request byte by byte held the exit of an entry or an agent for 8.1 s in three of three cases (it stopped sending after 3 s), and one that does not read a response of 32 MB for 5.0 s. It goes on for as long as the client sends.

Cause: the socket's timeouts of 5 s begin anew with each byte, and the stop joined the threads that serve the port.

Change: as at the callers' port, a request must arrive whole in 5 s, and a stop ends those that are incomplete. A response must be taken in 5 s, in a stop in 500 ms; whoever is served in that time gets it whole.

--- a/src/adapters/http/AdminListener.cpp
+++ b/src/adapters/http/AdminListener.cpp
@@ -2,11 +2,13 @@
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerConnection.h>
 #include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/URI.h>
 
 #include <array>
@@ -18,6 +20,9 @@
     constexpr std::size_t maxBodyBytes = 1024UL * 1024UL;
     constexpr int maxQueuedConnections = 64;
     constexpr Seconds readTimeout(5);
+    constexpr Seconds writeTimeout(5);
+    /** Longest time after the begin of a stop in which responses are written. */
+    constexpr Milliseconds writeTimeInStop(500);
 
     /** @return the body, or nothing if it exceeds maxBodyBytes. */
     std::optional<std::string> readBody(std::istream& stream)
@@ -44,31 +49,18 @@
         return head;
     }
 
-    /** Serves the request, or rejects it if it is malformed or too large. */
-    AdminResponse serveOrReject(Poco::Net::HTTPServerRequest& request, const AdminListener::ServeFunction& serve)
-    {
-        try {
-            AdminRequest adminRequest = readRequestHead(request);
-            std::optional<std::string> body = readBody(request.stream());
-            if (!body)
-                return makeErrorResponse(ErrorCode::TooLarge, "the body is over 1 MiB");
-            adminRequest.body = std::move(*body);
-            return serve(adminRequest);
-        } catch (const Poco::Exception&) {
-            return makeErrorResponse(ErrorCode::BadRequest, "the request cannot be read");
-        }
-    }
-
     class Handler : public Poco::Net::HTTPRequestHandler {
     public:
-        explicit Handler(const AdminListener::ServeFunction& serve)
+        Handler(const AdminListener::ServeFunction& serve, AdminExchangeMonitors& monitors)
             : serve(serve)
+            , monitors(monitors)
         {
         }
 
         void handleRequest(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) override
         {
-            const AdminResponse adminResponse = serveOrReject(request, this->serve);
+            const AdminResponse adminResponse = this->serveOrReject(request);
+            this->monitors.responses.track(static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket());
             response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(adminResponse.status));
             response.setContentType(adminResponse.contentType);
             response.setKeepAlive(false);
@@ -79,23 +71,86 @@
         }
 
     private:
+        /** Serves the request, or rejects it if it is malformed or too large. */
+        AdminResponse serveOrReject(Poco::Net::HTTPServerRequest& request)
+        {
+            try {
+                AdminRequest adminRequest = readRequestHead(request);
+                std::optional<std::string> body = readBody(request.stream());
+                this->monitors.requests.stopTracking(request.clientAddress().toString());
+                if (!body)
+                    return makeErrorResponse(ErrorCode::TooLarge, "the body is over 1 MiB");
+                adminRequest.body = std::move(*body);
+                return this->serve(adminRequest);
+            } catch (const Poco::Exception&) {
+                return makeErrorResponse(ErrorCode::BadRequest, "the request cannot be read");
+            }
+        }
+
         const AdminListener::ServeFunction& serve;
+        AdminExchangeMonitors& monitors;
     };
 
     class HandlerFactory : public Poco::Net::HTTPRequestHandlerFactory {
     public:
-        explicit HandlerFactory(const AdminListener::ServeFunction& serve)
+        HandlerFactory(const AdminListener::ServeFunction& serve, AdminExchangeMonitors& monitors)
             : serve(serve)
+            , monitors(monitors)
         {
         }
 
         Poco::Net::HTTPRequestHandler* createRequestHandler(const Poco::Net::HTTPServerRequest&) override
         {
-            return new Handler(this->serve);
+            return new Handler(this->serve, this->monitors);
         }
 
     private:
         const AdminListener::ServeFunction& serve;
+        AdminExchangeMonitors& monitors;
+    };
+
+    /** A connection that is monitored from its beginning to its end. */
+    class Connection final : public Poco::Net::HTTPServerConnection {
+    public:
+        Connection(const Poco::Net::StreamSocket& socket, Poco::Net::HTTPServerParams::Ptr parameters,
+            Poco::Net::HTTPRequestHandlerFactory::Ptr handlers, AdminExchangeMonitors& monitors)
+            : Poco::Net::HTTPServerConnection(socket, std::move(parameters), std::move(handlers))
+            , peer(socket.peerAddress().toString())
+            , monitors(monitors)
+        {
+            this->monitors.requests.track(socket);
+        }
+
+        ~Connection() override
+        {
+            this->monitors.requests.stopTracking(this->peer);
+            this->monitors.responses.stopTracking(this->peer);
+        }
+
+    private:
+        std::string peer;
+        AdminExchangeMonitors& monitors;
+    };
+
+    class ConnectionFactory final : public Poco::Net::TCPServerConnectionFactory {
+    public:
+        ConnectionFactory(Poco::Net::HTTPServerParams::Ptr parameters,
+            Poco::Net::HTTPRequestHandlerFactory::Ptr handlers, AdminExchangeMonitors& monitors)
+            : parameters(std::move(parameters))
+            , handlers(std::move(handlers))
+            , monitors(monitors)
+        {
+        }
+
+        Poco::Net::TCPServerConnection* createConnection(const Poco::Net::StreamSocket& socket) override
+        {
+            return new Connection(socket, this->parameters, this->handlers, this->monitors);
+        }
+
+    private:
+        Poco::Net::HTTPServerParams::Ptr parameters;
+        Poco::Net::HTTPRequestHandlerFactory::Ptr handlers;
+        AdminExchangeMonitors& monitors;
     };
 
     Poco::Net::HTTPServerParams::Ptr makeParameters(std::uint16_t threads)
@@ -113,6 +168,7 @@
 AdminListener::AdminListener(const Address& listen, std::uint16_t threads, ServeFunction serve)
     : listen(listen)
     , serve(std::move(serve))
+    , monitors { ReceiveTimeoutMonitor(readTimeout), ReceiveTimeoutMonitor(writeTimeout) }
     , pool("admin", 1, threads)
 {
 }
@@ -126,8 +182,9 @@
         socket.bind(Poco::Net::SocketAddress(this->listen.host, this->listen.port), true);
         socket.listen();
         const auto parameters = makeParameters(static_cast<std::uint16_t>(this->pool.capacity()));
-        Poco::Net::HTTPRequestHandlerFactory::Ptr factory(new HandlerFactory(this->serve));
-        this->server = std::make_unique<Poco::Net::HTTPServer>(factory, this->pool, socket, parameters);
+        Poco::Net::HTTPRequestHandlerFactory::Ptr factory(new HandlerFactory(this->serve, this->monitors));
+        this->server = std::make_unique<Poco::Net::TCPServer>(
+            new ConnectionFactory(parameters, factory, this->monitors), this->pool, socket, parameters);
         this->server->start();
         return std::nullopt;
     } catch (const Poco::Exception& error) {
@@ -141,6 +198,8 @@
     if (!this->server)
         return;
     this->server->stop();
+    this->monitors.requests.stop();
+    this->monitors.responses.limitDeadlines(std::chrono::steady_clock::now() + writeTimeInStop);
     this->pool.joinAll();
     this->server.reset();
 }
--- a/src/adapters/http/AdminListener.h
+++ b/src/adapters/http/AdminListener.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include "adapters/http/AdminApi.h"
+#include "adapters/http/ReceiveTimeoutMonitor.h"
 
-#include <Poco/Net/HTTPServer.h>
+#include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
 
 #include <functional>
@@ -11,6 +12,12 @@
 
 namespace teaselfold::Internal {
 
+/** Bound the time that a client takes for its request and for the response. */
+struct AdminExchangeMonitors {
+    ReceiveTimeoutMonitor requests;
+    ReceiveTimeoutMonitor responses;
+};
+
 /** An HTTP server on one port with its own thread pool. */
 class AdminListener {
 public:
@@ -22,14 +29,16 @@
 
     /** Binds the port and starts serving. @return the failure if the port cannot be bound. */
     std::optional<Failure> start();
-    /** Finishes the requests in progress and closes the port. Idempotent. */
+    /** Serves the requests that were received whole and closes the port. Waits a short time at most for clients.
+     * Idempotent. */
     void stop();
 
 private:
     Address listen;
     ServeFunction serve;
+    AdminExchangeMonitors monitors;
     Poco::ThreadPool pool;
-    std::unique_ptr<Poco::Net::HTTPServer> server;
+    std::unique_ptr<Poco::Net::TCPServer> server;
 };
 
 }
--- a/src/adapters/http/ReceiveTimeoutMonitor.cpp
+++ b/src/adapters/http/ReceiveTimeoutMonitor.cpp
@@ -34,6 +34,15 @@
     this->pendingConnections.erase(peer);
 }
 
+void ReceiveTimeoutMonitor::limitDeadlines(Instant latest)
+{
+    {
+        std::lock_guard lock(this->mutex);
+        this->latestDeadline = latest;
+    }
+    this->wakeUp.notify_all();
+}
+
 void ReceiveTimeoutMonitor::stop()
 {
     {
@@ -62,7 +71,7 @@
 void ReceiveTimeoutMonitor::shutDownExpired(Instant now)
 {
     for (auto connection = this->pendingConnections.begin(); connection != this->pendingConnections.end();) {
-        if (connection->second.deadline > now) {
+        if (std::min(connection->second.deadline, this->latestDeadline) > now) {
             ++connection;
             continue;
         }
@@ -84,7 +93,8 @@
 {
     const auto earlier
         = [](const auto& left, const auto& right) { return left.second.deadline < right.second.deadline; };
-    return std::min_element(this->pendingConnections.begin(), this->pendingConnections.end(), earlier)->second.deadline;
+    const auto next = std::min_element(this->pendingConnections.begin(), this->pendingConnections.end(), earlier);
+    return std::min(next->second.deadline, this->latestDeadline);
 }
 
 }
--- a/src/adapters/http/ReceiveTimeoutMonitor.h
+++ b/src/adapters/http/ReceiveTimeoutMonitor.h
@@ -27,6 +27,8 @@
     void track(const Poco::Net::StreamSocket& socket);
     /** Ends the timeout of this peer's connection, whose request is complete or has been given up. */
     void stopTracking(const std::string& peer);
+    /** Moves later deadlines forward, also those of connections that are tracked from now on. */
+    void limitDeadlines(Instant latest);
     /** Shuts down all connections whose request is incomplete, and joins the thread. Idempotent. */
     void stop();
 
@@ -45,6 +47,7 @@
     std::mutex mutex;
     std::condition_variable wakeUp;
     std::map<std::string, PendingConnection> pendingConnections;
+    Instant latestDeadline { Instant::max() };
     bool stopping { false };
     std::thread thread;
 };
