Resume a broken stream in a stop by the time of the engine that has its copy

What callers saw: lets a broken stream resume in a stop unless a first event could come after the exit, but takes the average time to a first event of the slowest engine of the service. One slow engine, often the one that just broke, makes the stop give up every broken stream, which is then lost for certain.

Cause: the time of another engine, measured with whole prompts, was used for a run that is admitted first and reads only what its copy lacks.

Change: the time of the engine with the copy counts, at most the one that is assumed without a measurement.

The new test failed before: with 2.9 s left, a stream whose first engine took 3.5 s to its first event was aborted.

--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -294,6 +294,14 @@
     return *std::max_element(times.begin(), times.end());
 }
 
+Duration EndpointDirectory::resumptionTime(const EndpointId& endpoint) const
+{
+    const auto found = this->endpoints.find(endpoint);
+    const bool isMeasured = found != this->endpoints.end() && found->second.firstEventTime;
+    const Duration measured = isMeasured ? *found->second.firstEventTime : Duration(assumedFirstEventTime);
+    return std::min<Duration>(measured, assumedFirstEventTime);
+}
+
 void EndpointDirectory::recordLoad(const EndpointId& endpoint, const ReportedLoad& load, Instant now)
 {
     if (GatewayEndpoint* found = this->find(endpoint)) {
--- a/src/core/gateway/EndpointDirectory.h
+++ b/src/core/gateway/EndpointDirectory.h
@@ -121,6 +121,11 @@
     /** @return the average time from sending a stream's request to its first event at the slowest engine of a service.
      */
     Duration longestFirstEventTime(const ServiceId& service) const;
+    /**
+     * @return the time to the first event of a run that resumes at an engine. It is admitted first and reads only what
+     * its copy lacks, so the time does not grow with the engine's load.
+     */
+    Duration resumptionTime(const EndpointId& endpoint) const;
     void recordLoad(const EndpointId& endpoint, const ReportedLoad& load, Instant now);
     void recordSuccess(const EndpointId& endpoint);
     /** Records that the endpoint announced in an answer that it leaves. @return true if that was not known. */
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -334,7 +334,7 @@
     std::string refusal;
     if (!this->state.endpoints.acceptsResumption(endpoint, now))
         refusal = "endpoint takes no requests";
-    else if (!hasTimeForEventsBeforeStop(this->state, active, now))
+    else if (!hasTimeForEventsBeforeStop(this->state, endpoint, now))
         refusal = "the exit is too near";
     return this->resume(active, endpoint, point, refusal, now, actions);
 }
--- a/src/core/gateway/StreamForecast.cpp
+++ b/src/core/gateway/StreamForecast.cpp
@@ -48,9 +48,9 @@
     return !state.stop || state.endsBeforeStop(now + expectedRemainingTime(state, active));
 }
 
-bool hasTimeForEventsBeforeStop(const GatewayState& state, const ActiveRequest& active, Instant now)
+bool hasTimeForEventsBeforeStop(const GatewayState& state, const EndpointId& endpoint, Instant now)
 {
-    return state.endsBeforeStop(now + state.endpoints.longestFirstEventTime(active.service->name));
+    return state.endsBeforeStop(now + state.endpoints.resumptionTime(endpoint));
 }
 
 bool mayStartInStop(const GatewayState& state, const ActiveRequest& active, Instant now)
--- a/src/core/gateway/StreamForecast.h
+++ b/src/core/gateway/StreamForecast.h
@@ -10,8 +10,8 @@
 /** @return false if a stopping gateway may exit before a stream in progress is expected to end. */
 bool endsBeforeStop(const GatewayState& state, const ActiveRequest& active, Instant now);
 
-/** @return false if a stopping gateway may exit before a stream that resumes now produces an event. */
-bool hasTimeForEventsBeforeStop(const GatewayState& state, const ActiveRequest& active, Instant now);
+/** @return false if a stopping gateway may exit before a stream that resumes now at the endpoint produces an event. */
+bool hasTimeForEventsBeforeStop(const GatewayState& state, const EndpointId& endpoint, Instant now);
 
 /**
  * @return false if a stopping gateway should not send the request to an endpoint any more. During the drain delay after
--- a/test/error/GatewayDrainsBeforeExit.cpp
+++ b/test/error/GatewayDrainsBeforeExit.cpp
@@ -220,6 +220,24 @@
     }
 }
 
+// Guards against broken streams that a stop gives up because some engine, not the one with their copy, is slow.
+TEST_CASE("A stopping gateway resumes a broken stream although another engine is slow")
+{
+    GatewayLimits limits;
+    limits.stopLimit = Milliseconds(3000);
+    GatewayScenario scenario(limits);
+    scenario.start();
+    scenario.sendStream(400);
+    scenario.respond(GatewayScenario::streamStart());
+    scenario.advance(Milliseconds(3500));
+    scenario.handle(EventsRelayed { scenario.lastExchange()->exchange, 1 });
+    REQUIRE(scenario.lastExchange()->replicaAddress);
+    scenario.handle(GatewayStopRequested { scenario.now() }).advance(Milliseconds(100)).clearActions();
+    scenario.endExchange(ExchangeEnd::Broken);
+    CHECK(scenario.lastAction<StartExchange>());
+    CHECK_FALSE(scenario.lastAction<AbortResponse>());
+}
+
 // Guards against runs that are stopped at their endpoint shortly before the exit, after which no endpoint works on
 // them.
 TEST_CASE("A stopping gateway migrates a stream only if it is expected to end before the exit")
