Return a stopped run to its source when its target does not take it

Callers saw a stream end in the middle of its answer although an engine still held its memory. The last call of a migration stops the run at the source; the source keeps the memory and names its handle, also in a 503 (no room, or the target out of reach). The gateway dropped that handle and knew one way back only, the target: refused or not connected twice, or gone from the directory, the stream was aborted.

The handle is kept now. If the target certainly did not take the run (not connected, refused as not run, or out of use), the run resumes at the source. After a try whose outcome is unknown it stays with that engine, so that it never goes on at two. The source gets it only until 500 ms after the gateway learned that it leaves, and not in a zone out of service: a leaving engine takes requests for a short time only. From there the run is moved again, to another target. The retry budget and the number of tries are as before.

--- a/src/core/gateway/ActiveRequest.h
+++ b/src/core/gateway/ActiveRequest.h
@@ -40,15 +40,28 @@
     std::optional<Instant> stopCallAt;
     /** How the source's stream ended. All of its events were relayed to the caller. */
     std::optional<ExchangeEnd> streamEnd;
+    /** Handle of the KV cache that the source kept when it stopped the run. */
+    std::optional<KvCacheHandle> keptAtSource;
 };
 
-/** The way back of a stream whose run was stopped for a migration, until the target has accepted it. */
-struct StoppedRun {
-    EndpointId target;
+/** An engine at which a stopped run may resume. */
+struct ResumptionPlace {
+    EndpointId endpoint;
     ResumePoint point;
+};
+
+/** The way back of a stream whose run was stopped for a migration, until an engine has accepted it. */
+struct StoppedRun {
+    ResumptionPlace target;
+    /** The engine that stopped the run; unset if it kept no KV cache. */
+    std::optional<ResumptionPlace> source;
     /** When the source was asked to stop the run. */
     std::optional<Instant> stopCallAt;
     std::uint32_t tries { 0 };
+    /** Engine of the last try. */
+    std::optional<EndpointId> triedAt;
+    /** Engine that may have taken the run, so that it resumes at no other one. */
+    std::optional<EndpointId> mayRunAt;
 };
 
 /** A request that waits for an endpoint or has an exchange in progress. */
--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -21,6 +21,8 @@
     constexpr std::uint32_t maxResumptionsPerRest = 1;
     /** The same for streams whose runs were stopped: they have nowhere else to go. */
     constexpr std::uint32_t maxStoppedRunsPerRest = 2;
+    /** Time for which a leaving endpoint takes its stopped runs back; shorter than the time for which it works on. */
+    constexpr Milliseconds returnPeriod(500);
 
     /** Adds a measured time to a moving average. */
     void addToAverage(std::optional<Duration>& average, Duration time)
@@ -53,6 +55,10 @@
     endpoint.record = record;
     endpoint.idHash = endpointHashOf(record.id);
     endpoint.announcedLeaving = this->leavingEndpoints.contains(record.id, record.startedAt);
+    if (!isLeaving(endpoint))
+        endpoint.leavingSince.reset();
+    else if (wasUsable)
+        endpoint.leavingSince = now;
     endpoint.removalDueAt.reset();
     endpoint.coldUntil = std::max(restarted ? now : endpoint.coldUntil, now + record.coldRemaining);
     return wasUsable && record.isDraining;
@@ -311,11 +317,13 @@
     }
 }
 
-bool EndpointDirectory::recordLeaving(const EndpointId& endpoint)
+bool EndpointDirectory::recordLeaving(const EndpointId& endpoint, Instant now)
 {
     GatewayEndpoint* found = this->find(endpoint);
     if (!found)
         return false;
+    if (!isLeaving(*found))
+        found->leavingSince = now;
     found->announcedLeaving = true;
     return this->leavingEndpoints.add(endpoint, found->record.startedAt) && !found->record.isDraining;
 }
@@ -351,6 +359,15 @@
         && (found->second.restsUntil <= now || found->second.sentWhileResting < maxStoppedRunsPerRest);
 }
 
+bool EndpointDirectory::acceptsReturn(const EndpointId& endpoint, Instant now) const
+{
+    if (!this->acceptsStoppedRun(endpoint, now))
+        return false;
+    const GatewayEndpoint& found = this->endpoints.at(endpoint);
+    const bool hasJustBegunToLeave = found.leavingSince && now - *found.leavingSince < returnPeriod;
+    return !this->zonesOutOfService.contains(found.record.zone) && (!isLeaving(found) || hasJustBegunToLeave);
+}
+
 std::string_view EndpointDirectory::stateName(const EndpointId& endpoint, Instant now) const
 {
     const auto found = this->endpoints.find(endpoint);
--- a/src/core/gateway/EndpointDirectory.h
+++ b/src/core/gateway/EndpointDirectory.h
@@ -25,6 +25,8 @@
     std::uint32_t idHash { 0 };
     /** The endpoint announced in an answer that it leaves. */
     bool announcedLeaving { false };
+    /** When this gateway learned that the endpoint leaves; unset if it was leaving already when it was first seen. */
+    std::optional<Instant> leavingSince;
     /** Until then the endpoint, which was full, wants no requests of this gateway. */
     Instant restsUntil;
     /** Requests that were sent nevertheless. */
@@ -124,7 +126,7 @@
     void recordLoad(const EndpointId& endpoint, const ReportedLoad& load, Instant now);
     void recordSuccess(const EndpointId& endpoint);
     /** Records that the endpoint announced in an answer that it leaves. @return true if that was not known. */
-    bool recordLeaving(const EndpointId& endpoint);
+    bool recordLeaving(const EndpointId& endpoint, Instant now);
     /**
      * Records that the endpoint wants no requests of this gateway for some time. An earlier answer may have stated a
      * longer one, which still holds. @return true if the endpoint did not rest before.
@@ -136,6 +138,8 @@
     bool acceptsResumption(const EndpointId& endpoint, Instant now) const;
     /** @return true if a stream may resume whose run was stopped when the endpoint still took requests. */
     bool acceptsStoppedRun(const EndpointId& endpoint, Instant now) const;
+    /** @return true if a stream may return to the endpoint, which stopped its run a moment ago because it leaves. */
+    bool acceptsReturn(const EndpointId& endpoint, Instant now) const;
     /** @return why the endpoint takes no requests now, or "ready"; for logs. */
     std::string_view stateName(const EndpointId& endpoint, Instant now) const;
     /**
--- a/src/core/gateway/EndpointNotices.cpp
+++ b/src/core/gateway/EndpointNotices.cpp
@@ -8,7 +8,7 @@
     const EndpointId& endpoint, bool isLeaving, Milliseconds restTime, Instant now, GatewayActions& actions)
 {
     if (isLeaving) {
-        if (this->state.endpoints.recordLeaving(endpoint))
+        if (this->state.endpoints.recordLeaving(endpoint, now))
             actions.emplace_back(
                 LogEvent { "endpoint_leaves", { { "endpoint", endpoint.get() }, { "announced_by", "answer" } } });
         this->migrator.drainEndpoint(endpoint, now, actions);
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -211,6 +211,8 @@
     // The rejected run never began, so there is no replica of its KV cache.
     active.replicaEngine.reset();
     if (active.responseStarted) {
+        if (active.stoppedRun && !response.notExecuted)
+            active.stoppedRun->mayRunAt = exchange.endpoint;
         StreamMigrator::streamEnded(active, ExchangeEnd::Broken);
         return this->recoverOrFail(active, now, actions);
     }
@@ -253,6 +255,8 @@
         active->replicaEngine.reset();
     else
         active->mayHaveRun = true;
+    if (event.end == ExchangeEnd::Broken && active->stoppedRun)
+        active->stoppedRun->mayRunAt = exchange->endpoint;
     StreamMigrator::streamEnded(*active, event.end);
     this->recoverOrFail(*active, now, actions);
 }
@@ -286,12 +290,9 @@
 
 bool ExchangeDispatcher::tryFailover(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
-    if (active.migration && StreamMigrator::mayBeStopped(active)) {
-        const StreamMigration migration = *active.migration;
-        if (const auto point = StreamMigrator::takeResumePoint(active)) {
-            active.stoppedRun = StoppedRun { migration.target, *point, migration.stopCallAt, 0 };
-            return this->resumeStoppedRun(active, now, actions);
-        }
+    if (auto run = StreamMigrator::takeStoppedRun(active)) {
+        active.stoppedRun = std::move(run);
+        return this->resumeStoppedRun(active, now, actions);
     }
     const EndpointId target = active.migration ? active.migration->target : EndpointId();
     if (const auto point = StreamMigrator::takeResumePoint(active))
@@ -312,20 +313,39 @@
     return this->resumeBrokenRun(active, replicaEngine, point, now, actions);
 }
 
+const ResumptionPlace* ExchangeDispatcher::placeOfStoppedRun(const StoppedRun& run, Instant now) const
+{
+    const auto mayTake = [&](const EndpointId& endpoint) { return !run.mayRunAt || run.mayRunAt == endpoint; };
+    const bool isTargetReady = StreamMigrator::isTargetPrepared(run.stopCallAt, now)
+        ? this->state.endpoints.acceptsStoppedRun(run.target.endpoint, now)
+        : this->state.endpoints.acceptsResumption(run.target.endpoint, now);
+    const bool acceptsTarget = isTargetReady && mayTake(run.target.endpoint);
+    const bool acceptsSource
+        = run.source && mayTake(run.source->endpoint) && this->state.endpoints.acceptsReturn(run.source->endpoint, now);
+    const bool wasTriedAtTarget = run.triedAt == run.target.endpoint;
+    if (acceptsSource && (wasTriedAtTarget || !acceptsTarget))
+        return &*run.source;
+    return acceptsTarget ? &run.target : nullptr;
+}
+
 bool ExchangeDispatcher::resumeStoppedRun(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
     StoppedRun& run = *active.stoppedRun;
     // The caller's stream was whole until the gateway stopped its run, so it goes on even if the exit may cut it again.
-    const bool isAccepted = StreamMigrator::isTargetPrepared(run.stopCallAt, now)
-        ? this->state.endpoints.acceptsStoppedRun(run.target, now)
-        : this->state.endpoints.acceptsResumption(run.target, now);
-    std::string refusal = isAccepted ? "" : "endpoint takes no requests";
+    const ResumptionPlace* place = this->placeOfStoppedRun(run, now);
+    std::string refusal = place ? "" : "endpoint takes no requests";
     if (run.tries >= maxResumptionTries)
         refusal = "no tries left";
     else if (run.tries > 0 && refusal.empty() && !this->state.retryBudgetOf(active.service->name).withdraw(now))
         refusal = "retry budget used up";
     ++run.tries;
-    return this->resume(active, run.target, run.point, refusal, now, actions);
+    const ResumptionPlace chosen = place ? *place : run.target;
+    run.triedAt = chosen.endpoint;
+    if (!this->resume(active, chosen.endpoint, chosen.point, refusal, now, actions))
+        return false;
+    if (run.source && chosen.endpoint == run.source->endpoint)
+        this->migrator.runReturned(active, now);
+    return true;
 }
 
 bool ExchangeDispatcher::resumeBrokenRun(
--- a/src/core/gateway/ExchangeDispatcher.h
+++ b/src/core/gateway/ExchangeDispatcher.h
@@ -49,6 +49,8 @@
     /** Resumes a stream whose engine broke off. @return false if it does not resume. */
     bool resumeBrokenRun(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now,
         GatewayActions& actions);
+    /** @return the engine at which a stopped run resumes next; null if none accepts it. */
+    const ResumptionPlace* placeOfStoppedRun(const StoppedRun& run, Instant now) const;
     /** Tries to resume a run that was stopped for a migration, twice at most. @return false if it does not resume. */
     bool resumeStoppedRun(ActiveRequest& active, Instant now, GatewayActions& actions);
     GatewayEndpoint* pickEndpoint(const ActiveRequest& active, const std::set<EndpointId>& excluded, Instant now) const;
--- a/src/core/gateway/StreamMigrator.cpp
+++ b/src/core/gateway/StreamMigrator.cpp
@@ -119,9 +119,9 @@
         = chooseCopyTarget(this->state, active, { exchange.zone, std::move(excluded), {} }, now);
     if (!target)
         return false;
-    active.migration
-        = StreamMigration { MigrationPhase::Copying, *active.exchange, source, exchange.address, target->record.id,
-              target->record.address, now, 0, active.tokens, std::nullopt, false, std::nullopt, std::nullopt };
+    active.migration = StreamMigration { MigrationPhase::Copying, *active.exchange, source, exchange.address,
+        target->record.id, target->record.address, now, 0, active.tokens, std::nullopt, false, std::nullopt,
+        std::nullopt, std::nullopt };
     this->state.endpoints.addCopy(target->record.id, active.tokens);
     this->requestByExchange[*active.exchange] = active.request.id;
     this->sendCopyCall(active, now, actions);
@@ -158,6 +158,8 @@
     const bool copied = event.outcome == MigrationOutcome::Copied;
     if (copied)
         migration.copy = event.handle;
+    if (migration.phase == MigrationPhase::Finishing && !event.handle.get().empty())
+        migration.keptAtSource = event.handle;
     if (event.outcome == MigrationOutcome::NoSuchRun || event.outcome == MigrationOutcome::InProgress)
         migration.mayBeStopped = false;
     const bool isRunning = migration.phase == MigrationPhase::Copying && !migration.streamEnd;
@@ -250,6 +252,31 @@
     return active.migration && active.migration->streamEnd == ExchangeEnd::Closed && !mayBeStopped(active);
 }
 
+std::optional<StoppedRun> StreamMigrator::takeStoppedRun(ActiveRequest& active)
+{
+    if (!mayBeStopped(active))
+        return std::nullopt;
+    const StreamMigration migration = *active.migration;
+    const auto point = takeResumePoint(active);
+    if (!point)
+        return std::nullopt;
+    StoppedRun run;
+    run.target = { migration.target, *point };
+    run.stopCallAt = migration.stopCallAt;
+    if (migration.keptAtSource)
+        run.source = ResumptionPlace { migration.source,
+            { migration.sourceAddress, *migration.keptAtSource, active.lastEventId } };
+    return run;
+}
+
+void StreamMigrator::runReturned(ActiveRequest& active, Instant now)
+{
+    const StoppedRun& run = *active.stoppedRun;
+    this->draining.try_emplace(run.source->endpoint);
+    active.migrationFailedAt = now;
+    active.failedTargets.insert(run.target.endpoint);
+}
+
 std::optional<ResumePoint> StreamMigrator::takeResumePoint(ActiveRequest& active)
 {
     // The response to the outstanding copy call shows whether there is a copy.
--- a/src/core/gateway/StreamMigrator.h
+++ b/src/core/gateway/StreamMigrator.h
@@ -39,6 +39,13 @@
      * @return the point at which it resumes; unset if it has no copy or the response to a copy call is outstanding.
      */
     static std::optional<ResumePoint> takeResumePoint(ActiveRequest& active);
+    /**
+     * Ends the migration of a stream whose run may have been stopped for it.
+     * @return the way back; unset under the conditions of takeResumePoint(), and if the run was not stopped.
+     */
+    static std::optional<StoppedRun> takeStoppedRun(ActiveRequest& active);
+    /** Prepares another migration of a stopped run that returns to its source. */
+    void runReturned(ActiveRequest& active, Instant now);
     /**
      * @param stopCallAt when the source was last asked to stop the run, if it was.
      * @return true if the run was stopped a moment ago for a target that took requests then, so that the stream may
