Let a stopped run wait for its next try to resume

Callers saw a stream end in the middle of its answer although they waited for seconds more and its copy was still kept. A run that was stopped for a migration had two tries to resume, the second at once. A machine without processor for half a second, whose connect timeout of 250 ms passed twice, or two lost connections in a row used up both.

After two tries that were lost (not connected, or broken without a response), the run waits 200 ms and is tried again, then after pauses twice as long each; six tries at most. Each try withdraws from the retry budget as before, the engine must accept it at that time, and deadline, abandonment and stop limit end the wait. A refusal as not run is still final after two tries: a copy can be used once only, so no try runs anything twice.

Limit: the default budget of the tests allows two tries after the first within a moment, so the later ones need room in it.

--- a/src/core/gateway/ActiveRequest.h
+++ b/src/core/gateway/ActiveRequest.h
@@ -62,6 +62,10 @@
     std::optional<EndpointId> triedAt;
     /** Engine that may have taken the run, so that it resumes at no other one. */
     std::optional<EndpointId> mayRunAt;
+    /** The last try was refused as not run, so the engine has no copy that a later try could use. */
+    bool wasRefused { false };
+    /** When a run that waits after lost tries is tried again. */
+    std::optional<Instant> nextTryAt;
 };
 
 /** A request that waits for an endpoint or has an exchange in progress. */
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -16,7 +16,13 @@
     /** KV cache utilization beyond which an engine gets no replica, since it would take space from running streams. */
     constexpr double maxReplicaUtilization = 0.5;
     /** Tries to resume a run that was stopped. A copy can be used once only, so another try runs nothing twice. */
-    constexpr std::uint32_t maxResumptionTries = 2;
+    constexpr std::uint32_t maxResumptionTries = 6;
+    /** The same if an engine refuses to run it. */
+    constexpr std::uint32_t maxRefusedResumptionTries = 2;
+    /** Tries that follow at once. Later ones wait for an engine, a link or a processor that is back after seconds. */
+    constexpr std::uint32_t immediateResumptionTries = 2;
+    /** Pause before the first try that does not follow at once. Each further pause is twice as long. */
+    constexpr Milliseconds firstResumptionPause(200);
     constexpr std::uint16_t firstServerError = 500;
     constexpr std::uint16_t firstRedirection = 300;
     constexpr std::uint16_t firstSuccess = 200;
@@ -211,8 +217,11 @@
     // The rejected run never began, so there is no replica of its KV cache.
     active.replicaEngine.reset();
     if (active.responseStarted) {
-        if (active.stoppedRun && !response.notExecuted)
-            active.stoppedRun->mayRunAt = exchange.endpoint;
+        if (active.stoppedRun) {
+            active.stoppedRun->wasRefused = true;
+            if (!response.notExecuted)
+                active.stoppedRun->mayRunAt = exchange.endpoint;
+        }
         StreamMigrator::streamEnded(active, ExchangeEnd::Broken);
         return this->recoverOrFail(active, now, actions);
     }
@@ -255,8 +264,11 @@
         active->replicaEngine.reset();
     else
         active->mayHaveRun = true;
-    if (event.end == ExchangeEnd::Broken && active->stoppedRun)
-        active->stoppedRun->mayRunAt = exchange->endpoint;
+    if (active->stoppedRun) {
+        active->stoppedRun->wasRefused = false;
+        if (event.end == ExchangeEnd::Broken)
+            active->stoppedRun->mayRunAt = exchange->endpoint;
+    }
     StreamMigrator::streamEnded(*active, event.end);
     this->recoverOrFail(*active, now, actions);
 }
@@ -334,9 +346,17 @@
     // The caller's stream was whole until the gateway stopped its run, so it goes on even if the exit may cut it again.
     const ResumptionPlace* place = this->placeOfStoppedRun(run, now);
     std::string refusal = place ? "" : "endpoint takes no requests";
-    if (run.tries >= maxResumptionTries)
+    if (run.tries >= (run.wasRefused ? maxRefusedResumptionTries : maxResumptionTries))
         refusal = "no tries left";
-    else if (run.tries > 0 && refusal.empty() && !this->state.retryBudgetOf(active.service->name).withdraw(now))
+    const bool mayWait
+        = run.tries >= immediateResumptionTries && !run.nextTryAt && this->crashes.mayResume(active, now);
+    if (refusal.empty() && mayWait) {
+        run.nextTryAt = now + firstResumptionPause * (1U << (run.tries - immediateResumptionTries));
+        actions.emplace_back(Internal::requestLogEvent("resumption_waits", active, now));
+        return true;
+    }
+    run.nextTryAt.reset();
+    if (run.tries > 0 && refusal.empty() && !this->state.retryBudgetOf(active.service->name).withdraw(now))
         refusal = "retry budget used up";
     ++run.tries;
     const ResumptionPlace chosen = place ? *place : run.target;
@@ -434,6 +454,17 @@
     }
 }
 
+void ExchangeDispatcher::resumeWaitingRuns(Instant now, GatewayActions& actions)
+{
+    std::vector<RequestId> due;
+    for (const auto& [id, active] : this->state.requests) {
+        if (active.stoppedRun && active.stoppedRun->nextTryAt && *active.stoppedRun->nextTryAt <= now)
+            due.push_back(id);
+    }
+    for (const RequestId id : due)
+        this->recoverOrFail(*this->findRequest(id), now, actions);
+}
+
 void ExchangeDispatcher::tick(Instant now, GatewayActions& actions)
 {
     std::vector<RequestId> expired;
@@ -443,6 +474,7 @@
     }
     for (const RequestId id : expired)
         this->completion.expire(*this->findRequest(id), now, actions);
+    this->resumeWaitingRuns(now, actions);
     this->dispatchWaiting(now, actions);
 }
 
--- a/src/core/gateway/ExchangeDispatcher.h
+++ b/src/core/gateway/ExchangeDispatcher.h
@@ -51,7 +51,10 @@
         GatewayActions& actions);
     /** @return the engine at which a stopped run resumes next; null if none accepts it. */
     const ResumptionPlace* placeOfStoppedRun(const StoppedRun& run, Instant now) const;
-    /** Tries to resume a run that was stopped for a migration, twice at most. @return false if it does not resume. */
+    /**
+     * Tries to resume a run that was stopped for a migration, or lets it wait for its next try.
+     * @return false if it does not resume.
+     */
     bool resumeStoppedRun(ActiveRequest& active, Instant now, GatewayActions& actions);
     GatewayEndpoint* pickEndpoint(const ActiveRequest& active, const std::set<EndpointId>& excluded, Instant now) const;
     /** Withdraws one retry from the budget if the request may be repeated. @return true if a retry may be sent. */
@@ -71,6 +74,8 @@
     /** @return the maximum time for which a request may wait for an endpoint. */
     Duration waitLimit(const ActiveRequest& active) const;
     void dispatchWaiting(Instant now, GatewayActions& actions);
+    /** Resumes the stopped runs whose next try is due. */
+    void resumeWaitingRuns(Instant now, GatewayActions& actions);
     ActiveRequest* findRequest(RequestId request);
 
     GatewayState& state;
