--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -16,7 +16,13 @@
     /** KV cache utilization beyond which an engine gets no replica, since it would take space from running streams. */
     constexpr double maxReplicaUtilization = 0.5;
     /** Tries to resume a run that was stopped. A copy can be used once only, so another try runs nothing twice. */
-    constexpr std::uint32_t maxResumptionTries = 2;
+    constexpr std::uint32_t maxResumptionTries = 6;
+    /** The same if an engine refuses to run it. */
+    constexpr std::uint32_t maxRefusedResumptionTries = 2;
+    /** Tries that follow at once. Later ones wait for an engine, a link or a processor that is back after seconds. */
+    constexpr std::uint32_t immediateResumptionTries = 2;
+    /** Pause before the first try that does not follow at once. Each further pause is twice as long. */
+    constexpr Milliseconds firstResumptionPause(200);
     constexpr std::uint16_t firstServerError = 500;
     constexpr std::uint16_t firstRedirection = 300;
     constexpr std::uint16_t firstSuccess = 200;
@@ -211,6 +217,11 @@
     // The rejected run never began, so there is no replica of its KV cache.
     active.replicaEngine.reset();
     if (active.responseStarted) {
+        if (active.stoppedRun) {
+            active.stoppedRun->wasRefused = true;
+            if (!response.notExecuted)
+                active.stoppedRun->mayRunAt = exchange.endpoint;
+        }
         StreamMigrator::streamEnded(active, ExchangeEnd::Broken);
         return this->recoverOrFail(active, now, actions);
     }
@@ -253,6 +264,11 @@
         active->replicaEngine.reset();
     else
         active->mayHaveRun = true;
+    if (active->stoppedRun) {
+        active->stoppedRun->wasRefused = false;
+        if (event.end == ExchangeEnd::Broken)
+            active->stoppedRun->mayRunAt = exchange->endpoint;
+    }
     StreamMigrator::streamEnded(*active, event.end);
     this->recoverOrFail(*active, now, actions);
 }
@@ -286,12 +302,9 @@
 
 bool ExchangeDispatcher::tryFailover(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
-    if (active.migration && StreamMigrator::mayBeStopped(active)) {
-        const StreamMigration migration = *active.migration;
-        if (const auto point = StreamMigrator::takeResumePoint(active)) {
-            active.stoppedRun = StoppedRun { migration.target, *point, migration.stopCallAt, 0 };
-            return this->resumeStoppedRun(active, now, actions);
-        }
+    if (auto run = StreamMigrator::takeStoppedRun(active)) {
+        active.stoppedRun = std::move(run);
+        return this->resumeStoppedRun(active, now, actions);
     }
     const EndpointId target = active.migration ? active.migration->target : EndpointId();
     if (const auto point = StreamMigrator::takeResumePoint(active))
@@ -312,20 +325,47 @@
     return this->resumeBrokenRun(active, replicaEngine, point, now, actions);
 }
 
+const ResumptionPlace* ExchangeDispatcher::placeOfStoppedRun(const StoppedRun& run, Instant now) const
+{
+    const auto mayTake = [&](const EndpointId& endpoint) { return !run.mayRunAt || run.mayRunAt == endpoint; };
+    const bool isTargetReady = StreamMigrator::isTargetPrepared(run.stopCallAt, now)
+        ? this->state.endpoints.acceptsStoppedRun(run.target.endpoint, now)
+        : this->state.endpoints.acceptsResumption(run.target.endpoint, now);
+    const bool acceptsTarget = isTargetReady && mayTake(run.target.endpoint);
+    const bool acceptsSource
+        = run.source && mayTake(run.source->endpoint) && this->state.endpoints.acceptsReturn(run.source->endpoint, now);
+    const bool wasTriedAtTarget = run.triedAt == run.target.endpoint;
+    if (acceptsSource && (wasTriedAtTarget || !acceptsTarget))
+        return &*run.source;
+    return acceptsTarget ? &run.target : nullptr;
+}
+
 bool ExchangeDispatcher::resumeStoppedRun(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
     StoppedRun& run = *active.stoppedRun;
     // The caller's stream was whole until the gateway stopped its run, so it goes on even if the exit may cut it again.
-    const bool isAccepted = StreamMigrator::isTargetPrepared(run.stopCallAt, now)
-        ? this->state.endpoints.acceptsStoppedRun(run.target, now)
-        : this->state.endpoints.acceptsResumption(run.target, now);
-    std::string refusal = isAccepted ? "" : "endpoint takes no requests";
-    if (run.tries >= maxResumptionTries)
+    const ResumptionPlace* place = this->placeOfStoppedRun(run, now);
+    std::string refusal = place ? "" : "endpoint takes no requests";
+    if (run.tries >= (run.wasRefused ? maxRefusedResumptionTries : maxResumptionTries))
         refusal = "no tries left";
-    else if (run.tries > 0 && refusal.empty() && !this->state.retryBudgetOf(active.service->name).withdraw(now))
+    const bool mayWait
+        = run.tries >= immediateResumptionTries && !run.nextTryAt && this->crashes.mayResume(active, now);
+    if (refusal.empty() && mayWait) {
+        run.nextTryAt = now + firstResumptionPause * (1U << (run.tries - immediateResumptionTries));
+        actions.emplace_back(Internal::requestLogEvent("resumption_waits", active, now));
+        return true;
+    }
+    run.nextTryAt.reset();
+    if (run.tries > 0 && refusal.empty() && !this->state.retryBudgetOf(active.service->name).withdraw(now))
         refusal = "retry budget used up";
     ++run.tries;
-    return this->resume(active, run.target, run.point, refusal, now, actions);
+    const ResumptionPlace chosen = place ? *place : run.target;
+    run.triedAt = chosen.endpoint;
+    if (!this->resume(active, chosen.endpoint, chosen.point, refusal, now, actions))
+        return false;
+    if (run.source && chosen.endpoint == run.source->endpoint)
+        this->migrator.runReturned(active, now);
+    return true;
 }
 
 bool ExchangeDispatcher::resumeBrokenRun(
@@ -414,6 +454,17 @@
     }
 }
 
+void ExchangeDispatcher::resumeWaitingRuns(Instant now, GatewayActions& actions)
+{
+    std::vector<RequestId> due;
+    for (const auto& [id, active] : this->state.requests) {
+        if (active.stoppedRun && active.stoppedRun->nextTryAt && *active.stoppedRun->nextTryAt <= now)
+            due.push_back(id);
+    }
+    for (const RequestId id : due)
+        this->recoverOrFail(*this->findRequest(id), now, actions);
+}
+
 void ExchangeDispatcher::tick(Instant now, GatewayActions& actions)
 {
     std::vector<RequestId> expired;
@@ -423,6 +474,7 @@
     }
     for (const RequestId id : expired)
         this->completion.expire(*this->findRequest(id), now, actions);
+    this->resumeWaitingRuns(now, actions);
     this->dispatchWaiting(now, actions);
 }
 
