Log requests that are refused before they are received whole

What was seen: a request that the gateway ends while it reads it (408 for one that takes too long, 400, 413, 431) leaves no line in the log, so that a record of a lost answer cannot be told from a request that never arrived.

Change: event=unreadable names the request, if its head is complete, the status and the reason. No decision changes. The test harness keeps the log events, which no test could read at this level before.

--- a/src/adapters/traffic/CallerConnections.cpp
+++ b/src/adapters/traffic/CallerConnections.cpp
@@ -150,6 +150,9 @@
 void CallerConnections::rejectRequest(
     ConnectionId connection, Caller& caller, std::uint16_t status, const std::string& reason)
 {
+    const std::string id
+        = caller.phase == Phase::Body ? this->context.codec.readRequest(caller.head).callerRequestId : std::string();
+    this->context.events.emplace_back(RequestUnreadable { id, status, reason });
     caller.phase = Phase::Closing;
     caller.inbound.clear();
     const LocalResponse response = rejectionResponse(status, reason);
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -33,11 +33,12 @@
     static const HandlerTable<Gateway, void, GatewayEvent, Instant, GatewayActions&>& events()
     {
         static const HandlerTable<Gateway, void, GatewayEvent, Instant, GatewayActions&> table(&Gateway::requestArrived,
-            &Gateway::requestAbandoned, &Gateway::responseLost, &Gateway::responseReceived, &Gateway::exchangeEnded,
-            &Gateway::eventsRelayed, &Gateway::migrationResponseReceived, &Gateway::configurationRead,
-            &Gateway::endpointsListed, &Gateway::endpointsChanged, &Gateway::outOfServiceZonesRead,
-            &Gateway::storeReadSucceeded, &Gateway::storeReadFailed, &Gateway::membersListed, &Gateway::gossipReceived,
-            &Gateway::storeReadingReceived, &Gateway::limitsChanged, &Gateway::stopRequested);
+            &Gateway::requestAbandoned, &Gateway::responseLost, &Gateway::requestUnreadable, &Gateway::responseReceived,
+            &Gateway::exchangeEnded, &Gateway::eventsRelayed, &Gateway::migrationResponseReceived,
+            &Gateway::configurationRead, &Gateway::endpointsListed, &Gateway::endpointsChanged,
+            &Gateway::outOfServiceZonesRead, &Gateway::storeReadSucceeded, &Gateway::storeReadFailed,
+            &Gateway::membersListed, &Gateway::gossipReceived, &Gateway::storeReadingReceived, &Gateway::limitsChanged,
+            &Gateway::stopRequested);
         return table;
     }
 };
@@ -136,6 +137,13 @@
             { "unsent_bytes", std::to_string(event.unsentBytes) } } });
 }
 
+void Gateway::requestUnreadable(const RequestUnreadable& event, Instant, GatewayActions& actions)
+{
+    actions.emplace_back(LogEvent { "unreadable",
+        { { "request", event.callerRequestId }, { "status", std::to_string(event.status) },
+            { "reason", event.reason } } });
+}
+
 void Gateway::responseReceived(const ResponseReceived& event, Instant now, GatewayActions& actions)
 {
     this->exchanges.responseReceived(event, now, actions);
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -59,6 +59,15 @@
     std::size_t unsentBytes { 0 };
 };
 
+/** A request was refused before it was received whole. */
+struct RequestUnreadable {
+    /** The caller's id of the request; empty if its head was not received whole. */
+    std::string callerRequestId;
+    /** HTTP status of the response. */
+    std::uint16_t status { 0 };
+    std::string reason;
+};
+
 /** Load that an endpoint reports along with a response. */
 struct ReportedLoad {
     std::uint32_t running { 0 };
@@ -179,8 +188,8 @@
     Instant signalledAt;
 };
 
-using GatewayEvent = std::variant<RequestArrived, RequestAbandoned, ResponseLost, ResponseReceived, ExchangeEnded,
-    EventsRelayed, MigrationResponseReceived, ConfigurationRead, EndpointsListed, EndpointsChanged,
+using GatewayEvent = std::variant<RequestArrived, RequestAbandoned, ResponseLost, RequestUnreadable, ResponseReceived,
+    ExchangeEnded, EventsRelayed, MigrationResponseReceived, ConfigurationRead, EndpointsListed, EndpointsChanged,
     OutOfServiceZonesRead, StoreReadSucceeded, StoreReadFailed, MembersListed, GossipReceived, StoreReadingReceived,
     LimitsChanged, GatewayStopRequested>;
 
--- a/test/support/TrafficHarness.cpp
+++ b/test/support/TrafficHarness.cpp
@@ -44,6 +44,28 @@
     this->server->start();
 }
 
+void TrafficHarness::RecordingTelemetry::log(const LogEvent& event)
+{
+    const std::lock_guard lock(this->mutex);
+    this->events.push_back(event);
+}
+
+std::vector<LogEvent> TrafficHarness::RecordingTelemetry::recorded() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->events;
+}
+
+std::string TrafficHarness::loggedField(const std::string& event, const std::string& key) const
+{
+    std::string value;
+    for (const LogEvent& logged : this->telemetry.recorded()) {
+        for (const LogField& field : logged.fields)
+            value = logged.name == event && field.key == key ? field.value : value;
+    }
+    return value;
+}
+
 void TrafficHarness::changeEndpoint(const EndpointRecord& endpoint)
 {
     this->server->ring().push(EndpointsChanged { { endpoint }, {} });
--- a/test/support/TrafficHarness.h
+++ b/test/support/TrafficHarness.h
@@ -8,6 +8,7 @@
 #include <Poco/Net/StreamSocket.h>
 
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 
@@ -40,7 +41,21 @@
     /** @return everything up to the end of the connection. */
     static std::string readUntilClosed(Poco::Net::StreamSocket& socket);
 
+    /** @return the field of the last log event of the name; empty if there is none. */
+    std::string loggedField(const std::string& event, const std::string& key) const;
+
 private:
+    /** Keeps the log events. */
+    class RecordingTelemetry final : public Telemetry {
+    public:
+        void log(const LogEvent& event) override;
+        void observe(const Observation&) override { }
+        std::vector<LogEvent> recorded() const;
+
+    private:
+        mutable std::mutex mutex;
+        std::vector<LogEvent> events;
+    };
     struct NoPeers final : Peers {
         void send(const SendGossip&) override { }
         void send(const SendReading&) override { }
@@ -50,7 +65,7 @@
     };
 
     SeededRandomness randomness { 1 };
-    Test::SilentTelemetry telemetry;
+    RecordingTelemetry telemetry;
     NoPeers peers;
     NoStore store;
     PlatformTrafficCodec codec;
