Move a resumed run only once its new engine has accepted it

Cause: a run that was stopped for a move and sent on to a second engine was moved again when that engine began to leave too, before it had answered. The call that stops the run ended the exchange, and the way back of the first move, to the engine that was leaving, took precedence over the copy that the second move was making: it was refused, or sent to the leaving engine.

Change: a run whose way back is still open is not moved. Its drain continues with the first events that the engine sends.

--- a/src/core/gateway/StreamMigrator.cpp
+++ b/src/core/gateway/StreamMigrator.cpp
@@ -63,7 +63,8 @@
         return false;
     if (active.replicaEngine && this->state.endpoints.acceptsRequests(*active.replicaEngine))
         return false;
-    const bool hasBegun = active.lastEventId > 0;
+    // Until an engine has accepted a stopped run, another stop would end its only way back.
+    const bool hasBegun = active.lastEventId > 0 && !active.stoppedRun;
     const bool mayTry
         = active.failedMigrations < maxFailedMigrations || now - active.migrationFailedAt >= migrationRetryDelay;
     return hasBegun && mayTry && this->crashes.mayResume(active, now)
