Keep to the request rate that an endpoint states, all gateways together

Cause: the field was read nowhere.

Exchanges, retries, resumed streams and copy calls count. An endpoint without room is left out when one is chosen; where all are, the caller is refused at once as not run, and told to come back in turn. New lines endpoint_limited and endpoint_limit_lifted, new counter rate_limited_total.

Not tried: equal parts, which would leave unused what gateways with little demand are given; a counter in the store, a call for each request.

--- a/src/adapters/metrics/MetricStore.cpp
+++ b/src/adapters/metrics/MetricStore.cpp
@@ -44,6 +44,8 @@
         MetricRow { Metric::Completed, "completed_total", MetricKind::Counter, "Requests answered whole." },
         MetricRow { Metric::Failed, "failed_total", MetricKind::Counter, "Requests that failed, by reason." },
         MetricRow { Metric::Cancelled, "cancelled_total", MetricKind::Counter, "Requests given up by their callers." },
+        MetricRow { Metric::RateLimited, "rate_limited_total", MetricKind::Counter,
+            "Requests refused because every endpoint had reached the rate that it takes." },
     };
     static_assert(metricRows.size() == metricCount);
 
--- a/src/adapters/peers/GossipCodec.cpp
+++ b/src/adapters/peers/GossipCodec.cpp
@@ -14,17 +14,37 @@
     /** Received lists are read up to this length; no gateway sends longer ones. */
     constexpr flatbuffers::uoffset_t maxReceivedEntries = 64;
 
-    /** @return the number of usages that take as many bytes as the evidence. */
-    std::size_t displacedUsages(const PromptPartEvidence& evidence)
+    /** @return the number of usages that take as many bytes as the evidence and the rate limits. */
+    std::size_t displacedUsages(const GossipMessage& gossip)
     {
         constexpr std::size_t usagesPerStart = 3;
         constexpr std::size_t partsPerUsage = 2;
-        std::size_t usages = evidence.survivals.size();
-        for (const auto& start : evidence.brokenStarts)
+        constexpr std::size_t usagesPerRateLimit = 2;
+        std::size_t usages = gossip.promptParts.survivals.size() + gossip.rateLimits.size() * usagesPerRateLimit;
+        for (const auto& start : gossip.promptParts.brokenStarts)
             usages += usagesPerStart + start.parts.size() / partsPerUsage;
         return std::min(usages, maxUsages);
     }
 
+    /** Rates are sent in thousandths of a request per second. */
+    constexpr double rateUnitsPerRequest = 1000;
+
+    std::uint32_t encodeRate(double requestsPerSecond)
+    {
+        constexpr double largest = 4e9;
+        return static_cast<std::uint32_t>(std::clamp(requestsPerSecond * rateUnitsPerRequest, 0.0, largest));
+    }
+
+    std::vector<peerwire::RateLimit> encodeRateLimits(const std::vector<RateLimitReport>& reports)
+    {
+        std::vector<peerwire::RateLimit> encoded;
+        for (const RateLimitReport& report : reports)
+            encoded.emplace_back(report.endpoint, static_cast<std::uint32_t>(report.age.count()),
+                encodeRate(report.requestsPerSecond.value_or(0)), encodeRate(report.demand),
+                !report.requestsPerSecond.has_value());
+        return encoded;
+    }
+
     std::vector<EndpointUsage> selectLargestUsages(std::vector<EndpointUsage> usages, std::size_t limit)
     {
         std::sort(usages.begin(), usages.end(),
@@ -62,6 +82,20 @@
         return vector ? std::min(vector->size(), maxReceivedEntries) : 0;
     }
 
+    std::vector<RateLimitReport> decodeRateLimits(const peerwire::News& news)
+    {
+        std::vector<RateLimitReport> reports;
+        for (flatbuffers::uoffset_t index = 0; index < entriesOf(news.rate_limits()); ++index) {
+            const auto* limit = news.rate_limits()->Get(index);
+            RateLimitReport report { limit->endpoint(), {}, Milliseconds(limit->age_ms()),
+                limit->demand() / rateUnitsPerRequest };
+            if (!limit->not_limited())
+                report.requestsPerSecond = limit->rate() / rateUnitsPerRequest;
+            reports.push_back(report);
+        }
+        return reports;
+    }
+
     PromptPartEvidence decodeEvidence(const peerwire::News& news)
     {
         PromptPartEvidence evidence;
@@ -86,8 +120,7 @@
 {
     flatbuffers::FlatBufferBuilder builder;
     std::vector<peerwire::Load> loads;
-    for (const EndpointUsage& usage :
-        selectLargestUsages(gossip.usages, maxUsages - displacedUsages(gossip.promptParts)))
+    for (const EndpointUsage& usage : selectLargestUsages(gossip.usages, maxUsages - displacedUsages(gossip)))
         loads.emplace_back(usage.endpoint, usage.tokens, usage.runs, usage.promptTokens);
     std::vector<peerwire::Suspect> suspects;
     for (const auto& suspect : gossip.suspects.suspects) {
@@ -108,8 +141,11 @@
     for (const RefusedConnection& refused : gossip.refusedConnections)
         refusals.emplace_back(refused.endpoint, static_cast<std::uint32_t>(refused.age.count()));
     const auto refusalVector = refusals.empty() ? 0 : builder.CreateVectorOfStructs(refusals);
-    const auto root = peerwire::CreateNews(builder, instance, gossip.incarnation.get(), gossip.sequence,
-        gossip.isDraining, loadVector, suspectVector, gossip.isPartial, startVector, survivalVector, refusalVector);
+    const auto rateLimits = encodeRateLimits(gossip.rateLimits);
+    const auto rateLimitVector = rateLimits.empty() ? 0 : builder.CreateVectorOfStructs(rateLimits);
+    const auto root
+        = peerwire::CreateNews(builder, instance, gossip.incarnation.get(), gossip.sequence, gossip.isDraining,
+            loadVector, suspectVector, gossip.isPartial, startVector, survivalVector, refusalVector, rateLimitVector);
     builder.Finish(root, peerwire::NewsIdentifier());
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
@@ -146,6 +182,7 @@
         const auto* refusal = root->refusals()->Get(index);
         gossip.refusedConnections.push_back({ refusal->endpoint(), Milliseconds(refusal->age_ms()) });
     }
+    gossip.rateLimits = decodeRateLimits(*root);
     return gossip;
 }
 
--- a/src/adapters/peers/Peers_generated.h
+++ b/src/adapters/peers/Peers_generated.h
@@ -27,6 +27,8 @@
 
 struct Refusal;
 
+struct RateLimit;
+
 struct News;
 struct NewsBuilder;
 
@@ -145,6 +147,56 @@
 };
 FLATBUFFERS_STRUCT_END(Refusal, 8);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) RateLimit FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t endpoint_;
+  uint32_t age_ms_;
+  uint32_t rate_;
+  uint32_t demand_;
+  uint8_t not_limited_;
+  int8_t padding0__;  int16_t padding1__;
+
+ public:
+  RateLimit()
+      : endpoint_(0),
+        age_ms_(0),
+        rate_(0),
+        demand_(0),
+        not_limited_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  RateLimit(uint32_t _endpoint, uint32_t _age_ms, uint32_t _rate, uint32_t _demand, bool _not_limited)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        rate_(flatbuffers::EndianScalar(_rate)),
+        demand_(flatbuffers::EndianScalar(_demand)),
+        not_limited_(flatbuffers::EndianScalar(static_cast<uint8_t>(_not_limited))),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint32_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+  uint32_t rate() const {
+    return flatbuffers::EndianScalar(rate_);
+  }
+  uint32_t demand() const {
+    return flatbuffers::EndianScalar(demand_);
+  }
+  bool not_limited() const {
+    return flatbuffers::EndianScalar(not_limited_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(RateLimit, 20);
+
 struct BrokenStart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef BrokenStartBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -244,7 +296,8 @@
     VT_PARTIAL = 16,
     VT_BROKEN_STARTS = 18,
     VT_SURVIVALS = 20,
-    VT_REFUSALS = 22
+    VT_REFUSALS = 22,
+    VT_RATE_LIMITS = 24
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -276,6 +329,9 @@
   const flatbuffers::Vector<const teaselfold::peerwire::Refusal *> *refusals() const {
     return GetPointer<const flatbuffers::Vector<const teaselfold::peerwire::Refusal *> *>(VT_REFUSALS);
   }
+  const flatbuffers::Vector<const teaselfold::peerwire::RateLimit *> *rate_limits() const {
+    return GetPointer<const flatbuffers::Vector<const teaselfold::peerwire::RateLimit *> *>(VT_RATE_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCE) &&
@@ -295,6 +351,8 @@
            verifier.VerifyVector(survivals()) &&
            VerifyOffset(verifier, VT_REFUSALS) &&
            verifier.VerifyVector(refusals()) &&
+           VerifyOffset(verifier, VT_RATE_LIMITS) &&
+           verifier.VerifyVector(rate_limits()) &&
            verifier.EndTable();
   }
 };
@@ -333,6 +391,9 @@
   void add_refusals(flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Refusal *>> refusals) {
     fbb_.AddOffset(News::VT_REFUSALS, refusals);
   }
+  void add_rate_limits(flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::RateLimit *>> rate_limits) {
+    fbb_.AddOffset(News::VT_RATE_LIMITS, rate_limits);
+  }
   explicit NewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -355,10 +416,12 @@
     bool partial = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<teaselfold::peerwire::BrokenStart>>> broken_starts = 0,
     flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Survival *>> survivals = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Refusal *>> refusals = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Refusal *>> refusals = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::RateLimit *>> rate_limits = 0) {
   NewsBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_rate_limits(rate_limits);
   builder_.add_refusals(refusals);
   builder_.add_survivals(survivals);
   builder_.add_broken_starts(broken_starts);
@@ -381,13 +444,15 @@
     bool partial = false,
     const std::vector<flatbuffers::Offset<teaselfold::peerwire::BrokenStart>> *broken_starts = nullptr,
     const std::vector<teaselfold::peerwire::Survival> *survivals = nullptr,
-    const std::vector<teaselfold::peerwire::Refusal> *refusals = nullptr) {
+    const std::vector<teaselfold::peerwire::Refusal> *refusals = nullptr,
+    const std::vector<teaselfold::peerwire::RateLimit> *rate_limits = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Load>(*loads) : 0;
   auto suspects__ = suspects ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Suspect>(*suspects) : 0;
   auto broken_starts__ = broken_starts ? _fbb.CreateVector<flatbuffers::Offset<teaselfold::peerwire::BrokenStart>>(*broken_starts) : 0;
   auto survivals__ = survivals ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Survival>(*survivals) : 0;
   auto refusals__ = refusals ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Refusal>(*refusals) : 0;
+  auto rate_limits__ = rate_limits ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::RateLimit>(*rate_limits) : 0;
   return teaselfold::peerwire::CreateNews(
       _fbb,
       instance__,
@@ -399,7 +464,8 @@
       partial,
       broken_starts__,
       survivals__,
-      refusals__);
+      refusals__,
+      rate_limits__);
 }
 
 inline const teaselfold::peerwire::News *GetNews(const void *buf) {
--- /dev/null
+++ b/src/core/gateway/DemandShares.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "ports/GatewayLimits.h"
+#include "ports/PeerMessages.h"
+
+#include <map>
+#include <vector>
+
+namespace teaselfold {
+
+/**
+ * Divides the request rate of an endpoint among the gateways in proportion to their demand. Each gateway measures its
+ * own demand and learns that of the others from gossip; one whose demand is unknown counts as an average one.
+ */
+class DemandShares {
+public:
+    explicit DemandShares(const GatewayLimits& limits)
+        : limits(limits)
+    {
+    }
+
+    /** Counts a request for a service. */
+    void recordRequest(const ServiceId& service, Instant now);
+    /** @return this gateway's recent requests per second for the service. */
+    double ownDemand(const ServiceId& service, Instant now) const;
+    /** Records what another gateway reported of its demand. */
+    void merge(const GatewayId& sender, const std::vector<RateLimitReport>& reports, Instant now);
+    /** Forgets reports that are too old. */
+    void expire(Instant now);
+    /**
+     * @param endpoint hash of the endpoint's id.
+     * @param gatewayCount number of gateways, including this one.
+     * @return this gateway's share of what the endpoint takes, from 0 to 1.
+     */
+    double shareOf(std::uint32_t endpoint, const ServiceId& service, std::size_t gatewayCount, Instant now) const;
+
+private:
+    /** Exponentially decaying count of requests. */
+    struct Count {
+        double requests { 0 };
+        Instant at;
+    };
+    struct Report {
+        double requestsPerSecond { 0 };
+        Instant receivedAt;
+    };
+
+    static double decayed(const Count& count, Instant now);
+
+    const GatewayLimits& limits;
+    std::map<ServiceId, Count> own;
+    /** The other gateways' last reports, by endpoint hash. */
+    std::map<std::uint32_t, std::map<GatewayId, Report>> reports;
+};
+
+}
--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -21,6 +21,9 @@
     constexpr std::uint32_t maxResumptionsPerRest = 1;
     /** The same for streams whose runs were stopped: they have nowhere else to go. */
     constexpr std::uint32_t maxStoppedRunsPerRest = 2;
+    /** Requests beyond a rate limit for a stream that would be lost otherwise, and for one whose run was stopped. */
+    constexpr double resumptionDebt = 1;
+    constexpr double stoppedRunDebt = 2;
 
     /** Adds a measured time to a moving average. */
     void addToAverage(std::optional<Duration>& average, Duration time)
@@ -42,6 +45,8 @@
     GatewayEndpoint& endpoint = entry->second;
     const bool restarted = !isNew && endpoint.record.startedAt != record.startedAt;
     const bool wasUsable = !isNew && !isLeaving(endpoint);
+    if (isNew || restarted)
+        this->limitsOfRate.add(record.id, record.service);
     if (restarted) {
         endpoint.consecutiveFailures = 0;
         endpoint.externalRequests = 0;
@@ -142,6 +147,7 @@
     std::map<EndpointId, GatewayEndpoint>::iterator endpoint, Instant now)
 {
     this->leavingEndpoints.recordRemoval(endpoint->first, now);
+    this->limitsOfRate.remove(endpoint->first);
     return this->endpoints.erase(endpoint);
 }
 
@@ -183,6 +189,7 @@
 std::vector<GatewayEndpoint*> EndpointDirectory::candidates(
     const GatewayService& service, std::size_t gatewayCount, Instant now)
 {
+    this->limitsOfRate.setGatewayCount(gatewayCount);
     std::vector<GatewayEndpoint*> healthy;
     std::vector<GatewayEndpoint*> ejected;
     for (auto& [id, endpoint] : this->endpoints) {
@@ -192,6 +199,8 @@
             continue;
         if (!this->isBelowColdLimit(endpoint, service, gatewayCount, now))
             continue;
+        if (!this->limitsOfRate.allows(id, 0, now))
+            continue;
         (endpoint.ejectedUntil > now ? ejected : healthy).push_back(&endpoint);
     }
     return healthy.empty() ? ejected : healthy;
@@ -215,6 +224,7 @@
         ++found->inFlight;
         found->tokensInFlight += tokens;
         found->lastSentAt = now;
+        this->limitsOfRate.recordSent(endpoint);
         found->sentWhileResting += found->restsUntil > now ? 1 : 0;
         if (found->coldUntil > now)
             found->sentWhileCold.push_back(now);
@@ -338,17 +348,19 @@
     return found != this->endpoints.end() && found->second.restsUntil > now;
 }
 
-bool EndpointDirectory::acceptsResumption(const EndpointId& endpoint, Instant now) const
+bool EndpointDirectory::acceptsResumption(const EndpointId& endpoint, Instant now)
 {
     return this->acceptsRequests(endpoint)
-        && (!this->isResting(endpoint, now) || this->endpoints.at(endpoint).sentWhileResting < maxResumptionsPerRest);
+        && (!this->isResting(endpoint, now) || this->endpoints.at(endpoint).sentWhileResting < maxResumptionsPerRest)
+        && this->limitsOfRate.allows(endpoint, resumptionDebt, now);
 }
 
-bool EndpointDirectory::acceptsStoppedRun(const EndpointId& endpoint, Instant now) const
+bool EndpointDirectory::acceptsStoppedRun(const EndpointId& endpoint, Instant now)
 {
     const auto found = this->endpoints.find(endpoint);
     return found != this->endpoints.end()
-        && (found->second.restsUntil <= now || found->second.sentWhileResting < maxStoppedRunsPerRest);
+        && (found->second.restsUntil <= now || found->second.sentWhileResting < maxStoppedRunsPerRest)
+        && this->limitsOfRate.allows(endpoint, stoppedRunDebt, now);
 }
 
 std::string_view EndpointDirectory::stateName(const EndpointId& endpoint, Instant now) const
@@ -360,7 +372,9 @@
         return "leaving";
     if (this->zonesOutOfService.contains(found->second.record.zone))
         return "zone_out";
-    return this->isResting(endpoint, now) ? "resting" : "ready";
+    if (this->isResting(endpoint, now))
+        return "resting";
+    return this->limitsOfRate.timeUntilAllowed(endpoint, now) > Duration(0) ? "rate_limited" : "ready";
 }
 
 bool EndpointDirectory::isHeldBack(const GatewayEndpoint& endpoint, Instant now)
@@ -369,23 +383,28 @@
     return now < endpoint.restsUntil || (hasJustRested && now < endpoint.lastSentAt + returnInterval);
 }
 
-std::optional<Milliseconds> EndpointDirectory::unavailableTime(const ServiceId& service, Instant now) const
+std::optional<ServiceReturn> EndpointDirectory::nextReturn(const ServiceId& service, Instant now) const
 {
     bool hasEndpoints = false;
-    std::optional<Instant> earliest;
+    std::optional<ServiceReturn> earliest;
     for (const auto& [id, endpoint] : this->endpoints) {
         if (endpoint.record.service != service)
             continue;
         hasEndpoints = true;
         if (!this->isUsable(endpoint))
             continue;
-        if (endpoint.restsUntil <= now)
+        const Duration untilRate = this->limitsOfRate.timeUntilAllowed(id, now);
+        const Duration untilRested = endpoint.restsUntil - now;
+        if (untilRate <= Duration(0) && untilRested <= Duration(0))
             return std::nullopt;
-        earliest = std::min(earliest.value_or(endpoint.restsUntil), endpoint.restsUntil);
+        const ServiceReturn next { std::chrono::ceil<Milliseconds>(std::max(untilRate, untilRested)),
+            untilRate > untilRested };
+        if (!earliest || next.time < earliest->time)
+            earliest = next;
     }
     if (!hasEndpoints)
         return std::nullopt;
-    return std::chrono::ceil<Milliseconds>(earliest.value_or(now) - now);
+    return earliest.value_or(ServiceReturn {});
 }
 
 bool EndpointDirectory::recordFailure(const EndpointId& endpoint, Instant now)
--- a/src/core/gateway/EndpointDirectory.h
+++ b/src/core/gateway/EndpointDirectory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/gateway/EndpointRateLimits.h"
 #include "core/gateway/LeavingEndpoints.h"
 #include "ports/GatewayLimits.h"
 #include "ports/GatewayMessages.h"
@@ -55,6 +56,14 @@
     std::deque<Instant> sentWhileCold;
 };
 
+/** When a service takes requests again of whose endpoints none takes one now. */
+struct ServiceReturn {
+    /** Time until then; zero if nothing tells when. */
+    Milliseconds time { 0 };
+    /** The endpoint that is the first to return has reached its rate limit. */
+    bool isRateLimited { false };
+};
+
 /** What a change of the endpoints' records did to the endpoints in use. */
 struct DirectoryChange {
     /** Endpoints that began to drain or were removed. */
@@ -66,11 +75,16 @@
 /** The endpoints of all services, their load and health, and which of them may receive requests. */
 class EndpointDirectory {
 public:
-    explicit EndpointDirectory(const GatewayLimits& limits)
+    /** @param self this gateway. */
+    explicit EndpointDirectory(const GatewayLimits& limits, const GatewayId& self = {})
         : limits(limits)
+        , limitsOfRate(limits, self)
     {
     }
 
+    /** @return the endpoints' rate limits, which hold for all requests that this directory lets through. */
+    EndpointRateLimits& rateLimits() { return this->limitsOfRate; }
+
     /**
      * @return the changes that differ from what is known. A record whose warm-up ends as expected does not.
      */
@@ -96,7 +110,7 @@
     /**
      * Lists the endpoints of a service that may receive one more request. Ejected endpoints are listed only if there is
      * no other.
-     * @param gatewayCount number of gateways that share the request rate of a cold endpoint.
+     * @param gatewayCount number of gateways that share the request rates of endpoints.
      */
     std::vector<GatewayEndpoint*> candidates(const GatewayService& service, std::size_t gatewayCount, Instant now);
     /** @return this gateway's load at each endpoint. */
@@ -133,16 +147,16 @@
     /** @return true while the endpoint wants no requests of this gateway. */
     bool isResting(const EndpointId& endpoint, Instant now) const;
     /** @return true if a stream that would be lost otherwise may resume at the endpoint. */
-    bool acceptsResumption(const EndpointId& endpoint, Instant now) const;
+    bool acceptsResumption(const EndpointId& endpoint, Instant now);
     /** @return true if a stream may resume whose run was stopped when the endpoint still took requests. */
-    bool acceptsStoppedRun(const EndpointId& endpoint, Instant now) const;
+    bool acceptsStoppedRun(const EndpointId& endpoint, Instant now);
     /** @return why the endpoint takes no requests now, or "ready"; for logs. */
     std::string_view stateName(const EndpointId& endpoint, Instant now) const;
     /**
-     * @return the time until the first endpoint of a service may take requests again, if all of them leave or rest;
-     * zero if none of them rests; unset if the service has another endpoint, or none at all.
+     * @return when the service takes requests again, if all of its endpoints leave, rest or have reached their rate
+     * limit; unset if the service has another endpoint, or none at all.
      */
-    std::optional<Milliseconds> unavailableTime(const ServiceId& service, Instant now) const;
+    std::optional<ServiceReturn> nextReturn(const ServiceId& service, Instant now) const;
     /** Records a failure for outlier detection. @return true if the endpoint is ejected as a result. */
     bool recordFailure(const EndpointId& endpoint, Instant now);
 
@@ -167,6 +181,7 @@
     bool applyRecord(const EndpointRecord& record, Instant now);
 
     const GatewayLimits& limits;
+    EndpointRateLimits limitsOfRate;
     std::map<EndpointId, GatewayEndpoint> endpoints;
     LeavingEndpoints leavingEndpoints;
     std::set<ZoneId> zonesOutOfService;
--- /dev/null
+++ b/src/core/gateway/EndpointRateLimits.cpp
@@ -0,0 +1,131 @@
+#include "core/gateway/EndpointRateLimits.h"
+
+#include "core/gateway/EndpointHash.h"
+
+#include <algorithm>
+
+namespace teaselfold {
+
+namespace {
+
+    /** Keeps the datagrams within one Ethernet frame. */
+    constexpr std::size_t maxReports = 16;
+    /** Time for which the others are told that a limit is over. */
+    constexpr Milliseconds liftedReportTime(5000);
+
+    /**
+     * @return a number from 0 to 1 that differs between gateways, so that those that hear of a limit at the same time
+     * do not all send a request at once.
+     */
+    double initialCreditOf(const GatewayId& gateway, const EndpointId& endpoint)
+    {
+        constexpr double hashRange = 18446744073709551616.0;
+        return static_cast<double>(hashOf(gateway.get() + " " + endpoint.get())) / hashRange;
+    }
+
+}
+
+void EndpointRateLimits::add(const EndpointId& endpoint, const ServiceId& service)
+{
+    const std::uint32_t hash = endpointHashOf(endpoint);
+    this->entries[endpoint] = { service, hash, RateLimit(initialCreditOf(this->self, endpoint)) };
+    this->endpointByHash[hash] = endpoint;
+}
+
+void EndpointRateLimits::remove(const EndpointId& endpoint)
+{
+    const auto found = this->entries.find(endpoint);
+    if (found == this->entries.end())
+        return;
+    this->endpointByHash.erase(found->second.hash);
+    this->entries.erase(found);
+}
+
+bool EndpointRateLimits::recordAnswer(const EndpointId& endpoint, std::optional<double> requestsPerSecond, Instant now)
+{
+    const auto found = this->entries.find(endpoint);
+    return found != this->entries.end() && found->second.limit.state(requestsPerSecond, now, now);
+}
+
+std::vector<EndpointId> EndpointRateLimits::merge(
+    const GatewayId& sender, const std::vector<RateLimitReport>& reports, Instant now)
+{
+    this->demand.merge(sender, reports, now);
+    std::vector<EndpointId> changed;
+    for (const RateLimitReport& report : reports) {
+        const auto endpoint = this->endpointByHash.find(report.endpoint);
+        if (endpoint != this->endpointByHash.end()
+            && this->entries.at(endpoint->second).limit.state(report.requestsPerSecond, now - report.age, now))
+            changed.push_back(endpoint->second);
+    }
+    return changed;
+}
+
+std::vector<RateLimitReport> EndpointRateLimits::reports(Instant now) const
+{
+    std::vector<RateLimitReport> reports;
+    for (const auto& [endpoint, entry] : this->entries) {
+        const auto statedAt = entry.limit.statedAt();
+        if (!entry.limit.stated() && !(entry.limit.wasLifted() && now - *statedAt < liftedReportTime))
+            continue;
+        reports.push_back({ entry.hash, entry.limit.stated(), std::chrono::duration_cast<Milliseconds>(now - *statedAt),
+            this->demand.ownDemand(entry.service, now) });
+    }
+    std::sort(reports.begin(), reports.end(),
+        [](const RateLimitReport& left, const RateLimitReport& right) { return left.age < right.age; });
+    reports.resize(std::min(reports.size(), maxReports));
+    return reports;
+}
+
+std::optional<double> EndpointRateLimits::rateOf(const EndpointId& endpoint) const
+{
+    const auto found = this->entries.find(endpoint);
+    return found == this->entries.end() ? std::nullopt : found->second.limit.stated();
+}
+
+double EndpointRateLimits::shareOf(const Entry& entry, Instant now) const
+{
+    return this->demand.shareOf(entry.hash, entry.service, this->gatewayCount, now);
+}
+
+bool EndpointRateLimits::allows(const EndpointId& endpoint, double debt, Instant now)
+{
+    const auto found = this->entries.find(endpoint);
+    if (found == this->entries.end() || !found->second.limit.stated())
+        return true;
+    found->second.limit.refill(this->shareOf(found->second, now), now);
+    return found->second.limit.allows(debt);
+}
+
+void EndpointRateLimits::recordSent(const EndpointId& endpoint)
+{
+    const auto found = this->entries.find(endpoint);
+    if (found != this->entries.end())
+        found->second.limit.spend();
+}
+
+Duration EndpointRateLimits::timeUntilAllowed(const EndpointId& endpoint, Instant now) const
+{
+    const auto found = this->entries.find(endpoint);
+    if (found == this->entries.end() || !found->second.limit.stated())
+        return Duration(0);
+    return found->second.limit.timeUntilAllowed(this->shareOf(found->second, now));
+}
+
+std::optional<Duration> EndpointRateLimits::intervalOf(const ServiceId& service, Instant now) const
+{
+    double perSecond = 0;
+    for (const auto& [endpoint, entry] : this->entries) {
+        if (entry.service != service)
+            continue;
+        const auto interval = entry.limit.interval(this->shareOf(entry, now));
+        if (!interval)
+            return std::nullopt;
+        perSecond += 1 / std::chrono::duration<double>(*interval).count();
+    }
+    if (perSecond == 0)
+        return std::nullopt;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / perSecond));
+}
+
+}
--- /dev/null
+++ b/src/core/gateway/EndpointRateLimits.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "core/gateway/DemandShares.h"
+#include "core/gateway/RateLimit.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace teaselfold {
+
+/**
+ * The request rates that endpoints take from all gateways together, as stated in their answers to this gateway or to
+ * another one, and this gateway's share of them.
+ */
+class EndpointRateLimits {
+public:
+    /** @param self this gateway. */
+    EndpointRateLimits(const GatewayLimits& limits, GatewayId self)
+        : self(std::move(self))
+        , demand(limits)
+    {
+    }
+
+    /** Adds an endpoint without a limit; one that restarted has none either. */
+    void add(const EndpointId& endpoint, const ServiceId& service);
+    void remove(const EndpointId& endpoint);
+    /** Sets the number of gateways, including this one, among which the rates are divided. */
+    void setGatewayCount(std::size_t count) { this->gatewayCount = count; }
+    /** Counts a caller's request for a service, whether or not it is sent. */
+    void recordDemand(const ServiceId& service, Instant now) { this->demand.recordRequest(service, now); }
+
+    /**
+     * Records what an endpoint stated in an answer to this gateway.
+     * @param requestsPerSecond unset if the answer named no limit.
+     * @return true if the limit changed.
+     */
+    bool recordAnswer(const EndpointId& endpoint, std::optional<double> requestsPerSecond, Instant now);
+    /** Records what another gateway knows. @return the endpoints whose limit changed. */
+    std::vector<EndpointId> merge(const GatewayId& sender, const std::vector<RateLimitReport>& reports, Instant now);
+    /** @return what this gateway knows, the newest statements first, for the other gateways. */
+    std::vector<RateLimitReport> reports(Instant now) const;
+    /** @return the rate that the endpoint has stated, in requests per second; unset without a limit. */
+    std::optional<double> rateOf(const EndpointId& endpoint) const;
+
+    /**
+     * @param debt requests that may be sent beyond the share, for what would be lost otherwise.
+     * @return true if this gateway may send another request to the endpoint.
+     */
+    bool allows(const EndpointId& endpoint, double debt, Instant now);
+    /** Counts a request or another call that is sent to the endpoint. */
+    void recordSent(const EndpointId& endpoint);
+    /** @return the time until this gateway may send a request to the endpoint; zero if it may now. */
+    Duration timeUntilAllowed(const EndpointId& endpoint, Instant now) const;
+    /** @return the time between two requests that this gateway may send to a service; unset if it has no limit. */
+    std::optional<Duration> intervalOf(const ServiceId& service, Instant now) const;
+    /** Forgets the demand of gateways that report none any more. */
+    void expire(Instant now) { this->demand.expire(now); }
+
+private:
+    struct Entry {
+        ServiceId service;
+        /** Lower 32 bits of the hash of the endpoint's id. */
+        std::uint32_t hash { 0 };
+        RateLimit limit;
+    };
+
+    double shareOf(const Entry& entry, Instant now) const;
+
+    GatewayId self;
+    std::size_t gatewayCount { 1 };
+    DemandShares demand;
+    std::map<EndpointId, Entry> entries;
+    std::map<std::uint32_t, EndpointId> endpointByHash;
+};
+
+}
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -73,10 +73,14 @@
         this->state.waiting.erase(active.request.id);
         return this->startExchange(active, *endpoint, std::nullopt, now, actions);
     }
-    const auto unavailable = this->state.endpoints.unavailableTime(active.service->name, now);
-    const bool isBackInTime = unavailable && *unavailable > Milliseconds(0)
-        && now + *unavailable - active.arrivedAt < this->waitLimit(active);
-    if (unavailable && !isBackInTime)
+    const auto next = this->state.endpoints.nextReturn(active.service->name, now);
+    if (next && next->isRateLimited) {
+        Internal::observe(actions, active, Metric::RateLimited);
+        return this->completion.refuseUnserved(active, "every endpoint is at its rate limit", now, actions);
+    }
+    const bool isBackInTime
+        = next && next->time > Milliseconds(0) && now + next->time - active.arrivedAt < this->waitLimit(active);
+    if (next && !isBackInTime)
         return this->completion.refuseUnserved(active, "every endpoint leaves or rests", now, actions);
     this->state.waiting.insert(active.request.id);
 }
@@ -175,7 +179,10 @@
     const ResponseSummary& response = event.response;
     if (response.load)
         this->state.endpoints.recordLoad(exchange.endpoint, *response.load, now);
-    this->notices.received(exchange.endpoint, response.isLeaving, response.restTime, now, actions);
+    // What answers with 421 is another endpoint, and what is neither signed nor a refusal may be no endpoint at all.
+    const bool isOwnStatement = (response.isSigned || response.notExecuted) && !response.isMisdirected;
+    this->notices.received(exchange.endpoint,
+        { response.isLeaving, response.restTime, isOwnStatement ? response.rateLimit : std::nullopt }, now, actions);
     active->mayHaveRun = active->mayHaveRun || !response.notExecuted;
     // A response that has started can only be continued by a stream.
     const bool fitsResponse = !active->responseStarted || (isSuccess(response) && response.isStream);
@@ -361,7 +368,8 @@
 {
     const auto exchange = this->state.exchanges.find(event.exchange);
     if (exchange != this->state.exchanges.end())
-        this->notices.received(exchange->second.endpoint, event.isLeaving, event.restTime, now, actions);
+        this->notices.received(
+            exchange->second.endpoint, { event.isLeaving, event.restTime, event.rateLimit }, now, actions);
     const auto resumable = this->migrator.migrationResponseReceived(event, now, actions);
     if (!resumable)
         return;
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -69,6 +69,7 @@
     this->state.quarantine.expire(now);
     this->state.crashDetector.expire(now);
     this->state.promptParts.expire(now);
+    this->state.endpoints.rateLimits().expire(now);
     this->logQuarantinedParts(actions);
     this->migrator.expire();
     this->exchanges.tick(now, actions);
@@ -121,6 +122,7 @@
     }
     ActiveRequest& active = this->state.requests[event.request.id] = std::move(*std::get_if<ActiveRequest>(&admitted));
     this->state.retryBudgetOf(active.service->name).deposit();
+    this->state.endpoints.rateLimits().recordDemand(active.service->name, now);
     this->exchanges.dispatch(active, now, actions);
 }
 
@@ -241,7 +243,12 @@
     if (suspects > 0)
         actions.emplace_back(LogEvent { "endpoint_crashed", { { "suspects", std::to_string(suspects) } } });
     this->state.quarantine.merge(EndpointId(), event.gossip.suspects, now);
-    this->state.peers.receive(event.gossip, now);
+    const auto sender = this->state.peers.receive(event.gossip, now);
+    if (!sender)
+        return;
+    EndpointRateLimits& limits = this->state.endpoints.rateLimits();
+    for (const EndpointId& endpoint : limits.merge(*sender, event.gossip.rateLimits, now))
+        actions.emplace_back(Internal::rateLimitLogEvent(endpoint, limits.rateOf(endpoint), "gateway"));
 }
 
 void Gateway::storeReadingReceived(const StoreReadingReceived& event, Instant now, GatewayActions& actions)
@@ -262,7 +269,8 @@
     const GossipContent content { this->state.endpoints.usages(),
         this->state.quarantine.recentDelivery(now, maxSentSuspects), this->state.stop.has_value(),
         this->state.peers.receiverCount(), this->state.promptParts.recentEvidence(now),
-        this->state.promptParts.allEvidence(now), this->state.crashDetector.refusedConnections(now) };
+        this->state.promptParts.allEvidence(now), this->state.crashDetector.refusedConnections(now),
+        this->state.endpoints.rateLimits().reports(now) };
     if (auto message = this->gossip.compose(content, now))
         actions.emplace_back(SendGossip { std::move(*message), this->state.peers.receiverAddresses() });
 }
--- a/src/core/gateway/GatewayLog.cpp
+++ b/src/core/gateway/GatewayLog.cpp
@@ -108,6 +108,20 @@
             { "resumed", std::to_string(stop.resumed) }, { "cut", std::to_string(stop.cut) } } };
 }
 
+LogEvent rateLimitLogEvent(
+    const EndpointId& endpoint, std::optional<double> requestsPerSecond, const std::string& announcedBy)
+{
+    LogEvent line { requestsPerSecond ? "endpoint_limited" : "endpoint_limit_lifted", {} };
+    line.fields.push_back({ "endpoint", endpoint.get() });
+    if (requestsPerSecond) {
+        std::array<char, 32> rate {};
+        std::snprintf(rate.data(), rate.size(), "%.3f", *requestsPerSecond);
+        line.fields.push_back({ "requests_per_s", rate.data() });
+    }
+    line.fields.push_back({ "announced_by", announcedBy });
+    return line;
+}
+
 std::string promptPartsText(const std::vector<PromptPartId>& parts)
 {
     std::string text;
--- a/src/core/gateway/GatewayLog.h
+++ b/src/core/gateway/GatewayLog.h
@@ -26,6 +26,14 @@
 /** @return the log event of a completed stop, with the number of requests that ended in each way. */
 LogEvent stopLogEvent(const PlannedStop& stop, Instant now);
 
+/**
+ * @return the log event of an endpoint that states another request rate limit than before.
+ * @param requestsPerSecond unset if it states that it has none.
+ * @param announcedBy how this gateway heard of it.
+ */
+LogEvent rateLimitLogEvent(
+    const EndpointId& endpoint, std::optional<double> requestsPerSecond, const std::string& announcedBy);
+
 /** @return the parts' ids in hexadecimal, separated by plus signs. */
 std::string promptPartsText(const std::vector<PromptPartId>& parts);
 
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -27,7 +27,7 @@
         , zone(identity.zone)
         , randomness(random)
         , freshness(this->limits)
-        , endpoints(this->limits)
+        , endpoints(this->limits, identity.instance)
         , peers(this->limits, identity.instance)
         , quarantine(sharedLimits)
         , crashDetector(this->quarantine)
@@ -75,6 +75,8 @@
     PromptPartQuarantine promptParts;
     RouterLimits sharedLimits;
     std::map<ServiceId, RetryBudget> retryBudgets;
+    /** When the last caller that was refused because of rate limits was told to come back. */
+    std::map<ServiceId, Instant> lastRateLimitedReturn;
     std::optional<RouteTable> routes;
     std::map<RequestId, ActiveRequest> requests;
     std::map<ExchangeId, Exchange> exchanges;
--- a/src/core/gateway/GossipComposer.cpp
+++ b/src/core/gateway/GossipComposer.cpp
@@ -15,6 +15,9 @@
     constexpr std::size_t survivalBytes = 16;
     constexpr std::size_t suspectBytes = 16;
     constexpr std::size_t refusalBytes = 8;
+    constexpr std::size_t rateLimitBytes = 20;
+    /** Interval at which gateways tell each other their demand for endpoints with a rate limit. */
+    constexpr Milliseconds demandInterval(500);
     /** Time in which an empty token bucket is filled. */
     constexpr Milliseconds burstTime(500);
 
@@ -40,7 +43,7 @@
 {
     std::size_t bytes = headerBytes + message.usages.size() * usageBytes
         + message.promptParts.survivals.size() * survivalBytes + message.suspects.suspects.size() * suspectBytes
-        + message.refusedConnections.size() * refusalBytes;
+        + message.refusedConnections.size() * refusalBytes + message.rateLimits.size() * rateLimitBytes;
     for (const auto& start : message.promptParts.brokenStarts)
         bytes += brokenStartBytes + start.parts.size() * sizeof(std::uint64_t);
     this->availableBytes -= static_cast<double>(bytes * receiverCount);
@@ -52,6 +55,17 @@
         [&](const auto& start) { return !this->lastReports.contains(start.report); });
 }
 
+bool GossipComposer::hasNewRateLimits(const std::vector<RateLimitReport>& reports, Instant now) const
+{
+    if (reports.empty())
+        return false;
+    const bool isDue = !this->sentAt || now - *this->sentAt >= demandInterval;
+    return isDue || std::any_of(reports.begin(), reports.end(), [&](const RateLimitReport& report) {
+        const auto last = this->lastRateLimits.find(report.endpoint);
+        return last == this->lastRateLimits.end() || last->second != report.requestsPerSecond;
+    });
+}
+
 std::vector<EndpointUsage> GossipComposer::changedUsages(const std::vector<EndpointUsage>& usages) const
 {
     std::vector<EndpointUsage> changed;
@@ -77,7 +91,10 @@
     for (const auto& start : evidence.brokenStarts)
         this->lastReports.insert(start.report);
     GossipMessage message { this->self, this->incarnation, ++this->sequence, content.isDraining, false,
-        std::move(usages), content.suspects, evidence, content.refusedConnections };
+        std::move(usages), content.suspects, evidence, content.refusedConnections, content.rateLimits };
+    this->lastRateLimits.clear();
+    for (const RateLimitReport& report : content.rateLimits)
+        this->lastRateLimits[report.endpoint] = report.requestsPerSecond;
     this->spend(message, content.receiverCount);
     return message;
 }
@@ -88,14 +105,17 @@
     if (!this->fullGossipSentAt
         || now - *this->fullGossipSentAt >= fullGossipInterval(this->limits, content.receiverCount)) {
         this->fullGossipSentAt = now;
+        this->sentAt = now;
         return this->makeMessage(content, content.usages, content.allEvidence);
     }
     if (this->availableBytes <= 0)
         return std::nullopt;
     auto changed = this->changedUsages(content.usages);
-    if (changed.empty() && !this->hasNewReport(content.recentEvidence))
+    if (changed.empty() && !this->hasNewReport(content.recentEvidence)
+        && !this->hasNewRateLimits(content.rateLimits, now))
         return std::nullopt;
     GossipMessage partial = this->makeMessage(content, std::move(changed), content.recentEvidence);
+    this->sentAt = now;
     partial.isPartial = true;
     partial.instance = GatewayId();
     return partial;
--- a/src/core/gateway/GossipComposer.h
+++ b/src/core/gateway/GossipComposer.h
@@ -24,6 +24,7 @@
     /** Sent with full messages. */
     PromptPartEvidence allEvidence {};
     std::vector<RefusedConnection> refusedConnections {};
+    std::vector<RateLimitReport> rateLimits {};
 };
 
 /**
@@ -50,6 +51,8 @@
     /** Takes the bytes of one message to all receivers from the token bucket. */
     void spend(const GossipMessage& message, std::size_t receiverCount);
     bool hasNewReport(const PromptPartEvidence& evidence) const;
+    /** @return true if the rate limits differ from those of the last message, or their demand is due to be repeated. */
+    bool hasNewRateLimits(const std::vector<RateLimitReport>& reports, Instant now) const;
 
     const GatewayLimits& limits;
     GatewayId self;
@@ -59,6 +62,9 @@
     std::unordered_map<std::uint32_t, EndpointUsage> lastSent;
     /** Reports of broken runs in the last message. */
     std::set<std::uint64_t> lastReports;
+    /** Rate limits in the last message, by endpoint hash; unset where the endpoint has none. */
+    std::unordered_map<std::uint32_t, std::optional<double>> lastRateLimits;
+    std::optional<Instant> sentAt;
     std::optional<Instant> fullGossipSentAt;
     std::optional<Instant> refilledAt;
     /** Bytes left in the token bucket; negative after a full message that exceeded them. */
--- a/src/core/gateway/RequestCompletion.cpp
+++ b/src/core/gateway/RequestCompletion.cpp
@@ -35,12 +35,24 @@
 Milliseconds RequestCompletion::retryAfterOf(const ActiveRequest& active, Instant now)
 {
     const Milliseconds shortest = this->state.limits.retryAfter;
-    const auto unavailable = this->state.endpoints.unavailableTime(active.service->name, now);
-    if (!unavailable || *unavailable <= shortest)
+    const auto next = this->state.endpoints.nextReturn(active.service->name, now);
+    if (next && next->isRateLimited)
+        return this->rateLimitedReturn(active.service->name, next->time, now);
+    if (!next || next->time <= shortest)
         return shortest;
     // Spread, so that callers do not all come back in the instant in which the endpoint does.
     const auto spread = static_cast<std::uint64_t>(shortest.count());
-    return *unavailable + Milliseconds(static_cast<Milliseconds::rep>(this->state.randomness.next() % spread));
+    return next->time + Milliseconds(static_cast<Milliseconds::rep>(this->state.randomness.next() % spread));
+}
+
+Milliseconds RequestCompletion::rateLimitedReturn(const ServiceId& service, Milliseconds untilNext, Instant now)
+{
+    // The limit may be over long before all callers that were refused would have had their turn.
+    constexpr Milliseconds longestQueue(5000);
+    const Duration interval = this->state.endpoints.rateLimits().intervalOf(service, now).value_or(Duration(0));
+    Instant& last = this->state.lastRateLimitedReturn[service];
+    last = std::clamp(last + interval, now + untilNext, now + std::max(untilNext, longestQueue));
+    return std::chrono::ceil<Milliseconds>(last - now);
 }
 
 void RequestCompletion::refuseQuarantined(
--- a/src/core/gateway/StreamMigrator.cpp
+++ b/src/core/gateway/StreamMigrator.cpp
@@ -98,13 +98,18 @@
 void StreamMigrator::startNextMigration(const EndpointId& source, Instant now, GatewayActions& actions)
 {
     const auto entry = this->draining.find(source);
-    if (entry == this->draining.end() || entry->second || this->state.endpoints.isResting(source, now))
+    if (entry == this->draining.end() || entry->second || !this->acceptsCopyCalls(source, now))
         return;
     ActiveRequest* next = this->nextToMigrate(source, now);
     if (next && this->startMigration(*next, source, now, actions))
         entry->second = next->request.id;
 }
 
+bool StreamMigrator::acceptsCopyCalls(const EndpointId& source, Instant now) const
+{
+    return !this->state.endpoints.isResting(source, now) && this->state.endpoints.rateLimits().allows(source, 0, now);
+}
+
 bool StreamMigrator::startMigration(
     ActiveRequest& active, const EndpointId& source, Instant now, GatewayActions& actions)
 {
@@ -134,6 +139,7 @@
     StreamMigration& migration = *active.migration;
     migration.lastCallAt = now;
     ++migration.callCount;
+    this->state.endpoints.rateLimits().recordSent(migration.source);
     const bool stopsSource = migration.phase == MigrationPhase::Finishing;
     migration.mayBeStopped = stopsSource;
     if (stopsSource)
@@ -165,8 +171,7 @@
         this->abandonTarget(active, now, actions);
         return std::nullopt;
     }
-    if (isRunning && copied && migration.callCount < maxCopyCalls
-        && !this->state.endpoints.isResting(migration.source, now)) {
+    if (isRunning && copied && migration.callCount < maxCopyCalls && this->acceptsCopyCalls(migration.source, now)) {
         if (now - migration.lastCallAt < fastCopyThreshold)
             migration.phase = MigrationPhase::Finishing;
         this->sendCopyCall(active, now, actions);
--- a/src/core/gateway/StreamMigrator.h
+++ b/src/core/gateway/StreamMigrator.h
@@ -56,6 +56,8 @@
     void startNextMigration(const EndpointId& source, Instant now, GatewayActions& actions);
     /** @return the stream of the engine with the most remaining tokens; null if none is worth migrating. */
     ActiveRequest* nextToMigrate(const EndpointId& source, Instant now);
+    /** @return false while the engine wants no further calls. */
+    bool acceptsCopyCalls(const EndpointId& source, Instant now) const;
     /** @return false if no target is available. */
     bool startMigration(ActiveRequest& active, const EndpointId& source, Instant now, GatewayActions& actions);
     /** Sends the copy call of the migration's phase. */
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -66,6 +66,12 @@
     std::uint32_t slots { 0 };
 };
 
+/** What an endpoint states in a response of the request rate that it takes from all gateways together. */
+struct RateLimitStatement {
+    /** Unset when it states no limit. */
+    std::optional<double> requestsPerSecond;
+};
+
 /** Summary of a response's head. */
 struct ResponseSummary {
     std::uint16_t status { 0 };
@@ -80,6 +86,8 @@
     bool isLeaving { false };
     /** Time for which the endpoint wants no further requests of this gateway; zero when it states none. */
     Milliseconds restTime { 0 };
+    /** Unset when what the endpoint states cannot be read. */
+    std::optional<RateLimitStatement> rateLimit { RateLimitStatement {} };
     std::optional<ReportedLoad> load;
 };
 
@@ -136,6 +144,8 @@
     bool isLeaving { false };
     /** Time for which the source engine wants no further requests of this gateway; zero when it states none. */
     Milliseconds restTime { 0 };
+    /** Unset when the source engine states no limit or none that can be read. */
+    std::optional<RateLimitStatement> rateLimit {};
 };
 
 /** The configuration was read. Ignored if it is not newer than the current one. */
--- a/src/ports/PeerMessages.h
+++ b/src/ports/PeerMessages.h
@@ -4,6 +4,7 @@
 #include "ports/LinkMessages.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace teaselfold {
@@ -63,6 +64,21 @@
     bool operator==(const RefusedConnection&) const = default;
 };
 
+/** What a gateway knows of an endpoint's request rate limit, and how much of it the gateway could use. */
+struct RateLimitReport {
+    /** Lower 32 bits of the XXH3 hash of the endpoint's id. */
+    std::uint32_t endpoint { 0 };
+    /** Requests per second that the endpoint takes from all gateways together; unset if it stated that it has no limit.
+     */
+    std::optional<double> requestsPerSecond;
+    /** Time since the endpoint stated it. */
+    Milliseconds age { 0 };
+    /** The sender's recent requests per second for the endpoint's service. */
+    double demand { 0 };
+
+    bool operator==(const RateLimitReport&) const = default;
+};
+
 /**
  * State that a gateway sends to the others several times a second. The latest usage of an endpoint replaces earlier
  * ones, so the next full message corrects the effect of a lost one.
@@ -82,6 +98,7 @@
     PromptPartEvidence promptParts {};
     /** Recent ones of the sender, by which others recognize that their connections broke because of a crash. */
     std::vector<RefusedConnection> refusedConnections {};
+    std::vector<RateLimitReport> rateLimits {};
 
     bool operator==(const GossipMessage&) const = default;
 };
--- a/src/ports/Telemetry.h
+++ b/src/ports/Telemetry.h
@@ -41,8 +41,9 @@
     Completed,
     Failed,
     Cancelled,
+    RateLimited,
 };
-constexpr std::size_t metricCount = 13;
+constexpr std::size_t metricCount = 14;
 
 /** One observed value of a metric; 1 for counters. */
 struct Observation {
