Resume a stopped run at a target that began to leave a moment ago

Cause: a target that leaves got its run only within 500 ms of that call. The bound is about the time for which leaving endpoints take requests, but was counted from the call.

Change: besides, a target gets it that the gateway has known to leave for less than 500 ms, as a source does. A zone out of use keeps the earlier bound.

--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -337,7 +337,8 @@
     const auto mayTake = [&](const EndpointId& endpoint) { return !run.mayRunAt || run.mayRunAt == endpoint; };
     const bool isTargetReady = StreamMigrator::isTargetPrepared(run.stopCallAt, now)
         ? this->state.endpoints.acceptsStoppedRun(run.target.endpoint, now)
-        : this->state.endpoints.acceptsResumption(run.target.endpoint, now);
+        : this->state.endpoints.acceptsResumption(run.target.endpoint, now)
+            || this->state.endpoints.acceptsReturn(run.target.endpoint, now);
     const bool acceptsTarget = isTargetReady && mayTake(run.target.endpoint);
     const bool acceptsSource
         = run.source && mayTake(run.source->endpoint) && this->state.endpoints.acceptsReturn(run.source->endpoint, now);
