Name the source's address beside the handle of a moved run

What callers would see: a stream with a status and then the end of its connection whenever its run is moved, at an engine that compares the address: the run has been stopped, and the engine with its copy refuses it.

Cause: the protocol's 'Kv-From = IP:PORT/HANDLE (the source's address)' was read as the address of whoever holds the copy, which is right for replicas only.

Change: a moved run resumes with its source's address; one that resumes from a replica keeps naming the engine that holds it.

--- a/src/core/gateway/StreamMigrator.cpp
+++ b/src/core/gateway/StreamMigrator.cpp
@@ -288,7 +288,7 @@
     // The response to the outstanding copy call shows whether there is a copy.
     if (!active.migration || active.migration->phase != MigrationPhase::Done || !active.migration->copy)
         return std::nullopt;
-    const ResumePoint point { active.migration->targetAddress, *active.migration->copy, active.lastEventId };
+    const ResumePoint point { active.migration->sourceAddress, *active.migration->copy, active.lastEventId };
     active.migration.reset();
     active.failedMigrations = 0;
     active.failedTargets.clear();
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -205,7 +205,7 @@
 
 /** Point at which an endpoint resumes a stream that another endpoint started. */
 struct ResumePoint {
-    /** Address of the engine that holds the KV cache. */
+    /** Address that belongs to the handle: that of the engine that made it for a migration, or that holds a replica. */
     Address holder;
     KvCacheHandle handle;
     /** Identifier of the last event that the caller received. */
