--- a/test/process/lib/stop_endpoints.py
+++ b/test/process/lib/stop_endpoints.py
@@ -48,11 +48,11 @@
 class WorkingEndpoint(Endpoint):
     """Does the work that the fields X-Work-* of a request state."""
 
-    def __init__(self, name, runs):
+    def __init__(self, name, runs, handler=None):
         # Of all endpoints, in the order of their beginning.
         self.runs = runs
         self.connections = {}
-        super().__init__(name, handler=WorkingHandler)
+        super().__init__(name, handler=handler or WorkingHandler)
 
     def break_off(self):
         """Ends the connections of runs, as a crash does, but for responses that it would complete."""
