Keep idle gateways from sending their saved requests to a limited endpoint at once

What callers saw: in fleets of 26 gateways or more that had been idle for a minute, an endpoint with a limit of 4.5 requests a second got far more than 32 requests in 4 s when callers came to all gateways in the same instant.

Each gateway kept one whole request however small its share was, and a gateway counted its new demand at once, also for the time before, while the others still knew its old demand, so that the shares added up to several times the limit.

Change: what all gateways may save up is bounded and divided by share; one whose part is below a request loses a request that it does not use in time, which spreads the gateways over time. The share follows the demand that a gateway last reported; without a report it is the average that the others assume. Retry-After goes on following the present demand, which the others know by then.

--- a/src/core/gateway/DemandShares.cpp
+++ b/src/core/gateway/DemandShares.cpp
@@ -36,6 +36,12 @@
     return std::max(recent / secondsOf(countingTime), minDemand);
 }
 
+void DemandShares::recordReported(const std::vector<RateLimitReport>& sent, Instant now)
+{
+    for (const RateLimitReport& report : sent)
+        this->reported[report.endpoint] = { report.demand, now };
+}
+
 void DemandShares::merge(const GatewayId& sender, const std::vector<RateLimitReport>& received, Instant now)
 {
     for (const RateLimitReport& report : received)
@@ -45,26 +51,48 @@
 void DemandShares::expire(Instant now)
 {
     for (auto& [endpoint, senders] : this->reports)
-        std::erase_if(senders, [&](const auto& entry) { return now - entry.second.receivedAt > maxReportAge; });
+        std::erase_if(senders, [&](const auto& entry) { return now - entry.second.at > maxReportAge; });
     std::erase_if(this->reports, [](const auto& entry) { return entry.second.empty(); });
+    std::erase_if(this->reported, [&](const auto& entry) { return now - entry.second.at > maxReportAge; });
     std::erase_if(this->own, [&](const auto& entry) { return decayed(entry.second, now) < minDemand; });
 }
 
-double DemandShares::shareOf(
-    std::uint32_t endpoint, const ServiceId& service, std::size_t gatewayCount, Instant now) const
+DemandShares::Known DemandShares::othersOf(std::uint32_t endpoint) const
 {
-    const double ownRate = this->ownDemand(service, now);
-    double known = ownRate;
-    std::size_t knownCount = 1;
+    Known others;
     if (const auto found = this->reports.find(endpoint); found != this->reports.end()) {
         for (const auto& [sender, report] : found->second)
-            known += report.requestsPerSecond;
-        knownCount += found->second.size();
+            others.requestsPerSecond += report.requestsPerSecond;
+        others.count = found->second.size();
     }
+    return others;
+}
+
+double DemandShares::shareFor(double ownRate, const Known& others, std::size_t gatewayCount) const
+{
+    const double known = ownRate + others.requestsPerSecond;
+    const std::size_t knownCount = others.count + 1;
     // A gateway without a report has not heard of the limit yet, so its demand may be an average one.
     const std::size_t unknownCount = std::max(gatewayCount, knownCount) - knownCount;
     const double unknown = known / static_cast<double>(knownCount) * static_cast<double>(unknownCount);
     return this->limits.sharedQuotaFraction * ownRate / (known + unknown);
 }
 
+double DemandShares::shareOf(std::uint32_t endpoint, std::size_t gatewayCount, Instant now) const
+{
+    const Known others = this->othersOf(endpoint);
+    const auto found = this->reported.find(endpoint);
+    if (found != this->reported.end() && now - found->second.at <= maxReportAge)
+        return this->shareFor(found->second.requestsPerSecond, others, gatewayCount);
+    // The others take this gateway's demand for an average one.
+    const double average = others.count == 0 ? 1 : others.requestsPerSecond / static_cast<double>(others.count);
+    return this->shareFor(average, others, gatewayCount);
+}
+
+double DemandShares::expectedShareOf(
+    std::uint32_t endpoint, const ServiceId& service, std::size_t gatewayCount, Instant now) const
+{
+    return this->shareFor(this->ownDemand(service, now), this->othersOf(endpoint), gatewayCount);
+}
+
 }
--- a/src/core/gateway/DemandShares.h
+++ b/src/core/gateway/DemandShares.h
@@ -23,6 +23,8 @@
     void recordRequest(const ServiceId& service, Instant now);
     /** @return this gateway's recent requests per second for the service. */
     double ownDemand(const ServiceId& service, Instant now) const;
+    /** Records what this gateway reported of its demand to the others. */
+    void recordReported(const std::vector<RateLimitReport>& reports, Instant now);
     /** Records what another gateway reported of its demand. */
     void merge(const GatewayId& sender, const std::vector<RateLimitReport>& reports, Instant now);
     /** Forgets reports that are too old. */
@@ -30,9 +32,13 @@
     /**
      * @param endpoint hash of the endpoint's id.
      * @param gatewayCount number of gateways, including this one.
-     * @return this gateway's share of what the endpoint takes, from 0 to 1.
+     * @return this gateway's share of what the endpoint takes, from 0 to 1. It follows the demand that the others know
+     * of, so that the shares of all gateways add up.
      */
-    double shareOf(std::uint32_t endpoint, const ServiceId& service, std::size_t gatewayCount, Instant now) const;
+    double shareOf(std::uint32_t endpoint, std::size_t gatewayCount, Instant now) const;
+    /** @return the share that this gateway has once the others know its present demand. */
+    double expectedShareOf(
+        std::uint32_t endpoint, const ServiceId& service, std::size_t gatewayCount, Instant now) const;
 
 private:
     /** Exponentially decaying count of requests. */
@@ -42,13 +48,24 @@
     };
     struct Report {
         double requestsPerSecond { 0 };
-        Instant receivedAt;
+        Instant at;
+    };
+
+    /** What the other gateways reported of an endpoint. */
+    struct Known {
+        double requestsPerSecond { 0 };
+        std::size_t count { 0 };
     };
 
     static double decayed(const Count& count, Instant now);
+    Known othersOf(std::uint32_t endpoint) const;
+    /** @return the share of a gateway with the given demand. */
+    double shareFor(double ownRate, const Known& others, std::size_t gatewayCount) const;
 
     const GatewayLimits& limits;
     std::map<ServiceId, Count> own;
+    /** This gateway's last reports, by endpoint hash. */
+    std::map<std::uint32_t, Report> reported;
     /** The other gateways' last reports, by endpoint hash. */
     std::map<std::uint32_t, std::map<GatewayId, Report>> reports;
 };
--- a/src/core/gateway/EndpointRateLimits.cpp
+++ b/src/core/gateway/EndpointRateLimits.cpp
@@ -85,7 +85,12 @@
 
 double EndpointRateLimits::shareOf(const Entry& entry, Instant now) const
 {
-    return this->demand.shareOf(entry.hash, entry.service, this->gatewayCount, now);
+    return this->demand.shareOf(entry.hash, this->gatewayCount, now);
+}
+
+double EndpointRateLimits::expectedShareOf(const Entry& entry, Instant now) const
+{
+    return this->demand.expectedShareOf(entry.hash, entry.service, this->gatewayCount, now);
 }
 
 bool EndpointRateLimits::allows(const EndpointId& endpoint, double debt, Instant now)
@@ -109,7 +114,7 @@
     const auto found = this->entries.find(endpoint);
     if (found == this->entries.end() || !found->second.limit.stated())
         return Duration(0);
-    return found->second.limit.timeUntilAllowed(this->shareOf(found->second, now));
+    return found->second.limit.timeUntilAllowed(this->expectedShareOf(found->second, now));
 }
 
 std::optional<Duration> EndpointRateLimits::intervalOf(const ServiceId& service, Instant now) const
@@ -118,7 +123,7 @@
     for (const auto& [endpoint, entry] : this->entries) {
         if (entry.service != service)
             continue;
-        const auto interval = entry.limit.interval(this->shareOf(entry, now));
+        const auto interval = entry.limit.interval(this->expectedShareOf(entry, now));
         if (!interval)
             return std::nullopt;
         perSecond += 1 / std::chrono::duration<double>(*interval).count();
--- a/src/core/gateway/EndpointRateLimits.h
+++ b/src/core/gateway/EndpointRateLimits.h
@@ -40,6 +40,11 @@
     std::vector<EndpointId> merge(const GatewayId& sender, const std::vector<RateLimitReport>& reports, Instant now);
     /** @return what this gateway knows, the newest statements first, for the other gateways. */
     std::vector<RateLimitReport> reports(Instant now) const;
+    /** Records that the reports were sent to the other gateways. */
+    void recordReported(const std::vector<RateLimitReport>& reports, Instant now)
+    {
+        this->demand.recordReported(reports, now);
+    }
     /** @return the rate that the endpoint has stated, in requests per second; unset without a limit. */
     std::optional<double> rateOf(const EndpointId& endpoint) const;
 
@@ -66,6 +71,8 @@
     };
 
     double shareOf(const Entry& entry, Instant now) const;
+    /** @return the share that this gateway has once the others know its present demand. */
+    double expectedShareOf(const Entry& entry, Instant now) const;
 
     GatewayId self;
     std::size_t gatewayCount { 1 };
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -279,8 +279,11 @@
         this->state.peers.receiverCount(), this->state.promptParts.recentEvidence(now),
         this->state.promptParts.allEvidence(now), this->state.crashDetector.refusedConnections(now),
         this->state.endpoints.rateLimits().reports(now) };
-    if (auto message = this->gossip.compose(content, now))
-        actions.emplace_back(SendGossip { std::move(*message), this->state.peers.receiverAddresses() });
+    auto message = this->gossip.compose(content, now);
+    if (!message)
+        return;
+    this->state.endpoints.rateLimits().recordReported(message->rateLimits, now);
+    actions.emplace_back(SendGossip { std::move(*message), this->state.peers.receiverAddresses() });
 }
 
 void Gateway::logQuarantinedParts(GatewayActions& actions)
--- a/src/core/gateway/RateLimit.cpp
+++ b/src/core/gateway/RateLimit.cpp
@@ -1,6 +1,7 @@
 #include "core/gateway/RateLimit.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace teaselfold {
 
@@ -11,7 +12,8 @@
      * that its limit is over.
      */
     constexpr double minRate = 0.5;
-    /** Credit beyond one request, as the time in which it accumulates. */
+    /** Requests that all gateways together may save up: a number, and what the rate allows in a time. */
+    constexpr double minBurst = 2;
     constexpr Milliseconds burstTime(500);
     constexpr Milliseconds maxInterval = std::chrono::minutes(5);
 
@@ -47,10 +49,19 @@
     if (!this->requestsPerSecond)
         return;
     const double perSecond = this->rate(share);
-    const double capacity = std::max(1.0, perSecond * std::chrono::duration<double>(burstTime).count());
+    const double burst = share * minBurst + perSecond * std::chrono::duration<double>(burstTime).count();
     const double seconds = std::chrono::duration<double>(now - this->refilledAt).count();
-    this->credit = std::min(capacity, this->credit + perSecond * std::max(seconds, 0.0));
+    this->credit += perSecond * std::max(seconds, 0.0);
     this->refilledAt = now;
+    if (burst >= 1) {
+        this->credit = std::min(burst, this->credit);
+        return;
+    }
+    // A gateway with a small share loses a request that it does not use in time. If each of many kept one, all of them
+    // could be sent at once.
+    const double excess = this->credit - (1 + burst);
+    if (excess > 0)
+        this->credit -= std::ceil(excess);
 }
 
 Duration RateLimit::timeUntilAllowed(double share) const
--- a/test/error/GatewaysKeepToStatedRateLimits.cpp
+++ b/test/error/GatewaysKeepToStatedRateLimits.cpp
@@ -13,7 +13,6 @@
 
 constexpr Milliseconds stepTime(10);
 constexpr Milliseconds tickPeriod(50);
-constexpr Milliseconds responseTime(20);
 /** What rule LIMIT allows holds in each such window, from the settling time after the limit was first stated. */
 constexpr Milliseconds window(4000);
 constexpr Milliseconds settlingTime(3000);
@@ -26,6 +25,7 @@
         std::vector<double> demands;
         std::optional<double> limit;
         std::uint64_t seed { 1 };
+        Milliseconds responseTime { 20 };
     };
 
     explicit LimitedFleet(Options fleetOptions)
@@ -44,6 +44,9 @@
     /** @return the number of requests that were refused, not counting those that waited. */
     std::size_t refusals() const { return this->refusalCount; }
 
+    /** Suspends a gateway's process. What it is sent meanwhile, it receives afterwards. */
+    void suspend(std::size_t node, Milliseconds time) { this->nodes[node].suspendedUntil = this->now + time; }
+
     /** Ends a gateway's process and starts a new one, which knows the records of the store. */
     void restart(std::size_t index)
     {
@@ -93,6 +96,7 @@
         std::deque<std::pair<Instant, GatewayEvent>> inbox;
         double dueRequests { 0 };
         std::uint64_t lastRequest { 0 };
+        Instant suspendedUntil {};
     };
 
     static GatewayId nameOf(std::size_t node) { return GatewayId("gateway-" + std::to_string(node)); }
@@ -109,6 +113,8 @@
         const auto elapsed = std::chrono::duration_cast<Milliseconds>(this->now.time_since_epoch());
         for (std::size_t index = 0; index < this->nodes.size(); ++index) {
             Node& node = this->nodes[index];
+            if (this->now < node.suspendedUntil)
+                continue;
             while (!node.inbox.empty() && node.inbox.front().first <= this->now) {
                 const GatewayEvent event = node.inbox.front().second;
                 node.inbox.pop_front();
@@ -161,8 +167,8 @@
         ResponseSummary summary = GatewayScenario::success();
         summary.rateLimit = RateLimitStatement { this->options.limit };
         auto& inbox = this->nodes[index].inbox;
-        inbox.emplace_back(this->now + responseTime, ResponseReceived { exchange, summary });
-        inbox.emplace_back(this->now + responseTime, ExchangeEnded { exchange, ExchangeEnd::Complete });
+        inbox.emplace_back(this->now + this->options.responseTime, ResponseReceived { exchange, summary });
+        inbox.emplace_back(this->now + this->options.responseTime, ExchangeEnded { exchange, ExchangeEnd::Complete });
     }
 
     void deliver(std::size_t sender, const GossipMessage& message)
@@ -347,3 +353,25 @@
     CHECK(answer(GatewayScenario::notRunRefusal(), RateLimitStatement { 2.0 }) == "endpoint_limited");
     CHECK(answer(GatewayScenario::success(), RateLimitStatement {}) == "endpoint_limit_lifted");
 }
+
+// Guards against gateways that each save up a request while nobody sends any, and all send it in the same instant.
+TEST_CASE("Idle gateways keep to a rate limit when callers come to all of them in the same instant")
+{
+    for (const std::size_t gateways : { std::size_t(26), std::size_t(64), std::size_t(127) }) {
+        for (const double busyDemand : { 0.0, 20.0 }) {
+            CAPTURE(gateways);
+            CAPTURE(busyDemand);
+            std::vector<double> demands(gateways, 0);
+            demands.front() = 20;
+            LimitedFleet fleet({ demands, 4.5 });
+            fleet.advance(settlingTime);
+            const Instant settled = fleet.time();
+            fleet.setDemand(0, busyDemand);
+            fleet.advance(Milliseconds(60000));
+            for (std::size_t node = 0; node < gateways; ++node)
+                fleet.setDemand(node, 10);
+            fleet.advance(Milliseconds(6000));
+            CHECK(static_cast<double>(fleet.mostInWindow(settled)) <= allowed(4.5));
+        }
+    }
+}
