Divide the requests that lost streams may send beyond a limit among the gateways

What callers saw: nothing; the endpoint got one or two requests beyond its limit from each gateway that resumed streams at it in the same instant.

Cause: the debt that a resumption may make was a number for each gateway, so that it grew with the fleet.

Evidence: the new test before: 10 requests at once from 5 gateways, 128 from 64, 254 from 127, at a limit of 4.5 a second. Now at most 8.

Change: the debt is a number for all gateways together, and each makes its share of it.

--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -23,8 +23,11 @@
     constexpr std::uint32_t maxStoppedRunsPerRest = 2;
     /** Time for which a leaving endpoint takes its stopped runs back; shorter than the time for which it works on. */
     constexpr Milliseconds returnPeriod(500);
-    /** Requests beyond a rate limit for a stream that would be lost otherwise, and for one whose run was stopped. */
-    constexpr double resumptionDebt = 1;
+    /**
+     * Requests of all gateways together beyond a rate limit, for streams that would be lost otherwise and for those
+     * whose runs were stopped.
+     */
+    constexpr double resumptionDebt = 1.5;
     constexpr double stoppedRunDebt = 2;
 
     /** Adds a measured time to a moving average. */
--- a/src/core/gateway/EndpointRateLimits.cpp
+++ b/src/core/gateway/EndpointRateLimits.cpp
@@ -98,8 +98,9 @@
     const auto found = this->entries.find(endpoint);
     if (found == this->entries.end() || !found->second.limit.stated())
         return true;
-    found->second.limit.refill(this->shareOf(found->second, now), now);
-    return found->second.limit.allows(debt);
+    const double share = this->shareOf(found->second, now);
+    found->second.limit.refill(share, now);
+    return found->second.limit.allows(debt * share);
 }
 
 void EndpointRateLimits::recordSent(const EndpointId& endpoint)
--- a/test/error/GatewaysKeepToStatedRateLimits.cpp
+++ b/test/error/GatewaysKeepToStatedRateLimits.cpp
@@ -375,3 +375,26 @@
         }
     }
 }
+
+// Guards against gateways that each exceed a rate limit by a request when all of them lose streams at the same time.
+TEST_CASE("Streams that many gateways resume at the same time keep to the rate limit of an engine")
+{
+    const GatewayLimits limits;
+    const EndpointRecord engine = GatewayScenario::engineEndpoint("e1");
+    const Instant now { Seconds(1000) };
+    for (const std::size_t gateways : { std::size_t(5), std::size_t(64), std::size_t(127) }) {
+        CAPTURE(gateways);
+        int sent = 0;
+        for (std::size_t gateway = 0; gateway < gateways; ++gateway) {
+            EndpointDirectory directory(limits, GatewayId("gateway-" + std::to_string(gateway)));
+            directory.replaceAll({ engine }, std::nullopt, now);
+            directory.rateLimits().setGatewayCount(gateways);
+            directory.rateLimits().recordAnswer(engine.id, 4.5, now);
+            while (directory.acceptsResumption(engine.id, now) || directory.acceptsStoppedRun(engine.id, now)) {
+                directory.beginExchange(engine.id, 10, now);
+                ++sent;
+            }
+        }
+        CHECK(sent <= 8);
+    }
+}
