Give callers their turns when endpoints without a limit leave or rest

What callers saw: all of them were refused with the same Retry-After and came back in the same instant, when one endpoint of the service had a limit and another one left or rested.

Cause: the time between two turns was unset as soon as one endpoint of the service had no limit, whether or not it took requests.

Now each is told a later time.

Change: turns are counted from the endpoints with a limit. They are given only where no endpoint takes a request.

--- a/src/core/gateway/EndpointRateLimits.cpp
+++ b/src/core/gateway/EndpointRateLimits.cpp
@@ -124,10 +124,10 @@
     for (const auto& [endpoint, entry] : this->entries) {
         if (entry.service != service)
             continue;
+        // Endpoints without a limit take no requests now either, or nobody would have to wait for a limit.
         const auto interval = entry.limit.interval(this->expectedShareOf(entry, now));
-        if (!interval)
-            return std::nullopt;
-        perSecond += 1 / std::chrono::duration<double>(*interval).count();
+        if (interval)
+            perSecond += 1 / std::chrono::duration<double>(*interval).count();
     }
     if (perSecond == 0)
         return std::nullopt;
--- a/test/error/GatewaysKeepToStatedRateLimits.cpp
+++ b/test/error/GatewaysKeepToStatedRateLimits.cpp
@@ -398,3 +398,41 @@
         CHECK(sent <= 8);
     }
 }
+
+// Guards against callers that all come back in the same instant because another endpoint of the service leaves.
+TEST_CASE("Refused callers come back in turn although an endpoint without a rate limit leaves or rests")
+{
+    for (const bool isLeaving : { true, false }) {
+        CAPTURE(isLeaving);
+        GatewayScenario scenario;
+        scenario.start().handle(MembersListed { { { GatewayId("gateway-1"), {} } } });
+        scenario.handle(EndpointsListed { { GatewayScenario::plainEndpoint("p4") } });
+        ResponseSummary limited = GatewayScenario::success();
+        limited.rateLimit = RateLimitStatement { 2.0 };
+        scenario.sendRequest("/write/1");
+        scenario.respond(limited);
+        scenario.endExchange(ExchangeEnd::Complete);
+        EndpointRecord other = GatewayScenario::plainEndpoint("p5");
+        other.isDraining = isLeaving;
+        scenario.handle(EndpointsChanged { { other }, {} });
+        ResponseSummary resting = GatewayScenario::notRunRefusal();
+        resting.restTime = Milliseconds(9000);
+        Milliseconds last(0);
+        int refused = 0;
+        for (int request = 0; request < 12; ++request) {
+            scenario.clearActions();
+            scenario.sendRequest("/write/1");
+            if (scenario.lastAction<StartExchange>() && scenario.lastExchange()->endpoint == other.id)
+                scenario.respond(resting);
+            const auto refusal = scenario.lastAction<RefuseRequest>();
+            if (!refusal || refusal->failure.message.find("rate limit") == std::string::npos)
+                continue;
+            ++refused;
+            CHECK(refusal->failure.retryAfter > last);
+            last = refusal->failure.retryAfter;
+            if (refused == 4)
+                break;
+        }
+        CHECK(refused == 4);
+    }
+}
