Let a gateway that was suspended not take late answers for the newest statement of a limit

What callers saw: nothing. An endpoint that first stated its limit while a gateway was suspended got more from it than the limit allows.

Cause: an answer counts as stated when it is read. One without a limit from before the suspension was read after it, and hid for being newer what the other gateways told of the limit.

Evidence: the new test before, 26 simulated gateways, one suspended for 6 s: 15 requests in 4 s at a limit of 0 (5 allowed) and 17 at 1 (11 allowed). It passes now.

Change: for half a second after a suspension only statements that lower a limit hold. A statement that is ignored comes again with the next answer or datagram.

--- a/src/core/gateway/EndpointRateLimits.cpp
+++ b/src/core/gateway/EndpointRateLimits.cpp
@@ -10,6 +10,8 @@
 
     /** Keeps the datagrams within one Ethernet frame. */
     constexpr std::size_t maxReports = 16;
+    /** Time in which a process that was suspended reads what it was sent meanwhile. */
+    constexpr Milliseconds catchUpTime(500);
     /** Time for which the others are told that a limit is over. */
     constexpr Milliseconds liftedReportTime(5000);
 
@@ -41,10 +43,23 @@
     this->entries.erase(found);
 }
 
-bool EndpointRateLimits::recordAnswer(const EndpointId& endpoint, std::optional<double> requestsPerSecond, Instant now)
+void EndpointRateLimits::recordSuspension(Instant now) { this->suspensionHandledAt = now; }
+
+bool EndpointRateLimits::recordStatement(
+    const EndpointId& endpoint, std::optional<double> requestsPerSecond, Instant at, Instant now)
 {
     const auto found = this->entries.find(endpoint);
-    return found != this->entries.end() && found->second.limit.state(requestsPerSecond, now, now);
+    if (found == this->entries.end())
+        return false;
+    RateLimit& limit = found->second.limit;
+    const bool catchesUp = this->suspensionHandledAt && now - *this->suspensionHandledAt < catchUpTime;
+    const bool lowers = requestsPerSecond && (!limit.stated() || *requestsPerSecond < *limit.stated());
+    return (!catchesUp || lowers) && limit.state(requestsPerSecond, at, now);
+}
+
+bool EndpointRateLimits::recordAnswer(const EndpointId& endpoint, std::optional<double> requestsPerSecond, Instant now)
+{
+    return this->recordStatement(endpoint, requestsPerSecond, now, now);
 }
 
 std::vector<EndpointId> EndpointRateLimits::merge(
@@ -55,7 +70,7 @@
     for (const RateLimitReport& report : reports) {
         const auto endpoint = this->endpointByHash.find(report.endpoint);
         if (endpoint != this->endpointByHash.end()
-            && this->entries.at(endpoint->second).limit.state(report.requestsPerSecond, now - report.age, now))
+            && this->recordStatement(endpoint->second, report.requestsPerSecond, now - report.age, now))
             changed.push_back(endpoint->second);
     }
     return changed;
--- a/src/core/gateway/EndpointRateLimits.h
+++ b/src/core/gateway/EndpointRateLimits.h
@@ -36,6 +36,11 @@
      * @return true if the limit changed.
      */
     bool recordAnswer(const EndpointId& endpoint, std::optional<double> requestsPerSecond, Instant now);
+    /**
+     * Notes that the process was suspended. What it reads at first was sent before, so for a short time only statements
+     * that lower a limit hold.
+     */
+    void recordSuspension(Instant now);
     /** Records what another gateway knows. @return the endpoints whose limit changed. */
     std::vector<EndpointId> merge(const GatewayId& sender, const std::vector<RateLimitReport>& reports, Instant now);
     /** @return what this gateway knows, the newest statements first, for the other gateways. */
@@ -70,6 +75,7 @@
         RateLimit limit;
     };
 
+    bool recordStatement(const EndpointId& endpoint, std::optional<double> requestsPerSecond, Instant at, Instant now);
     double shareOf(const Entry& entry, Instant now) const;
     /** @return the share that this gateway has once the others know its present demand. */
     double expectedShareOf(const Entry& entry, Instant now) const;
@@ -77,6 +83,7 @@
     GatewayId self;
     std::size_t gatewayCount { 1 };
     DemandShares demand;
+    std::optional<Instant> suspensionHandledAt;
     std::map<EndpointId, Entry> entries;
     std::map<std::uint32_t, EndpointId> endpointByHash;
 };
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -87,6 +87,7 @@
     if (now - lastActive < suspensionThreshold)
         return;
     this->state.freshness.recordSuspension(lastActive, now);
+    this->state.endpoints.rateLimits().recordSuspension(now);
     actions.emplace_back(LogEvent { "suspended", { { "time_ms", Internal::millisecondsText(now - lastActive) } } });
 }
 
--- a/test/error/GatewaysKeepToStatedRateLimits.cpp
+++ b/test/error/GatewaysKeepToStatedRateLimits.cpp
@@ -376,6 +376,22 @@
     }
 }
 
+// Guards against answers that a suspended gateway reads late and takes, for the whole fleet, for the newest ones.
+TEST_CASE("A gateway that was suspended does not lift a rate limit with what it was sent before")
+{
+    for (const double limit : { 0.0, 1.0, 4.5 }) {
+        CAPTURE(limit);
+        LimitedFleet fleet({ std::vector<double>(26, 40), std::nullopt, 1, Milliseconds(300) });
+        fleet.advance(Milliseconds(1000));
+        fleet.suspend(0, Milliseconds(6000));
+        fleet.setLimit(limit);
+        fleet.advance(settlingTime);
+        const Instant settled = fleet.time();
+        fleet.advance(Milliseconds(8000));
+        CHECK(static_cast<double>(fleet.mostInWindow(settled)) <= allowed(limit));
+    }
+}
+
 // Guards against gateways that each exceed a rate limit by a request when all of them lose streams at the same time.
 TEST_CASE("Streams that many gateways resume at the same time keep to the rate limit of an engine")
 {
