Look only at endpoints with a limit for each request and tick

Without any limit, each request looked up each candidate, and each tick went through all endpoints. Both now look at the endpoints that have a limit or had one until recently, which are none then. Behaviour is unchanged; the tests of limits pass. The cost was not measured.

--- a/src/core/gateway/EndpointRateLimits.cpp
+++ b/src/core/gateway/EndpointRateLimits.cpp
@@ -32,6 +32,7 @@
     const std::uint32_t hash = endpointHashOf(endpoint);
     this->entries[endpoint] = { service, hash, RateLimit(initialCreditOf(this->self, endpoint)) };
     this->endpointByHash[hash] = endpoint;
+    this->limited.erase(endpoint);
 }
 
 void EndpointRateLimits::remove(const EndpointId& endpoint)
@@ -41,6 +42,7 @@
         return;
     this->endpointByHash.erase(found->second.hash);
     this->entries.erase(found);
+    this->limited.erase(endpoint);
 }
 
 void EndpointRateLimits::recordSuspension(Instant now) { this->suspensionHandledAt = now; }
@@ -54,7 +56,10 @@
     RateLimit& limit = found->second.limit;
     const bool catchesUp = this->suspensionHandledAt && now - *this->suspensionHandledAt < catchUpTime;
     const bool lowers = requestsPerSecond && (!limit.stated() || *requestsPerSecond < *limit.stated());
-    return (!catchesUp || lowers) && limit.state(requestsPerSecond, at, now);
+    if ((catchesUp && !lowers) || !limit.state(requestsPerSecond, at, now))
+        return false;
+    this->limited.insert(endpoint);
+    return true;
 }
 
 bool EndpointRateLimits::recordAnswer(const EndpointId& endpoint, std::optional<double> requestsPerSecond, Instant now)
@@ -79,7 +84,8 @@
 std::vector<RateLimitReport> EndpointRateLimits::reports(Instant now) const
 {
     std::vector<RateLimitReport> reports;
-    for (const auto& [endpoint, entry] : this->entries) {
+    for (const EndpointId& endpoint : this->limited) {
+        const Entry& entry = this->entries.at(endpoint);
         const auto statedAt = entry.limit.statedAt();
         if (!entry.limit.stated() && !(entry.limit.wasLifted() && now - *statedAt < liftedReportTime))
             continue;
@@ -98,6 +104,31 @@
     return found == this->entries.end() ? std::nullopt : found->second.limit.stated();
 }
 
+void EndpointRateLimits::expire(Instant now)
+{
+    this->demand.expire(now);
+    std::erase_if(this->limited, [&](const EndpointId& endpoint) {
+        const RateLimit& limit = this->entries.at(endpoint).limit;
+        return !limit.stated() && now - *limit.statedAt() >= liftedReportTime;
+    });
+}
+
+EndpointRateLimits::Entry* EndpointRateLimits::findLimited(const EndpointId& endpoint)
+{
+    if (!this->limited.contains(endpoint))
+        return nullptr;
+    Entry& entry = this->entries.at(endpoint);
+    return entry.limit.stated() ? &entry : nullptr;
+}
+
+const EndpointRateLimits::Entry* EndpointRateLimits::findLimited(const EndpointId& endpoint) const
+{
+    if (!this->limited.contains(endpoint))
+        return nullptr;
+    const Entry& entry = this->entries.at(endpoint);
+    return entry.limit.stated() ? &entry : nullptr;
+}
+
 double EndpointRateLimits::shareOf(const Entry& entry, Instant now) const
 {
     return this->demand.shareOf(entry.hash, this->gatewayCount, now);
@@ -110,33 +141,31 @@
 
 bool EndpointRateLimits::allows(const EndpointId& endpoint, double debt, Instant now)
 {
-    const auto found = this->entries.find(endpoint);
-    if (found == this->entries.end() || !found->second.limit.stated())
+    Entry* entry = this->findLimited(endpoint);
+    if (!entry)
         return true;
-    const double share = this->shareOf(found->second, now);
-    found->second.limit.refill(share, now);
-    return found->second.limit.allows(debt * share);
+    const double share = this->shareOf(*entry, now);
+    entry->limit.refill(share, now);
+    return entry->limit.allows(debt * share);
 }
 
 void EndpointRateLimits::recordSent(const EndpointId& endpoint)
 {
-    const auto found = this->entries.find(endpoint);
-    if (found != this->entries.end())
-        found->second.limit.spend();
+    if (Entry* entry = this->findLimited(endpoint))
+        entry->limit.spend();
 }
 
 Duration EndpointRateLimits::timeUntilAllowed(const EndpointId& endpoint, Instant now) const
 {
-    const auto found = this->entries.find(endpoint);
-    if (found == this->entries.end() || !found->second.limit.stated())
-        return Duration(0);
-    return found->second.limit.timeUntilAllowed(this->expectedShareOf(found->second, now));
+    const Entry* entry = this->findLimited(endpoint);
+    return entry ? entry->limit.timeUntilAllowed(this->expectedShareOf(*entry, now)) : Duration(0);
 }
 
 std::optional<Duration> EndpointRateLimits::intervalOf(const ServiceId& service, Instant now) const
 {
     double perSecond = 0;
-    for (const auto& [endpoint, entry] : this->entries) {
+    for (const EndpointId& endpoint : this->limited) {
+        const Entry& entry = this->entries.at(endpoint);
         if (entry.service != service)
             continue;
         // Endpoints without a limit take no requests now either, or nobody would have to wait for a limit.
--- a/src/core/gateway/EndpointRateLimits.h
+++ b/src/core/gateway/EndpointRateLimits.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace teaselfold {
@@ -64,8 +65,8 @@
     Duration timeUntilAllowed(const EndpointId& endpoint, Instant now) const;
     /** @return the time between two requests that this gateway may send to a service; unset if it has no limit. */
     std::optional<Duration> intervalOf(const ServiceId& service, Instant now) const;
-    /** Forgets the demand of gateways that report none any more. */
-    void expire(Instant now) { this->demand.expire(now); }
+    /** Forgets the demand of gateways that report none any more, and limits that have been over for some time. */
+    void expire(Instant now);
 
 private:
     struct Entry {
@@ -76,6 +77,9 @@
     };
 
     bool recordStatement(const EndpointId& endpoint, std::optional<double> requestsPerSecond, Instant at, Instant now);
+    /** @return the endpoint's entry if it has a limit; null otherwise. */
+    Entry* findLimited(const EndpointId& endpoint);
+    const Entry* findLimited(const EndpointId& endpoint) const;
     double shareOf(const Entry& entry, Instant now) const;
     /** @return the share that this gateway has once the others know its present demand. */
     double expectedShareOf(const Entry& entry, Instant now) const;
@@ -85,6 +89,8 @@
     DemandShares demand;
     std::optional<Instant> suspensionHandledAt;
     std::map<EndpointId, Entry> entries;
+    /** Endpoints that have a limit, or had one until recently. */
+    std::set<EndpointId> limited;
     std::map<std::uint32_t, EndpointId> endpointByHash;
 };
 
