Serve the few requests of many gateways within a rate limit

Cause: shares went by demand alone, so that a gateway without recent requests had none to save up, and a gateway with a small share lost what it saved up before a caller came.

Change: what exceeds all demand is divided equally among the gateways. Credit is added at each tick, by the share of that time. A saved request is kept, and drawn when a caller comes: so many gateways use theirs at once as the limit has room for, spread evenly; the others wait for their next one.

--- a/src/core/gateway/DemandShares.cpp
+++ b/src/core/gateway/DemandShares.cpp
@@ -68,31 +68,35 @@
     return others;
 }
 
-double DemandShares::shareFor(double ownRate, const Known& others, std::size_t gatewayCount) const
+double DemandShares::shareFor(double ownRate, const Known& others, const Divided& divided) const
 {
     const double known = ownRate + others.requestsPerSecond;
     const std::size_t knownCount = others.count + 1;
     // A gateway without a report has not heard of the limit yet, so its demand may be an average one.
-    const std::size_t unknownCount = std::max(gatewayCount, knownCount) - knownCount;
-    const double unknown = known / static_cast<double>(knownCount) * static_cast<double>(unknownCount);
-    return this->limits.sharedQuotaFraction * ownRate / (known + unknown);
+    const std::size_t gatewayCount = std::max(divided.gatewayCount, knownCount);
+    const double total = known / static_cast<double>(knownCount) * static_cast<double>(gatewayCount);
+    const double available = divided.requestsPerSecond * this->limits.sharedQuotaFraction;
+    if (total >= available)
+        return this->limits.sharedQuotaFraction * ownRate / total;
+    // All demand fits, and what is left is divided equally, so that a gateway without recent requests can send some.
+    return (ownRate + (available - total) / static_cast<double>(gatewayCount)) / divided.requestsPerSecond;
 }
 
-double DemandShares::shareOf(std::uint32_t endpoint, std::size_t gatewayCount, Instant now) const
+double DemandShares::shareOf(std::uint32_t endpoint, const Divided& divided, Instant now) const
 {
     const Known others = this->othersOf(endpoint);
     const auto found = this->reported.find(endpoint);
     if (found != this->reported.end() && now - found->second.at <= maxReportAge)
-        return this->shareFor(found->second.requestsPerSecond, others, gatewayCount);
+        return this->shareFor(found->second.requestsPerSecond, others, divided);
     // The others take this gateway's demand for an average one.
     const double average = others.count == 0 ? 1 : others.requestsPerSecond / static_cast<double>(others.count);
-    return this->shareFor(average, others, gatewayCount);
+    return this->shareFor(average, others, divided);
 }
 
 double DemandShares::expectedShareOf(
-    std::uint32_t endpoint, const ServiceId& service, std::size_t gatewayCount, Instant now) const
+    std::uint32_t endpoint, const ServiceId& service, const Divided& divided, Instant now) const
 {
-    return this->shareFor(this->ownDemand(service, now), this->othersOf(endpoint), gatewayCount);
+    return this->shareFor(this->ownDemand(service, now), this->othersOf(endpoint), divided);
 }
 
 }
--- a/src/core/gateway/DemandShares.h
+++ b/src/core/gateway/DemandShares.h
@@ -8,8 +8,15 @@
 
 namespace teaselfold {
 
+/** A request rate, above zero, and the number of gateways, including this one, that share it. */
+struct Divided {
+    double requestsPerSecond { 1 };
+    std::size_t gatewayCount { 1 };
+};
+
 /**
- * Divides the request rate of an endpoint among the gateways in proportion to their demand. Each gateway measures its
+ * Divides the request rate of an endpoint among the gateways in proportion to their demand; what exceeds all demand is
+ * divided equally. Each gateway measures its
  * own demand and learns that of the others from gossip; one whose demand is unknown counts as an average one.
  */
 class DemandShares {
@@ -31,14 +38,12 @@
     void expire(Instant now);
     /**
      * @param endpoint hash of the endpoint's id.
-     * @param gatewayCount number of gateways, including this one.
      * @return this gateway's share of what the endpoint takes, from 0 to 1. It follows the demand that the others know
      * of, so that the shares of all gateways add up.
      */
-    double shareOf(std::uint32_t endpoint, std::size_t gatewayCount, Instant now) const;
+    double shareOf(std::uint32_t endpoint, const Divided& divided, Instant now) const;
     /** @return the share that this gateway has once the others know its present demand. */
-    double expectedShareOf(
-        std::uint32_t endpoint, const ServiceId& service, std::size_t gatewayCount, Instant now) const;
+    double expectedShareOf(std::uint32_t endpoint, const ServiceId& service, const Divided& divided, Instant now) const;
 
 private:
     /** Exponentially decaying count of requests. */
@@ -60,7 +65,7 @@
     static double decayed(const Count& count, Instant now);
     Known othersOf(std::uint32_t endpoint) const;
     /** @return the share of a gateway with the given demand. */
-    double shareFor(double ownRate, const Known& others, std::size_t gatewayCount) const;
+    double shareFor(double ownRate, const Known& others, const Divided& divided) const;
 
     const GatewayLimits& limits;
     std::map<ServiceId, Count> own;
--- a/src/core/gateway/EndpointRateLimits.cpp
+++ b/src/core/gateway/EndpointRateLimits.cpp
@@ -104,9 +104,14 @@
     return found == this->entries.end() ? std::nullopt : found->second.limit.stated();
 }
 
-void EndpointRateLimits::expire(Instant now)
+void EndpointRateLimits::tick(Instant now)
 {
     this->demand.expire(now);
+    // The share changes all the time, so credit is added in small steps.
+    for (const EndpointId& endpoint : this->limited) {
+        Entry& entry = this->entries.at(endpoint);
+        entry.limit.refill(this->shareOf(entry, now), now);
+    }
     std::erase_if(this->limited, [&](const EndpointId& endpoint) {
         const RateLimit& limit = this->entries.at(endpoint).limit;
         return !limit.stated() && now - *limit.statedAt() >= liftedReportTime;
@@ -131,12 +136,12 @@
 
 double EndpointRateLimits::shareOf(const Entry& entry, Instant now) const
 {
-    return this->demand.shareOf(entry.hash, this->gatewayCount, now);
+    return this->demand.shareOf(entry.hash, { entry.limit.rate(), this->gatewayCount }, now);
 }
 
 double EndpointRateLimits::expectedShareOf(const Entry& entry, Instant now) const
 {
-    return this->demand.expectedShareOf(entry.hash, entry.service, this->gatewayCount, now);
+    return this->demand.expectedShareOf(entry.hash, entry.service, { entry.limit.rate(), this->gatewayCount }, now);
 }
 
 bool EndpointRateLimits::allows(const EndpointId& endpoint, double debt, Instant now)
@@ -146,6 +151,7 @@
         return true;
     const double share = this->shareOf(*entry, now);
     entry->limit.refill(share, now);
+    entry->limit.limitSaved(share, this->gatewayCount, now);
     return entry->limit.allows(debt * share);
 }
 
--- a/src/core/gateway/EndpointRateLimits.h
+++ b/src/core/gateway/EndpointRateLimits.h
@@ -65,8 +65,8 @@
     Duration timeUntilAllowed(const EndpointId& endpoint, Instant now) const;
     /** @return the time between two requests that this gateway may send to a service; unset if it has no limit. */
     std::optional<Duration> intervalOf(const ServiceId& service, Instant now) const;
-    /** Forgets the demand of gateways that report none any more, and limits that have been over for some time. */
-    void expire(Instant now);
+    /** Adds credit. Forgets the demand of gateways that report none any more, and limits that have long been over. */
+    void tick(Instant now);
 
 private:
     struct Entry {
--- a/src/core/gateway/RateLimit.h
+++ b/src/core/gateway/RateLimit.h
@@ -3,6 +3,8 @@
 #include "ports/PeerMessages.h"
 #include "ports/Time.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 
 namespace teaselfold {
@@ -38,6 +40,12 @@
      * @param share this gateway's share of the rate, from 0 to 1.
      */
     void refill(double share, Instant now);
+    /**
+     * Bounds the credit that was saved up, before a request may use it.
+     * @param share this gateway's share of the rate, from 0 to 1.
+     * @param gatewayCount number of gateways, including this one, that share the rate.
+     */
+    void limitSaved(double share, std::size_t gatewayCount, Instant now);
     /** Counts a request that was sent; may leave a debt, which later requests wait for. */
     void spend() { this->credit -= this->requestsPerSecond ? 1 : 0; }
     /**
@@ -50,9 +58,14 @@
     /** @return the time between two requests at the given share; unset without a limit. */
     std::optional<Duration> interval(double share) const;
 
+    /** @return the requests per second that all gateways together may send to an endpoint with a limit. */
+    double rate() const;
+
 private:
-    /** @return the requests per second at the given share. */
-    double rate(double share) const;
+    /** @return the requests that this gateway may send at once at the given share. */
+    double burst(double share) const;
+    /** @return true if this gateway may use a request that it saved up. */
+    bool drawSaved(std::size_t gatewayCount);
 
     double initialCredit { 0 };
     std::optional<double> requestsPerSecond;
@@ -60,6 +73,9 @@
     bool lifted { false };
     double credit { 0 };
     Instant refilledAt;
+    std::uint64_t draws { 0 };
+    /** Until then a saved request may be used. */
+    Instant savedUntil;
 };
 
 }
--- a/test/error/GatewaysKeepToStatedRateLimits.cpp
+++ b/test/error/GatewaysKeepToStatedRateLimits.cpp
@@ -52,6 +52,7 @@
     {
         Node& node = this->nodes[index];
         node = Node {};
+        node.dueRequests = static_cast<double>(index) / static_cast<double>(this->nodes.size());
         node.randomness = std::make_unique<SeededRandomness>(this->options.seed * 1000 + ++this->starts);
         node.gateway = std::make_unique<Gateway>(
             GatewayLimits {}, GatewayIdentity { nameOf(index), ZoneId("north") }, *node.randomness);
@@ -452,3 +453,18 @@
         CHECK(refused == 4);
     }
 }
+
+// Guards against limits that refuse requests although all gateways together send far less.
+TEST_CASE("Requests within a rate limit are served although each of many gateways sends few")
+{
+    for (const std::size_t gateways : { 3, 26 }) {
+        const std::size_t leastServed = gateways == 3 ? 108 : 60;
+        LimitedFleet fleet({ std::vector<double>(gateways, 2.0 / static_cast<double>(gateways)), 4.5 });
+        fleet.advance(settlingTime);
+        const Instant settled = fleet.time();
+        fleet.advance(Milliseconds(60000));
+        CAPTURE(gateways);
+        CHECK(fleet.arrivalsSince(settled) >= leastServed);
+        CHECK(static_cast<double>(fleet.mostInWindow(settled)) <= allowed(4.5));
+    }
+}
