Divide the time until a rate limit allows a request by the gateway's share

What callers would see: a Retry-After far too short wherever several gateways share a limit, so that they come back only to be refused again. Sending was not affected: credit was added at the right rate.

The tests of Retry-After play a gateway alone, whose share hides the fault; the new one asks for two shares and failed before (62.5 ms instead of 4 s at an eighth of 2 a second). Found by the read-through.

--- a/src/core/gateway/RateLimit.cpp
+++ b/src/core/gateway/RateLimit.cpp
@@ -96,14 +96,14 @@
 {
     if (this->allows())
         return Duration(0);
-    return durationOf((1 - this->credit) / this->rate() * share);
+    return durationOf((1 - this->credit) / (this->rate() * share));
 }
 
 std::optional<Duration> RateLimit::interval(double share) const
 {
     if (!this->requestsPerSecond)
         return std::nullopt;
-    return durationOf(1 / this->rate() * share);
+    return durationOf(1 / (this->rate() * share));
 }
 
 }
--- a/test/error/GatewaysKeepToStatedRateLimits.cpp
+++ b/test/error/GatewaysKeepToStatedRateLimits.cpp
@@ -468,3 +468,15 @@
         CHECK(static_cast<double>(fleet.mostInWindow(settled)) <= allowed(4.5));
     }
 }
+
+// Guards against callers that are told to come back long before their gateway's share allows another request.
+TEST_CASE("The time until a rate limit allows the next request is longer for a smaller share")
+{
+    const Instant now { Seconds(1000) };
+    RateLimit limit;
+    limit.state(2.0, now, now);
+    CHECK(limit.interval(0.5) == Duration(Milliseconds(1000)));
+    CHECK(limit.timeUntilAllowed(0.5) == Duration(Milliseconds(1000)));
+    CHECK(limit.interval(0.125) == Duration(Milliseconds(4000)));
+    CHECK(limit.timeUntilAllowed(0.125) == Duration(Milliseconds(4000)));
+}
