--- a/apps/teaselfold-gateway/Main.cpp
+++ b/apps/teaselfold-gateway/Main.cpp
@@ -4,6 +4,7 @@
 #include "adapters/settings/CommandLine.h"
 #include "adapters/traffic/TrafficServer.h"
 #include "platform/PlatformTrafficCodec.h"
+#include "platform/RolloutDuty.h"
 #include "platform/StoreReader.h"
 #include "runtime/BootClock.h"
 #include "runtime/SystemRandomness.h"
@@ -59,7 +60,7 @@
 
 /**
  * Owns all components of a gateway. Members are declared after those they use, so that users are destroyed first. The
- * exceptions are peers and store, whose sinks use traffic: on a normal stop, run stops them before traffic.
+ * exceptions are peers, store and rollouts, whose sinks use traffic: on a normal stop, run stops them before traffic.
  */
 class GatewayProcess {
 public:
@@ -92,6 +93,7 @@
     std::promise<void> written;
     PeerChannel peers;
     PlatformStore store;
+    RolloutDuty rollouts;
     std::unique_ptr<TrafficServer> traffic;
 };
 
@@ -106,9 +108,11 @@
           { this->settings.store, this->settings.storeTimeout },
           { GatewayId(this->settings.instance), this->settings.peers, this->settings.zone },
           [this](GatewayEvent event) { this->traffic->ring().push(std::move(event)); }, &bootTimeNow)
+    , rollouts(this->settings.store, this->settings.storeTimeout,
+          [this](GatewayEvent event) { this->traffic->ring().push(std::move(event)); })
     , traffic(std::make_unique<TrafficServer>(trafficOptions(this->settings),
           TrafficServer::Dependencies { this->gateway, this->codec, *this->telemetry, this->peers, this->store,
-              [this] { return this->telemetry->renderPrometheus(); }, &bootTimeNow,
+              this->rollouts, [this] { return this->telemetry->renderPrometheus(); }, &bootTimeNow,
               [this] { this->stopped.set_value(); }, [this] { this->written.set_value(); } }))
 {
 }
@@ -157,6 +161,7 @@
     this->store.start();
     this->traffic->ring().push(GatewayStopRequested { this->waitForStop(signals) });
     this->stopped.get_future().wait();
+    this->rollouts.stop();
     this->store.stop();
     this->peers.stop();
     this->written.get_future().wait();
--- a/src/adapters/peers/GossipCodec.cpp
+++ b/src/adapters/peers/GossipCodec.cpp
@@ -14,7 +14,7 @@
     /** Received lists are read up to this length; no gateway sends longer ones. */
     constexpr flatbuffers::uoffset_t maxReceivedEntries = 64;
 
-    /** @return the number of usages that take as many bytes as the evidence and the rate limits. */
+    /** @return the number of usages that take as many bytes as the evidence, the rate limits and the roll-outs. */
     std::size_t displacedUsages(const GossipMessage& gossip)
     {
         constexpr std::size_t usagesPerStart = 3;
@@ -23,6 +23,9 @@
         std::size_t usages = gossip.promptParts.survivals.size() + gossip.rateLimits.size() * usagesPerRateLimit;
         for (const auto& start : gossip.promptParts.brokenStarts)
             usages += usagesPerStart + start.parts.size() / partsPerUsage;
+        constexpr std::size_t usagesPerRollout = 4;
+        for (const RolloutReport& report : gossip.rollouts)
+            usages += usagesPerRollout + report.counts.size() * sizeof(peerwire::RolloutCount) / sizeof(peerwire::Load);
         return std::min(usages, maxUsages);
     }
 
@@ -45,6 +48,22 @@
         return encoded;
     }
 
+    std::vector<flatbuffers::Offset<peerwire::Rollout>> encodeRollouts(
+        flatbuffers::FlatBufferBuilder& builder, const std::vector<RolloutReport>& reports)
+    {
+        std::vector<flatbuffers::Offset<peerwire::Rollout>> encoded;
+        for (const RolloutReport& report : reports) {
+            std::vector<peerwire::RolloutCount> counts;
+            for (const RolloutCounts& count : report.counts)
+                counts.emplace_back(count.endpoint, count.route, count.answered, count.failed, count.slow,
+                    static_cast<std::uint32_t>(count.totalTime.count()));
+            encoded.push_back(peerwire::CreateRollout(builder, report.rollout, static_cast<std::uint8_t>(report.signal),
+                report.isRecorded, static_cast<std::uint32_t>(report.elapsed.count()), report.requests,
+                report.requestsToTarget, report.runsAtPrevious, builder.CreateVectorOfStructs(counts)));
+        }
+        return encoded;
+    }
+
     std::vector<EndpointUsage> selectLargestUsages(std::vector<EndpointUsage> usages, std::size_t limit)
     {
         std::sort(usages.begin(), usages.end(),
@@ -96,6 +115,26 @@
         return reports;
     }
 
+    std::vector<RolloutReport> decodeRollouts(const peerwire::News& news)
+    {
+        std::vector<RolloutReport> reports;
+        for (flatbuffers::uoffset_t index = 0; index < entriesOf(news.rollouts()); ++index) {
+            const auto* encoded = news.rollouts()->Get(index);
+            if (encoded->signal() >= rolloutSignalCount)
+                continue;
+            RolloutReport report { encoded->rollout(), static_cast<RolloutSignal>(encoded->signal()),
+                encoded->recorded(), Milliseconds(encoded->elapsed_ms()), encoded->requests(), encoded->to_target(),
+                encoded->at_previous(), {} };
+            for (flatbuffers::uoffset_t entry = 0; entry < entriesOf(encoded->counts()); ++entry) {
+                const auto* count = encoded->counts()->Get(entry);
+                report.counts.push_back({ count->endpoint(), count->route(), count->answered(), count->failed(),
+                    count->slow(), Milliseconds(count->total_ms()) });
+            }
+            reports.push_back(std::move(report));
+        }
+        return reports;
+    }
+
     PromptPartEvidence decodeEvidence(const peerwire::News& news)
     {
         PromptPartEvidence evidence;
@@ -143,9 +182,11 @@
     const auto refusalVector = refusals.empty() ? 0 : builder.CreateVectorOfStructs(refusals);
     const auto rateLimits = encodeRateLimits(gossip.rateLimits);
     const auto rateLimitVector = rateLimits.empty() ? 0 : builder.CreateVectorOfStructs(rateLimits);
-    const auto root
-        = peerwire::CreateNews(builder, instance, gossip.incarnation.get(), gossip.sequence, gossip.isDraining,
-            loadVector, suspectVector, gossip.isPartial, startVector, survivalVector, refusalVector, rateLimitVector);
+    const auto rollouts = encodeRollouts(builder, gossip.rollouts);
+    const auto rolloutVector = rollouts.empty() ? 0 : builder.CreateVector(rollouts);
+    const auto root = peerwire::CreateNews(builder, instance, gossip.incarnation.get(), gossip.sequence,
+        gossip.isDraining, loadVector, suspectVector, gossip.isPartial, startVector, survivalVector, refusalVector,
+        rateLimitVector, rolloutVector);
     builder.Finish(root, peerwire::NewsIdentifier());
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
@@ -183,6 +224,7 @@
         gossip.refusedConnections.push_back({ refusal->endpoint(), Milliseconds(refusal->age_ms()) });
     }
     gossip.rateLimits = decodeRateLimits(*root);
+    gossip.rollouts = decodeRollouts(*root);
     return gossip;
 }
 
--- a/src/adapters/peers/Peers_generated.h
+++ b/src/adapters/peers/Peers_generated.h
@@ -29,6 +29,11 @@
 
 struct RateLimit;
 
+struct RolloutCount;
+
+struct Rollout;
+struct RolloutBuilder;
+
 struct News;
 struct NewsBuilder;
 
@@ -197,6 +202,53 @@
 };
 FLATBUFFERS_STRUCT_END(RateLimit, 20);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) RolloutCount FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t endpoint_;
+  uint32_t route_;
+  uint32_t answered_;
+  uint32_t failed_;
+  uint32_t slow_;
+  uint32_t total_ms_;
+
+ public:
+  RolloutCount()
+      : endpoint_(0),
+        route_(0),
+        answered_(0),
+        failed_(0),
+        slow_(0),
+        total_ms_(0) {
+  }
+  RolloutCount(uint32_t _endpoint, uint32_t _route, uint32_t _answered, uint32_t _failed, uint32_t _slow, uint32_t _total_ms)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        route_(flatbuffers::EndianScalar(_route)),
+        answered_(flatbuffers::EndianScalar(_answered)),
+        failed_(flatbuffers::EndianScalar(_failed)),
+        slow_(flatbuffers::EndianScalar(_slow)),
+        total_ms_(flatbuffers::EndianScalar(_total_ms)) {
+  }
+  uint32_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  uint32_t route() const {
+    return flatbuffers::EndianScalar(route_);
+  }
+  uint32_t answered() const {
+    return flatbuffers::EndianScalar(answered_);
+  }
+  uint32_t failed() const {
+    return flatbuffers::EndianScalar(failed_);
+  }
+  uint32_t slow() const {
+    return flatbuffers::EndianScalar(slow_);
+  }
+  uint32_t total_ms() const {
+    return flatbuffers::EndianScalar(total_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(RolloutCount, 24);
+
 struct BrokenStart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef BrokenStartBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -284,6 +336,141 @@
       parts__);
 }
 
+struct Rollout FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RolloutBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROLLOUT = 4,
+    VT_SIGNAL = 6,
+    VT_RECORDED = 8,
+    VT_ELAPSED_MS = 10,
+    VT_REQUESTS = 12,
+    VT_TO_TARGET = 14,
+    VT_AT_PREVIOUS = 16,
+    VT_COUNTS = 18
+  };
+  uint64_t rollout() const {
+    return GetField<uint64_t>(VT_ROLLOUT, 0);
+  }
+  uint8_t signal() const {
+    return GetField<uint8_t>(VT_SIGNAL, 0);
+  }
+  bool recorded() const {
+    return GetField<uint8_t>(VT_RECORDED, 0) != 0;
+  }
+  uint32_t elapsed_ms() const {
+    return GetField<uint32_t>(VT_ELAPSED_MS, 0);
+  }
+  uint32_t requests() const {
+    return GetField<uint32_t>(VT_REQUESTS, 0);
+  }
+  uint32_t to_target() const {
+    return GetField<uint32_t>(VT_TO_TARGET, 0);
+  }
+  uint32_t at_previous() const {
+    return GetField<uint32_t>(VT_AT_PREVIOUS, 0);
+  }
+  const flatbuffers::Vector<const teaselfold::peerwire::RolloutCount *> *counts() const {
+    return GetPointer<const flatbuffers::Vector<const teaselfold::peerwire::RolloutCount *> *>(VT_COUNTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ROLLOUT, 8) &&
+           VerifyField<uint8_t>(verifier, VT_SIGNAL, 1) &&
+           VerifyField<uint8_t>(verifier, VT_RECORDED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_ELAPSED_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_REQUESTS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_TO_TARGET, 4) &&
+           VerifyField<uint32_t>(verifier, VT_AT_PREVIOUS, 4) &&
+           VerifyOffset(verifier, VT_COUNTS) &&
+           verifier.VerifyVector(counts()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RolloutBuilder {
+  typedef Rollout Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_rollout(uint64_t rollout) {
+    fbb_.AddElement<uint64_t>(Rollout::VT_ROLLOUT, rollout, 0);
+  }
+  void add_signal(uint8_t signal) {
+    fbb_.AddElement<uint8_t>(Rollout::VT_SIGNAL, signal, 0);
+  }
+  void add_recorded(bool recorded) {
+    fbb_.AddElement<uint8_t>(Rollout::VT_RECORDED, static_cast<uint8_t>(recorded), 0);
+  }
+  void add_elapsed_ms(uint32_t elapsed_ms) {
+    fbb_.AddElement<uint32_t>(Rollout::VT_ELAPSED_MS, elapsed_ms, 0);
+  }
+  void add_requests(uint32_t requests) {
+    fbb_.AddElement<uint32_t>(Rollout::VT_REQUESTS, requests, 0);
+  }
+  void add_to_target(uint32_t to_target) {
+    fbb_.AddElement<uint32_t>(Rollout::VT_TO_TARGET, to_target, 0);
+  }
+  void add_at_previous(uint32_t at_previous) {
+    fbb_.AddElement<uint32_t>(Rollout::VT_AT_PREVIOUS, at_previous, 0);
+  }
+  void add_counts(flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::RolloutCount *>> counts) {
+    fbb_.AddOffset(Rollout::VT_COUNTS, counts);
+  }
+  explicit RolloutBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Rollout> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Rollout>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Rollout> CreateRollout(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t rollout = 0,
+    uint8_t signal = 0,
+    bool recorded = false,
+    uint32_t elapsed_ms = 0,
+    uint32_t requests = 0,
+    uint32_t to_target = 0,
+    uint32_t at_previous = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::RolloutCount *>> counts = 0) {
+  RolloutBuilder builder_(_fbb);
+  builder_.add_rollout(rollout);
+  builder_.add_counts(counts);
+  builder_.add_at_previous(at_previous);
+  builder_.add_to_target(to_target);
+  builder_.add_requests(requests);
+  builder_.add_elapsed_ms(elapsed_ms);
+  builder_.add_recorded(recorded);
+  builder_.add_signal(signal);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Rollout> CreateRolloutDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t rollout = 0,
+    uint8_t signal = 0,
+    bool recorded = false,
+    uint32_t elapsed_ms = 0,
+    uint32_t requests = 0,
+    uint32_t to_target = 0,
+    uint32_t at_previous = 0,
+    const std::vector<teaselfold::peerwire::RolloutCount> *counts = nullptr) {
+  auto counts__ = counts ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::RolloutCount>(*counts) : 0;
+  return teaselfold::peerwire::CreateRollout(
+      _fbb,
+      rollout,
+      signal,
+      recorded,
+      elapsed_ms,
+      requests,
+      to_target,
+      at_previous,
+      counts__);
+}
+
 struct News FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef NewsBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -297,7 +484,8 @@
     VT_BROKEN_STARTS = 18,
     VT_SURVIVALS = 20,
     VT_REFUSALS = 22,
-    VT_RATE_LIMITS = 24
+    VT_RATE_LIMITS = 24,
+    VT_ROLLOUTS = 26
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -332,6 +520,9 @@
   const flatbuffers::Vector<const teaselfold::peerwire::RateLimit *> *rate_limits() const {
     return GetPointer<const flatbuffers::Vector<const teaselfold::peerwire::RateLimit *> *>(VT_RATE_LIMITS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<teaselfold::peerwire::Rollout>> *rollouts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<teaselfold::peerwire::Rollout>> *>(VT_ROLLOUTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCE) &&
@@ -353,6 +544,9 @@
            verifier.VerifyVector(refusals()) &&
            VerifyOffset(verifier, VT_RATE_LIMITS) &&
            verifier.VerifyVector(rate_limits()) &&
+           VerifyOffset(verifier, VT_ROLLOUTS) &&
+           verifier.VerifyVector(rollouts()) &&
+           verifier.VerifyVectorOfTables(rollouts()) &&
            verifier.EndTable();
   }
 };
@@ -394,6 +588,9 @@
   void add_rate_limits(flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::RateLimit *>> rate_limits) {
     fbb_.AddOffset(News::VT_RATE_LIMITS, rate_limits);
   }
+  void add_rollouts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<teaselfold::peerwire::Rollout>>> rollouts) {
+    fbb_.AddOffset(News::VT_ROLLOUTS, rollouts);
+  }
   explicit NewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -417,10 +614,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<teaselfold::peerwire::BrokenStart>>> broken_starts = 0,
     flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Survival *>> survivals = 0,
     flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Refusal *>> refusals = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::RateLimit *>> rate_limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::RateLimit *>> rate_limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<teaselfold::peerwire::Rollout>>> rollouts = 0) {
   NewsBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_rollouts(rollouts);
   builder_.add_rate_limits(rate_limits);
   builder_.add_refusals(refusals);
   builder_.add_survivals(survivals);
@@ -445,7 +644,8 @@
     const std::vector<flatbuffers::Offset<teaselfold::peerwire::BrokenStart>> *broken_starts = nullptr,
     const std::vector<teaselfold::peerwire::Survival> *survivals = nullptr,
     const std::vector<teaselfold::peerwire::Refusal> *refusals = nullptr,
-    const std::vector<teaselfold::peerwire::RateLimit> *rate_limits = nullptr) {
+    const std::vector<teaselfold::peerwire::RateLimit> *rate_limits = nullptr,
+    const std::vector<flatbuffers::Offset<teaselfold::peerwire::Rollout>> *rollouts = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Load>(*loads) : 0;
   auto suspects__ = suspects ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Suspect>(*suspects) : 0;
@@ -453,6 +653,7 @@
   auto survivals__ = survivals ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Survival>(*survivals) : 0;
   auto refusals__ = refusals ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Refusal>(*refusals) : 0;
   auto rate_limits__ = rate_limits ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::RateLimit>(*rate_limits) : 0;
+  auto rollouts__ = rollouts ? _fbb.CreateVector<flatbuffers::Offset<teaselfold::peerwire::Rollout>>(*rollouts) : 0;
   return teaselfold::peerwire::CreateNews(
       _fbb,
       instance__,
@@ -465,7 +666,8 @@
       broken_starts__,
       survivals__,
       refusals__,
-      rate_limits__);
+      rate_limits__,
+      rollouts__);
 }
 
 inline const teaselfold::peerwire::News *GetNews(const void *buf) {
--- a/src/adapters/peers/ReadingCodec.cpp
+++ b/src/adapters/peers/ReadingCodec.cpp
@@ -17,9 +17,10 @@
         const auto service = builder.CreateSharedString(record.service.get());
         const auto host = builder.CreateString(record.address.host);
         const auto zone = builder.CreateSharedString(record.zone.get());
+        const auto version = builder.CreateSharedString(record.version.get());
         return peerwire::CreateEndpointEntry(builder, id, service, host, record.address.port, zone, record.isDraining,
             static_cast<std::uint32_t>(record.coldRemaining.count()), record.slots,
-            record.startedAt.time_since_epoch().count());
+            record.startedAt.time_since_epoch().count(), version);
     }
 
     flatbuffers::Offset<peerwire::Changes> encodeChanges(
@@ -59,6 +60,7 @@
         record.coldRemaining = Milliseconds(entry.cold_ms());
         record.slots = entry.slots();
         record.startedAt = WallTime(Milliseconds(entry.started_at_ms()));
+        record.version = SoftwareVersion(textOf(entry.version()));
         return record;
     }
 
--- a/src/adapters/peers/Readings_generated.h
+++ b/src/adapters/peers/Readings_generated.h
@@ -36,7 +36,8 @@
     VT_DRAINING = 14,
     VT_COLD_MS = 16,
     VT_SLOTS = 18,
-    VT_STARTED_AT_MS = 20
+    VT_STARTED_AT_MS = 20,
+    VT_VERSION = 22
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -65,6 +66,9 @@
   int64_t started_at_ms() const {
     return GetField<int64_t>(VT_STARTED_AT_MS, 0);
   }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -80,6 +84,8 @@
            VerifyField<uint32_t>(verifier, VT_COLD_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
            VerifyField<int64_t>(verifier, VT_STARTED_AT_MS, 8) &&
+           VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
            verifier.EndTable();
   }
 };
@@ -115,6 +121,9 @@
   void add_started_at_ms(int64_t started_at_ms) {
     fbb_.AddElement<int64_t>(EndpointEntry::VT_STARTED_AT_MS, started_at_ms, 0);
   }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(EndpointEntry::VT_VERSION, version);
+  }
   explicit EndpointEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -136,9 +145,11 @@
     bool draining = false,
     uint32_t cold_ms = 0,
     uint32_t slots = 0,
-    int64_t started_at_ms = 0) {
+    int64_t started_at_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0) {
   EndpointEntryBuilder builder_(_fbb);
   builder_.add_started_at_ms(started_at_ms);
+  builder_.add_version(version);
   builder_.add_slots(slots);
   builder_.add_cold_ms(cold_ms);
   builder_.add_zone(zone);
@@ -160,11 +171,13 @@
     bool draining = false,
     uint32_t cold_ms = 0,
     uint32_t slots = 0,
-    int64_t started_at_ms = 0) {
+    int64_t started_at_ms = 0,
+    const char *version = nullptr) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
   return teaselfold::peerwire::CreateEndpointEntry(
       _fbb,
       id__,
@@ -175,7 +188,8 @@
       draining,
       cold_ms,
       slots,
-      started_at_ms);
+      started_at_ms,
+      version__);
 }
 
 struct Changes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/adapters/settings/GatewaySettings.cpp
+++ b/src/adapters/settings/GatewaySettings.cpp
@@ -36,6 +36,13 @@
             "multiple of its declared rate that a cold endpoint can serve" },
         Row { "cold_headroom", &GatewaySettings::coldHeadroom, Requirement::Optional,
             "requests per second that a cold endpoint can serve beyond the multiple" },
+        Row { "exposure_fraction", &GatewaySettings::exposureFraction, Requirement::Optional,
+            "part of a service's requests that a bad new version may get during a roll-out, of all instances "
+            "together" },
+        Row { "exposure_headroom", &GatewaySettings::exposureHeadroom, Requirement::Optional,
+            "requests that a bad new version may get beyond that part, of all instances together" },
+        Row { "rollback_limit", &GatewaySettings::rollbackLimit, Requirement::Optional,
+            "time after its fiftieth bad answer from which a bad new version must get no requests" },
     };
 
     const Internal::SettingTable<GatewaySettings, rows.size()> table(rows);
@@ -83,6 +90,9 @@
     limits.stopLimit = settings.stopLimit - exitMargin;
     limits.coldFactor = settings.coldFactor;
     limits.coldHeadroom = settings.coldHeadroom;
+    limits.exposureFraction = settings.exposureFraction;
+    limits.exposureHeadroom = settings.exposureHeadroom;
+    limits.rollbackLimit = settings.rollbackLimit;
     return limits;
 }
 
--- a/src/adapters/settings/GatewaySettings.h
+++ b/src/adapters/settings/GatewaySettings.h
@@ -30,6 +30,9 @@
     Milliseconds retryWindow { 10000 };
     double coldFactor { 1.5 };
     double coldHeadroom { 5 };
+    double exposureFraction { 0.1 };
+    double exposureHeadroom { 50 };
+    Milliseconds rollbackLimit { 5000 };
 
     bool operator==(const GatewaySettings&) const = default;
 };
--- a/src/adapters/traffic/TrafficServer.cpp
+++ b/src/adapters/traffic/TrafficServer.cpp
@@ -29,8 +29,8 @@
         static const HandlerTable<TrafficServer, void, GatewayAction> table(&TrafficServer::startExchange,
             &TrafficServer::cancelExchange, &TrafficServer::relayResponse, &TrafficServer::refuseRequest,
             &TrafficServer::completeResponse, &TrafficServer::abortResponse, &TrafficServer::startMigration,
-            &TrafficServer::sendGossip, &TrafficServer::sendReading, &TrafficServer::readStore, &TrafficServer::log,
-            &TrafficServer::observe);
+            &TrafficServer::sendGossip, &TrafficServer::sendReading, &TrafficServer::readStore,
+            &TrafficServer::readRollouts, &TrafficServer::writeRollout, &TrafficServer::log, &TrafficServer::observe);
         return table;
     }
 };
@@ -193,6 +193,10 @@
 
 void TrafficServer::readStore(const ReadStore& action) { this->dependencies.store.read(action); }
 
+void TrafficServer::readRollouts(const ReadRollouts& action) { this->dependencies.rollouts.read(action); }
+
+void TrafficServer::writeRollout(const WriteRollout& action) { this->dependencies.rollouts.write(action); }
+
 void TrafficServer::log(const LogEvent& action) { this->dependencies.telemetry.log(action); }
 
 void TrafficServer::observe(const Observation& action) { this->dependencies.telemetry.observe(action); }
--- a/src/adapters/traffic/TrafficServer.h
+++ b/src/adapters/traffic/TrafficServer.h
@@ -30,6 +30,7 @@
         Telemetry& telemetry;
         Peers& peers;
         StoreReads& store;
+        RolloutStore& rollouts;
         /** Renders all metrics in the Prometheus text format. */
         std::function<std::string()> metrics;
         /** Must advance while the machine is suspended, because known state also ages during that time. */
@@ -77,6 +78,8 @@
     void sendGossip(const SendGossip& action);
     void sendReading(const SendReading& action);
     void readStore(const ReadStore& action);
+    void readRollouts(const ReadRollouts& action);
+    void writeRollout(const WriteRollout& action);
     void log(const LogEvent& action);
     void observe(const Observation& action);
 
--- a/src/core/gateway/ActiveRequest.h
+++ b/src/core/gateway/ActiveRequest.h
@@ -87,6 +87,8 @@
     /** Number of events of a stream with the longest output that its caller allows. */
     std::uint64_t maxEvents { 0 };
     std::uint32_t attempts { 0 };
+    /** The request shows how good the new version of a service is that is being rolled out. */
+    bool triesNewVersion { false };
     std::set<EndpointId> triedEndpoints;
     std::optional<ExchangeId> exchange;
     /** An endpoint may have started to process the request, so it must no longer be reported as not executed. */
@@ -134,6 +136,8 @@
     std::optional<Instant> firstEventAt;
     /** This exchange went on for a while after its first event; `ActiveRequest::isPastStart` holds for all of a run. */
     bool isPastStart { false };
+    /** The exchange's answer was counted for the roll-out of its service, or does not count. */
+    bool isJudged { false };
 };
 
 inline bool isStream(const ActiveRequest& active) { return active.route->kind == RequestKind::Stream; }
--- a/src/core/gateway/CopyPlacement.cpp
+++ b/src/core/gateway/CopyPlacement.cpp
@@ -15,6 +15,7 @@
             && expectedUtilization(*candidate, *active.service, context) > *requirements.maxUtilization;
         return isOverUtilized || requirements.excluded.contains(candidate->record.id);
     });
+    state.rolloutTraffic.filterCopyTargets(active.service->name, candidates);
     const auto isInZone = [&](const GatewayEndpoint* candidate) { return candidate->record.zone == requirements.zone; };
     if (std::any_of(candidates.begin(), candidates.end(), isInZone))
         std::erase_if(candidates, [&](const GatewayEndpoint* candidate) { return !isInZone(candidate); });
--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -50,8 +50,10 @@
     GatewayEndpoint& endpoint = entry->second;
     const bool restarted = !isNew && endpoint.record.startedAt != record.startedAt;
     const bool wasUsable = !isNew && !isLeaving(endpoint);
-    if (isNew || restarted)
+    if (isNew || restarted) {
         this->limitsOfRate.add(record.id, record.service);
+        endpoint.knownSince = now;
+    }
     if (restarted) {
         endpoint.consecutiveFailures = 0;
         endpoint.externalRequests = 0;
@@ -166,9 +168,26 @@
     return found == this->endpoints.end() ? nullptr : &found->second;
 }
 
+std::vector<const GatewayEndpoint*> EndpointDirectory::endpointsOf(const ServiceId& service) const
+{
+    std::vector<const GatewayEndpoint*> found;
+    for (const auto& [id, endpoint] : this->endpoints) {
+        if (endpoint.record.service == service)
+            found.push_back(&endpoint);
+    }
+    return found;
+}
+
+bool EndpointDirectory::hasAllowedVersion(const GatewayEndpoint& endpoint) const
+{
+    const auto rule = this->versionRules.find(endpoint.record.service);
+    return rule == this->versionRules.end() || rule->second.allows(endpoint.record.version);
+}
+
 bool EndpointDirectory::isUsable(const GatewayEndpoint& endpoint) const
 {
-    return !isLeaving(endpoint) && !this->zonesOutOfService.contains(endpoint.record.zone);
+    return !isLeaving(endpoint) && this->hasAllowedVersion(endpoint)
+        && !this->zonesOutOfService.contains(endpoint.record.zone);
 }
 
 bool EndpointDirectory::acceptsRequests(const EndpointId& endpoint) const
@@ -377,7 +396,7 @@
 bool EndpointDirectory::acceptsStoppedRun(const EndpointId& endpoint, Instant now)
 {
     const auto found = this->endpoints.find(endpoint);
-    return found != this->endpoints.end()
+    return found != this->endpoints.end() && this->hasAllowedVersion(found->second)
         && (found->second.restsUntil <= now || found->second.sentWhileResting < maxStoppedRunsPerRest)
         && this->limitsOfRate.allows(endpoint, stoppedRunDebt, now);
 }
@@ -398,6 +417,8 @@
         return "gone";
     if (isLeaving(found->second))
         return "leaving";
+    if (!this->hasAllowedVersion(found->second))
+        return "version_not_allowed";
     if (this->zonesOutOfService.contains(found->second.record.zone))
         return "zone_out";
     if (this->isResting(endpoint, now))
@@ -416,7 +437,7 @@
     bool hasEndpoints = false;
     std::optional<ServiceReturn> earliest;
     for (const auto& [id, endpoint] : this->endpoints) {
-        if (endpoint.record.service != service)
+        if (endpoint.record.service != service || !this->hasAllowedVersion(endpoint))
             continue;
         hasEndpoints = true;
         if (!this->isUsable(endpoint))
--- a/src/core/gateway/EndpointDirectory.h
+++ b/src/core/gateway/EndpointDirectory.h
@@ -2,6 +2,7 @@
 
 #include "core/gateway/EndpointRateLimits.h"
 #include "core/gateway/LeavingEndpoints.h"
+#include "core/gateway/VersionRule.h"
 #include "ports/GatewayLimits.h"
 #include "ports/GatewayMessages.h"
 #include "ports/PeerMessages.h"
@@ -26,6 +27,8 @@
     std::uint32_t idHash { 0 };
     /** The endpoint announced in an answer that it leaves. */
     bool announcedLeaving { false };
+    /** When this gateway first saw this incarnation of the endpoint. */
+    Instant knownSince;
     /** When this gateway learned that the endpoint leaves; unset if it was leaving already when it was first seen. */
     std::optional<Instant> leavingSince;
     /** Until then the endpoint, which was full, wants no requests of this gateway. */
@@ -106,7 +109,12 @@
     std::vector<EndpointId> expire(Instant now);
     void setZonesOutOfService(std::set<ZoneId> zones) { this->zonesOutOfService = std::move(zones); }
 
+    /** Sets which versions of a service's endpoints may receive requests; without a rule, all may. */
+    void setVersionRule(const ServiceId& service, VersionRule rule) { this->versionRules[service] = std::move(rule); }
+
     GatewayEndpoint* find(const EndpointId& endpoint);
+    /** @return all endpoints of a service. */
+    std::vector<const GatewayEndpoint*> endpointsOf(const ServiceId& service) const;
     /** @return true if the endpoint may receive new requests. */
     bool acceptsRequests(const EndpointId& endpoint) const;
     /**
@@ -175,6 +183,7 @@
         return endpoint.record.isDraining || endpoint.announcedLeaving;
     }
     bool isUsable(const GatewayEndpoint& endpoint) const;
+    bool hasAllowedVersion(const GatewayEndpoint& endpoint) const;
     /** @return the measured times of the endpoints of a service, and first the assumed one. */
     std::vector<Duration> measuredTimes(
         std::optional<Duration> GatewayEndpoint::*time, Duration assumed, const ServiceId& service) const;
@@ -194,6 +203,7 @@
     std::map<EndpointId, GatewayEndpoint> endpoints;
     LeavingEndpoints leavingEndpoints;
     std::set<ZoneId> zonesOutOfService;
+    std::map<ServiceId, VersionRule> versionRules;
 };
 
 }
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -55,6 +55,7 @@
 {
     auto candidates = this->state.endpoints.candidates(*active.service, this->state.peers.gatewayCount(), now);
     std::erase_if(candidates, [&](const auto* endpoint) { return excluded.contains(endpoint->record.id); });
+    this->state.rolloutTraffic.filter(active, candidates);
     const PickContext context { this->state.zone, now, active.tokens, active.request.promptTokens, active.events,
         this->state.limits, this->state.peers, this->state.randomness };
     return pickerFor(*active.service).pick(candidates, *active.service, context);
@@ -131,6 +132,7 @@
     this->state.endpoints.addPendingPrompt(endpoint.record.id, promptTokens);
     this->state.exchanges[id] = { active.request.id, endpoint.record.id, endpoint.record.address, endpoint.record.zone,
         active.tokens, promptTokens, active.replicaEngine, active.lastEventId, std::nullopt, now, std::nullopt };
+    this->state.rolloutTraffic.sent(active, this->state.exchanges[id], parameters.resume.has_value());
     if (active.replicaEngine)
         this->state.endpoints.addCopy(*active.replicaEngine, active.tokens);
     auto line = Internal::requestLogEvent(parameters.resume ? "resumed" : "sent", active, now);
@@ -189,6 +191,7 @@
     const bool isOwnStatement = (response.isSigned || response.notExecuted) && !response.isMisdirected;
     this->notices.received(exchange.endpoint,
         { response.isLeaving, response.restTime, isOwnStatement ? response.rateLimit : std::nullopt }, now, actions);
+    this->state.rolloutTraffic.answered(*active, found->second, response, now);
     active->mayHaveRun = active->mayHaveRun || !response.notExecuted;
     // A response that has started can only be continued by a stream.
     const bool fitsResponse = !active->responseStarted || (isSuccess(response) && response.isStream);
@@ -253,15 +256,18 @@
     ActiveRequest* active = this->findRequest(exchange->request);
     internalCheck(active, "an exchange belongs to an active request");
     active->exchange.reset();
-    if (exchange->firstEventAt && (event.end == ExchangeEnd::Complete || event.end == ExchangeEnd::Closed))
+    if (exchange->firstEventAt && (event.end == ExchangeEnd::Complete || event.end == ExchangeEnd::Closed)) {
         this->crashes.runSucceeded(*active, now);
+        this->state.rolloutTraffic.streamEnded(*active, *exchange, now);
+    }
     if (event.end == ExchangeEnd::Complete)
         return this->completion.complete(*active, now, actions);
     if (event.end == ExchangeEnd::Closed || StreamMigrator::mayBeStopped(*active))
         return this->streamClosed(*active, event.end, now, actions);
-    if (event.end == ExchangeEnd::Broken)
+    if (event.end == ExchangeEnd::Broken) {
         this->crashes.runBroke(*active, *exchange, now, actions);
-    else
+        this->state.rolloutTraffic.broke(*active, *exchange);
+    } else
         this->crashes.connectionRefused(exchange->endpoint, now, actions);
     this->state.endpoints.recordFailure(exchange->endpoint, now);
     const bool mayResend = !active->mayHaveRun || isIdempotent(*active);
@@ -432,6 +438,7 @@
         const auto events = static_cast<Duration::rep>(event.lastEventId - running.lastEventId);
         this->state.endpoints.recordEventInterval(running.endpoint, (now - *running.lastEventAt) / events);
     }
+    this->state.rolloutTraffic.streamBegan(*active, running, now);
     if (!active->firstEventAt)
         this->state.endpoints.recordFirstEvent(running.endpoint, now - running.startedAt);
     this->state.endpoints.removePendingPrompt(running.endpoint, std::exchange(running.promptTokens, 0));
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -38,7 +38,8 @@
             &Gateway::configurationRead, &Gateway::endpointsListed, &Gateway::endpointsChanged,
             &Gateway::outOfServiceZonesRead, &Gateway::storeReadSucceeded, &Gateway::storeReadFailed,
             &Gateway::membersListed, &Gateway::gossipReceived, &Gateway::storeReadingReceived, &Gateway::limitsChanged,
-            &Gateway::stopRequested);
+            &Gateway::stopRequested, &Gateway::rolloutOrdersRead, &Gateway::rolloutsRead, &Gateway::rolloutStored,
+            &Gateway::rolloutStoreFailed);
         return table;
     }
 };
@@ -73,6 +74,7 @@
     this->state.endpoints.rateLimits().tick(now);
     this->logQuarantinedParts(actions);
     this->migrator.expire();
+    this->advanceRollouts(now, actions);
     this->exchanges.tick(now, actions);
     this->state.peers.expire(now);
     this->sendGossip(now, actions);
@@ -88,6 +90,7 @@
         return;
     this->state.freshness.recordSuspension(lastActive, now);
     this->state.endpoints.rateLimits().recordSuspension(now);
+    this->state.rollouts.recordSuspension(now);
     actions.emplace_back(LogEvent { "suspended", { { "time_ms", Internal::millisecondsText(now - lastActive) } } });
 }
 
@@ -125,6 +128,7 @@
     ActiveRequest& active = this->state.requests[event.request.id] = std::move(*std::get_if<ActiveRequest>(&admitted));
     this->state.retryBudgetOf(active.service->name).deposit();
     this->state.endpoints.rateLimits().recordDemand(active.service->name, now);
+    active.triesNewVersion = this->state.rolloutTraffic.drawProbe(active.service->name);
     this->exchanges.dispatch(active, now, actions);
 }
 
@@ -253,6 +257,7 @@
         actions.emplace_back(LogEvent { "endpoint_crashed", { { "suspects", std::to_string(suspects) } } });
     this->state.quarantine.merge(EndpointId(), event.gossip.suspects, now);
     const auto sender = this->state.peers.receive(event.gossip, now);
+    this->state.rollouts.merge(event.gossip.incarnation, sender, event.gossip.rollouts, now, actions);
     if (!sender)
         return;
     EndpointRateLimits& limits = this->state.endpoints.rateLimits();
@@ -279,7 +284,7 @@
         this->state.quarantine.recentDelivery(now, maxSentSuspects), this->state.stop.has_value(),
         this->state.peers.receiverCount(), this->state.promptParts.recentEvidence(now),
         this->state.promptParts.allEvidence(now), this->state.crashDetector.refusedConnections(now),
-        this->state.endpoints.rateLimits().reports(now) };
+        this->state.endpoints.rateLimits().reports(now), this->state.rollouts.reports(now) };
     auto message = this->gossip.compose(content, now);
     if (!message)
         return;
@@ -287,6 +292,37 @@
     actions.emplace_back(SendGossip { std::move(*message), this->state.peers.receiverAddresses() });
 }
 
+void Gateway::rolloutOrdersRead(const RolloutOrdersRead& event, Instant now, GatewayActions& actions)
+{
+    this->store.contentChanged(StoreSection::Configuration);
+    this->state.rollouts.ordersRead(event, now, actions);
+}
+
+void Gateway::rolloutsRead(const RolloutsRead& event, Instant now, GatewayActions& actions)
+{
+    this->state.rollouts.rolloutsRead(event, now, actions);
+}
+
+void Gateway::rolloutStored(const RolloutStored& event, Instant now, GatewayActions& actions)
+{
+    this->state.rollouts.stored(event, now, actions);
+}
+
+void Gateway::rolloutStoreFailed(const RolloutStoreFailed& event, Instant now, GatewayActions& actions)
+{
+    this->state.rollouts.storeFailed(event, now, actions);
+}
+
+void Gateway::advanceRollouts(Instant now, GatewayActions& actions)
+{
+    this->state.rolloutTraffic.tick(this->state.requests, this->state.exchanges, now);
+    this->state.rollouts.tick(now, actions);
+    const RolloutMoves moves = this->state.rollouts.takeMoves();
+    this->drainEndpoints(moves.leaving, now, actions);
+    for (const EndpointId& endpoint : moves.staying)
+        this->migrator.keepEndpoint(endpoint);
+}
+
 void Gateway::logQuarantinedParts(GatewayActions& actions)
 {
     for (const auto& parts : this->state.promptParts.takeQuarantined())
--- a/src/core/gateway/Gateway.h
+++ b/src/core/gateway/Gateway.h
@@ -70,6 +70,12 @@
     /** Logs which parts of prompts were quarantined since the last call. */
     void logQuarantinedParts(GatewayActions& actions);
     void stopRequested(const GatewayStopRequested& event, Instant now, GatewayActions& actions);
+    void rolloutOrdersRead(const RolloutOrdersRead& event, Instant now, GatewayActions& actions);
+    void rolloutsRead(const RolloutsRead& event, Instant now, GatewayActions& actions);
+    void rolloutStored(const RolloutStored& event, Instant now, GatewayActions& actions);
+    void rolloutStoreFailed(const RolloutStoreFailed& event, Instant now, GatewayActions& actions);
+    /** Takes roll-outs further, and moves the streams of endpoints that are about to be stopped. */
+    void advanceRollouts(Instant now, GatewayActions& actions);
     void applyEndpointChanges(const EndpointsChanged& changes, Instant now, GatewayActions& actions);
     /** Takes note of the time for which the process did not run before this event or tick. */
     void noticeSuspension(Instant now, GatewayActions& actions);
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -9,6 +9,7 @@
 #include "core/gateway/PlannedStop.h"
 #include "core/gateway/PromptPartQuarantine.h"
 #include "core/gateway/ReaderRank.h"
+#include "core/gateway/RolloutTraffic.h"
 #include "core/gateway/RouteTable.h"
 #include "core/gateway/StoreFreshness.h"
 #include "ports/Randomness.h"
@@ -29,6 +30,8 @@
         , freshness(this->limits)
         , endpoints(this->limits, identity.instance)
         , peers(this->limits, identity.instance)
+        , rollouts(this->limits, this->endpoints, this->peers, this->freshness, identity.instance)
+        , rolloutTraffic(this->rollouts, this->endpoints)
         , quarantine(sharedLimits)
         , crashDetector(this->quarantine)
         , promptParts(sharedLimits)
@@ -70,6 +73,8 @@
     StoreFreshness freshness;
     EndpointDirectory endpoints;
     PeerLoadTable peers;
+    RolloutTracker rollouts;
+    RolloutTraffic rolloutTraffic;
     Quarantine quarantine;
     CrashDetector crashDetector;
     PromptPartQuarantine promptParts;
--- a/src/core/gateway/GossipComposer.cpp
+++ b/src/core/gateway/GossipComposer.cpp
@@ -16,6 +16,12 @@
     constexpr std::size_t suspectBytes = 16;
     constexpr std::size_t refusalBytes = 8;
     constexpr std::size_t rateLimitBytes = 20;
+    /** Encoded size of a roll-out without its counts. */
+    constexpr std::size_t rolloutBytes = 56;
+    constexpr std::size_t rolloutCountBytes = 24;
+    /** Interval at which the counts of a roll-out are repeated, at least and for each receiver. */
+    constexpr Milliseconds minRolloutInterval(400);
+    constexpr Milliseconds rolloutIntervalPerReceiver(12);
     /** Interval at which gateways tell each other their demand for endpoints with a rate limit. */
     constexpr Milliseconds demandInterval(500);
     /** Time in which an empty token bucket is filled. */
@@ -29,6 +35,11 @@
         limits.fullGossipIntervalPerReceiver * static_cast<Milliseconds::rep>(receiverCount));
 }
 
+Milliseconds rolloutGossipInterval(std::size_t receiverCount)
+{
+    return std::max(minRolloutInterval, rolloutIntervalPerReceiver * static_cast<Milliseconds::rep>(receiverCount));
+}
+
 void GossipComposer::refill(Instant now)
 {
     const auto bytesIn
@@ -46,6 +57,8 @@
         + message.refusedConnections.size() * refusalBytes + message.rateLimits.size() * rateLimitBytes;
     for (const auto& start : message.promptParts.brokenStarts)
         bytes += brokenStartBytes + start.parts.size() * sizeof(std::uint64_t);
+    for (const RolloutReport& report : message.rollouts)
+        bytes += rolloutBytes + report.counts.size() * rolloutCountBytes;
     this->availableBytes -= static_cast<double>(bytes * receiverCount);
 }
 
@@ -66,6 +79,18 @@
     });
 }
 
+bool GossipComposer::hasNewRollouts(const GossipContent& content, Instant now) const
+{
+    if (content.rollouts.empty())
+        return false;
+    if (!this->rolloutsSentAt || now - *this->rolloutsSentAt >= rolloutGossipInterval(content.receiverCount))
+        return true;
+    return std::any_of(content.rollouts.begin(), content.rollouts.end(), [&](const RolloutReport& report) {
+        const auto last = this->lastRollouts.find(report.rollout);
+        return last == this->lastRollouts.end() || last->second != std::pair(report.signal, report.isRecorded);
+    });
+}
+
 std::vector<EndpointUsage> GossipComposer::changedUsages(const std::vector<EndpointUsage>& usages) const
 {
     std::vector<EndpointUsage> changed;
@@ -81,8 +106,8 @@
     return changed;
 }
 
-GossipMessage GossipComposer::makeMessage(
-    const GossipContent& content, std::vector<EndpointUsage> usages, const PromptPartEvidence& evidence)
+GossipMessage GossipComposer::makeMessage(const GossipContent& content, std::vector<EndpointUsage> usages,
+    const PromptPartEvidence& evidence, bool tellsRollouts)
 {
     this->lastSent.clear();
     for (const EndpointUsage& usage : content.usages)
@@ -92,6 +117,12 @@
         this->lastReports.insert(start.report);
     GossipMessage message { this->self, this->incarnation, ++this->sequence, content.isDraining, false,
         std::move(usages), content.suspects, evidence, content.refusedConnections, content.rateLimits };
+    if (tellsRollouts) {
+        message.rollouts = content.rollouts;
+        this->lastRollouts.clear();
+        for (const RolloutReport& report : content.rollouts)
+            this->lastRollouts[report.rollout] = { report.signal, report.isRecorded };
+    }
     this->lastRateLimits.clear();
     for (const RateLimitReport& report : content.rateLimits)
         this->lastRateLimits[report.endpoint] = report.requestsPerSecond;
@@ -102,19 +133,23 @@
 std::optional<GossipMessage> GossipComposer::compose(const GossipContent& content, Instant now)
 {
     this->refill(now);
+    const bool tellsRollouts = this->hasNewRollouts(content, now);
+    if (tellsRollouts)
+        this->rolloutsSentAt = now;
     if (!this->fullGossipSentAt
         || now - *this->fullGossipSentAt >= fullGossipInterval(this->limits, content.receiverCount)) {
         this->fullGossipSentAt = now;
         this->sentAt = now;
-        return this->makeMessage(content, content.usages, content.allEvidence);
+        return this->makeMessage(content, content.usages, content.allEvidence, tellsRollouts);
     }
-    if (this->availableBytes <= 0)
+    // A bad version must get no more requests at once, whatever else was told a moment ago.
+    if (this->availableBytes <= 0 && !tellsRollouts)
         return std::nullopt;
     auto changed = this->changedUsages(content.usages);
-    if (changed.empty() && !this->hasNewReport(content.recentEvidence)
+    if (changed.empty() && !tellsRollouts && !this->hasNewReport(content.recentEvidence)
         && !this->hasNewRateLimits(content.rateLimits, now))
         return std::nullopt;
-    GossipMessage partial = this->makeMessage(content, std::move(changed), content.recentEvidence);
+    GossipMessage partial = this->makeMessage(content, std::move(changed), content.recentEvidence, tellsRollouts);
     this->sentAt = now;
     partial.isPartial = true;
     partial.instance = GatewayId();
--- a/src/core/gateway/GossipComposer.h
+++ b/src/core/gateway/GossipComposer.h
@@ -3,6 +3,7 @@
 #include "ports/GatewayLimits.h"
 #include "ports/PeerMessages.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -12,6 +13,9 @@
 /** @return the interval between the full gossip messages of a gateway with the given number of receivers. */
 Milliseconds fullGossipInterval(const GatewayLimits& limits, std::size_t receiverCount);
 
+/** @return the interval at which a gateway with the given number of receivers tells of a roll-out. */
+Milliseconds rolloutGossipInterval(std::size_t receiverCount);
+
 /** State that a gateway sends to the others. */
 struct GossipContent {
     std::vector<EndpointUsage> usages;
@@ -25,6 +29,7 @@
     PromptPartEvidence allEvidence {};
     std::vector<RefusedConnection> refusedConnections {};
     std::vector<RateLimitReport> rateLimits {};
+    std::vector<RolloutReport> rollouts {};
 };
 
 /**
@@ -44,8 +49,8 @@
     std::optional<GossipMessage> compose(const GossipContent& content, Instant now);
 
 private:
-    GossipMessage makeMessage(
-        const GossipContent& content, std::vector<EndpointUsage> usages, const PromptPartEvidence& evidence);
+    GossipMessage makeMessage(const GossipContent& content, std::vector<EndpointUsage> usages,
+        const PromptPartEvidence& evidence, bool tellsRollouts);
     std::vector<EndpointUsage> changedUsages(const std::vector<EndpointUsage>& usages) const;
     void refill(Instant now);
     /** Takes the bytes of one message to all receivers from the token bucket. */
@@ -54,6 +59,9 @@
     /** @return true if the rate limits differ from those of the last message, or their demand is due to be repeated. */
     bool hasNewRateLimits(const std::vector<RateLimitReport>& reports, Instant now) const;
 
+    /** @return true if a roll-out got further since the last message with roll-outs, or their counts are due. */
+    bool hasNewRollouts(const GossipContent& content, Instant now) const;
+
     const GatewayLimits& limits;
     GatewayId self;
     Incarnation incarnation;
@@ -64,6 +72,9 @@
     std::set<std::uint64_t> lastReports;
     /** Rate limits in the last message, by endpoint hash; unset where the endpoint has none. */
     std::unordered_map<std::uint32_t, std::optional<double>> lastRateLimits;
+    /** How far the roll-outs had got in the last message with roll-outs, and whether the store held them. */
+    std::map<std::uint64_t, std::pair<RolloutSignal, bool>> lastRollouts;
+    std::optional<Instant> rolloutsSentAt;
     std::optional<Instant> sentAt;
     std::optional<Instant> fullGossipSentAt;
     std::optional<Instant> refilledAt;
--- a/src/core/gateway/StreamMigrator.cpp
+++ b/src/core/gateway/StreamMigrator.cpp
@@ -77,6 +77,8 @@
     this->startNextMigration(endpoint, now, actions);
 }
 
+void StreamMigrator::keepEndpoint(const EndpointId& endpoint) { this->draining.erase(endpoint); }
+
 void StreamMigrator::streamAdvanced(const EndpointId& endpoint, Instant now, GatewayActions& actions)
 {
     this->startNextMigration(endpoint, now, actions);
--- a/src/core/gateway/StreamMigrator.h
+++ b/src/core/gateway/StreamMigrator.h
@@ -23,6 +23,8 @@
 
     /** Starts to migrate the streams of an engine that drains or was removed. */
     void drainEndpoint(const EndpointId& endpoint, Instant now, GatewayActions& actions);
+    /** Starts no more migrations from an endpoint that was about to leave and stays. */
+    void keepEndpoint(const EndpointId& endpoint);
     /** Handles an event of a stream at the endpoint. A stream can be migrated from its first event on. */
     void streamAdvanced(const EndpointId& endpoint, Instant now, GatewayActions& actions);
     /** Handles the response to a copy call. @return the request whose broken stream waited for it, if any. */
--- a/src/ports/GatewayConfiguration.h
+++ b/src/ports/GatewayConfiguration.h
@@ -95,6 +95,9 @@
     std::optional<std::vector<GatewayTeam>> teams;
 };
 
+/** Version of the software that an endpoint runs. */
+using SoftwareVersion = Id<struct SoftwareVersionTag, std::string>;
+
 /** An endpoint's registration in the platform's store. */
 struct EndpointRecord {
     EndpointId id;
@@ -108,6 +111,7 @@
     std::uint32_t slots { 0 };
     /** Changes when the endpoint restarts under the same id. */
     WallTime startedAt;
+    SoftwareVersion version {};
 
     bool operator==(const EndpointRecord&) const = default;
 };
--- a/src/ports/GatewayLimits.h
+++ b/src/ports/GatewayLimits.h
@@ -42,6 +42,12 @@
     /** Rate limit of a cold endpoint: its stated rate times `coldFactor`, plus `coldHeadroom`. From the settings. */
     double coldFactor { 1.5 };
     double coldHeadroom { 5 };
+    /** Part of a service's requests that a bad new version may get during a roll-out. From the settings. */
+    double exposureFraction { 0.1 };
+    /** Requests beyond that part. From the settings. */
+    double exposureHeadroom { 50 };
+    /** Time after its fiftieth bad answer from which a bad version must get no more requests. From the settings. */
+    Milliseconds rollbackLimit { 5000 };
     /** Requests waiting for an endpoint are refused after this fraction of their latency objective. */
     double queueWaitFraction { 0.125 };
     /** Retry-After for requests that found no endpoint; about the time until new endpoints are discovered. */
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -4,6 +4,7 @@
 #include "ports/GatewayLimits.h"
 #include "ports/Outcome.h"
 #include "ports/PeerInterfaces.h"
+#include "ports/Rollouts.h"
 #include "ports/Telemetry.h"
 
 #include <memory>
@@ -201,7 +202,7 @@
 using GatewayEvent = std::variant<RequestArrived, RequestAbandoned, ResponseLost, RequestUnreadable, ResponseReceived,
     ExchangeEnded, EventsRelayed, MigrationResponseReceived, ConfigurationRead, EndpointsListed, EndpointsChanged,
     OutOfServiceZonesRead, StoreReadSucceeded, StoreReadFailed, MembersListed, GossipReceived, StoreReadingReceived,
-    LimitsChanged, GatewayStopRequested>;
+    LimitsChanged, GatewayStopRequested, RolloutOrdersRead, RolloutsRead, RolloutStored, RolloutStoreFailed>;
 
 /** Point at which an endpoint resumes a stream that another endpoint started. */
 struct ResumePoint {
@@ -270,8 +271,9 @@
     bool stopsSource { false };
 };
 
-using GatewayAction = std::variant<StartExchange, CancelExchange, RelayResponse, RefuseRequest, CompleteResponse,
-    AbortResponse, StartMigration, SendGossip, SendReading, ReadStore, LogEvent, Observation>;
+using GatewayAction
+    = std::variant<StartExchange, CancelExchange, RelayResponse, RefuseRequest, CompleteResponse, AbortResponse,
+        StartMigration, SendGossip, SendReading, ReadStore, ReadRollouts, WriteRollout, LogEvent, Observation>;
 using GatewayActions = std::vector<GatewayAction>;
 
 }
--- a/src/ports/PeerMessages.h
+++ b/src/ports/PeerMessages.h
@@ -79,6 +79,56 @@
     bool operator==(const RateLimitReport&) const = default;
 };
 
+/** How far a roll-out has got according to one gateway. Later ones prevail. */
+enum class RolloutSignal : std::uint8_t {
+    /** The new version gets a small share of the requests. */
+    Observing,
+    /** The new version gets all requests. */
+    Shifting,
+    /** The new version gets no more requests. */
+    Condemned,
+    /** The store holds the state `reverted`. */
+    Reverted,
+    /** The store holds the state `completed`. */
+    Completed,
+};
+constexpr std::size_t rolloutSignalCount = 5;
+
+/** Answers to one gateway's requests since a roll-out began, of one route and one endpoint. */
+struct RolloutCounts {
+    /** Lower 32 bits of the XXH3 hash of the endpoint's id; zero for all endpoints of previous versions together. */
+    std::uint32_t endpoint { 0 };
+    /** Lower 32 bits of the XXH3 hash of the route's name and of what was measured. */
+    std::uint32_t route { 0 };
+    std::uint32_t answered { 0 };
+    std::uint32_t failed { 0 };
+    /** Answers that took several times as long as those of the previous versions. */
+    std::uint32_t slow { 0 };
+    /** Sum of the times of all answers that did not fail. */
+    Milliseconds totalTime { 0 };
+
+    bool operator==(const RolloutCounts&) const = default;
+};
+
+/** What a gateway knows of a roll-out. Counts are totals since it began, so that a lost message does no harm. */
+struct RolloutReport {
+    /** XXH3 hash of the service and its new version. */
+    std::uint64_t rollout { 0 };
+    RolloutSignal signal { RolloutSignal::Observing };
+    /** The store holds a record of the roll-out. */
+    bool isRecorded { false };
+    /** Time since the order. */
+    Milliseconds elapsed { 0 };
+    /** Requests that the sender sent to the service, and those of them that it sent to the new version. */
+    std::uint32_t requests { 0 };
+    std::uint32_t requestsToTarget { 0 };
+    /** The sender's requests in progress at endpoints of previous versions. */
+    std::uint32_t runsAtPrevious { 0 };
+    std::vector<RolloutCounts> counts;
+
+    bool operator==(const RolloutReport&) const = default;
+};
+
 /**
  * State that a gateway sends to the others several times a second. The latest usage of an endpoint replaces earlier
  * ones, so the next full message corrects the effect of a lost one.
@@ -99,6 +149,7 @@
     /** Recent ones of the sender, by which others recognize that their connections broke because of a crash. */
     std::vector<RefusedConnection> refusedConnections {};
     std::vector<RateLimitReport> rateLimits {};
+    std::vector<RolloutReport> rollouts {};
 
     bool operator==(const GossipMessage&) const = default;
 };
--- a/src/ports/StoreInterfaces.h
+++ b/src/ports/StoreInterfaces.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ports/StoreReadings.h"
+#include "ports/Rollouts.h"
 
 namespace teaselfold {
 
@@ -12,4 +12,14 @@
     virtual void read(const ReadStore& command) = 0;
 };
 
+/** Port to the records of roll-outs in the platform's store. */
+class RolloutStore {
+public:
+    virtual ~RolloutStore() = default;
+    /** Starts a read. RolloutsRead or RolloutStoreFailed follows. */
+    virtual void read(const ReadRollouts& command) = 0;
+    /** Starts a write. RolloutStored, RolloutsRead or RolloutStoreFailed follows. */
+    virtual void write(const WriteRollout& command) = 0;
+};
+
 }
--- a/test/support/TrafficHarness.cpp
+++ b/test/support/TrafficHarness.cpp
@@ -29,7 +29,7 @@
     options.readiness = freeAddress();
     this->server = std::make_unique<TrafficServer>(options,
         TrafficServer::Dependencies { this->gateway, this->codec, this->telemetry, this->peers, this->store,
-            [] { return std::string(); }, &bootTimeNow, [] {}, [] {} });
+            this->rollouts, [] { return std::string(); }, &bootTimeNow, [] {}, [] {} });
     EndpointRecord plain = GatewayScenario::plainEndpoint("p4");
     EndpointRecord engine = GatewayScenario::engineEndpoint("e1");
     plain.address = endpoint;
--- a/test/support/TrafficHarness.h
+++ b/test/support/TrafficHarness.h
@@ -63,11 +63,16 @@
     struct NoStore final : StoreReads {
         void read(const ReadStore&) override { }
     };
+    struct NoRollouts final : RolloutStore {
+        void read(const ReadRollouts&) override { }
+        void write(const WriteRollout&) override { }
+    };
 
     SeededRandomness randomness { 1 };
     RecordingTelemetry telemetry;
     NoPeers peers;
     NoStore store;
+    NoRollouts rollouts;
     PlatformTrafficCodec codec;
     Gateway gateway;
     Address callers;
