--- a/test/process/lib/prepared_platform.py
+++ b/test/process/lib/prepared_platform.py
@@ -110,13 +110,34 @@
     def put(self, table, key, value):
         with self.changed:
             self.version += 1
-            text = value if isinstance(value, bytes) else json.dumps(value).encode()
-            row = {"table": table, "part": "", "key": key, "value": base64.b64encode(text).decode(),
-                   "rowVersion": self.version}
-            self.rows[table, key] = row
-            self.log.append(row)
+            self.set_row(table, key, value if isinstance(value, bytes) else json.dumps(value).encode())
             self.changed.notify_all()
 
+    def set_row(self, table, key, text):
+        row = {"table": table, "part": "", "key": key, "value": base64.b64encode(text).decode(),
+               "rowVersion": self.version}
+        self.rows[table, key] = row
+        self.log.append(row)
+
+    def value(self, table, key):
+        """Returns a row's value as JSON; None without the row."""
+        with self.changed:
+            row = self.rows.get((table, key))
+            return json.loads(base64.b64decode(row["value"])) if row else None
+
+    def transact(self, change):
+        """Performs a transaction of writes. Returns False if a row has another version than expected."""
+        with self.changed:
+            for row in change["expect"]:
+                known = self.rows.get((row["table"], row["key"]), {"rowVersion": 0})
+                if known["rowVersion"] != row["rowVersion"]:
+                    return False
+            self.version += 1
+            for row in change["write"]:
+                self.set_row(row["table"], row["key"], base64.b64decode(row["value"]))
+            self.changed.notify_all()
+            return True
+
     def delete(self, table, key):
         with self.changed:
             self.version += 1
@@ -173,8 +194,10 @@
 
     def do_POST(self):
         change = json.loads(self.body())
-        for row in change["write"]:
-            self.owner.put(row["table"], row["key"], base64.b64decode(row["value"]))
+        if self.owner.is_down:
+            return self.reply(503)
+        if not self.owner.transact(change):
+            return self.reply(412, json.dumps({"rows": [], "rowVersion": self.owner.version}).encode())
         for row in change["remove"]:
             self.owner.delete(row["table"], row["key"])
         self.reply(200, json.dumps({"rowVersion": self.owner.version, "nowMs": now_ms()}).encode())
