Stop a spoiled run before its stream goes on elsewhere

Cause: the end of an exchange was the same for a connection that the engine ended and for one that the gateway closed after a malformed body, a gap or bytes that are no response. The stream went on from its replica at once, while an engine that keeps its requests worked on.

Change: ExchangeEnd::Spoiled tells the gateway's own close. The engine is then asked to stop the run (a copy call that stops it, to the engine with the replica or the copy), and the stream goes on only after it answered that it stopped or knows no such run, or could not be connected to. Any other answer, or an engine that can't be asked, ends the stream.

--- a/src/adapters/traffic/EndpointConnections.cpp
+++ b/src/adapters/traffic/EndpointConnections.cpp
@@ -150,7 +150,7 @@
     if (std::holds_alternative<HeadIncomplete>(read))
         return false;
     if (std::holds_alternative<HeadFault>(read)) {
-        this->fail(connection, ExchangeEnd::Broken);
+        this->fail(connection, ExchangeEnd::Spoiled);
         return false;
     }
     auto& parsed = *std::get_if<ParsedHead<ResponseHead>>(&read);
@@ -158,12 +158,12 @@
     if (parsed.head.status < firstFinalStatus) {
         const bool isAllowed = ++channel.discardedHeads <= maxDiscardedHeads;
         if (!isAllowed)
-            this->fail(connection, ExchangeEnd::Broken);
+            this->fail(connection, ExchangeEnd::Spoiled);
         return isAllowed;
     }
     auto framing = responseFraming(parsed.head);
     if (std::holds_alternative<HeadFault>(framing)) {
-        this->fail(connection, ExchangeEnd::Broken);
+        this->fail(connection, ExchangeEnd::Spoiled);
         return false;
     }
     const CallerRequest* request = channel.migration ? nullptr : this->callers.find(channel.parameters.request);
@@ -207,7 +207,7 @@
     const std::size_t used = channel.decoder->feed(channel.inbound, channel.body);
     channel.inbound.erase(0, used);
     if (channel.decoder->isMalformed() || channel.body.size() > maxBufferedBodyBytes) {
-        this->fail(connection, ExchangeEnd::Broken);
+        this->fail(connection, ExchangeEnd::Spoiled);
         return false;
     }
     if (channel.isRelaying)
@@ -224,7 +224,7 @@
         channel.body.clear();
         const bool isAllowed = ++channel.discardedHeads <= maxDiscardedHeads;
         if (!isAllowed)
-            this->fail(connection, ExchangeEnd::Broken);
+            this->fail(connection, ExchangeEnd::Spoiled);
         return isAllowed;
     }
     if (channel.migration) {
@@ -236,12 +236,12 @@
     if (channel.isStream) {
         if (!channel.isRelaying)
             return false;
-        const bool isEmpty = channel.decoder->endsWithConnection() && !channel.events->hasEvents();
+        const bool endsWithConnection = channel.decoder->endsWithConnection();
+        const bool isEmpty = endsWithConnection && !channel.events->hasEvents();
         if (isEmpty || channel.events->hasPartialEvent() || channel.events->hasGap()) {
-            this->fail(connection, ExchangeEnd::Broken);
+            this->fail(connection, endsWithConnection ? ExchangeEnd::Broken : ExchangeEnd::Spoiled);
             return false;
         }
-        const bool endsWithConnection = channel.decoder->endsWithConnection();
         if (!endsWithConnection)
             this->callers.completeResponse(channel.parameters.request);
         this->context.events.emplace_back(ExchangeEnded {
@@ -295,7 +295,7 @@
             EventsRelayed { channel.parameters.exchange, channel.events->lastId().value_or(0) });
     }
     if (channel.events->hasGap() || channel.events->isRunaway())
-        return this->fail(connection, ExchangeEnd::Broken);
+        return this->fail(connection, ExchangeEnd::Spoiled);
     if (this->callers.queuedBytes(request) > maxQueuedStreamBytes) {
         this->blockedReads[this->callers.find(request)->connection] = connection;
         this->context.loop.setReadEnabled(connection, false);
@@ -358,9 +358,10 @@
     if (found == this->channels.end())
         return;
     const Channel& channel = found->second;
+    const auto outcome = end == ExchangeEnd::NotConnected ? MigrationOutcome::Unreachable : MigrationOutcome::Failed;
     if (channel.migration)
         this->context.events.emplace_back(
-            MigrationResponseReceived { channel.migration->exchange, MigrationOutcome::Failed, {}, false, {} });
+            MigrationResponseReceived { channel.migration->exchange, outcome, {}, false, {} });
     else if (channel.phase != Phase::Idle)
         this->context.events.emplace_back(ExchangeEnded { channel.parameters.exchange, end });
     this->discard(connection);
@@ -414,7 +415,7 @@
             expired.push_back(connection);
     }
     for (const ConnectionId connection : expired)
-        this->fail(connection, ExchangeEnd::Broken);
+        this->fail(connection, ExchangeEnd::Spoiled);
 }
 
 }
--- a/src/core/gateway/ActiveRequest.h
+++ b/src/core/gateway/ActiveRequest.h
@@ -38,6 +38,8 @@
     bool mayBeStopped { false };
     /** When the source was last asked to stop the run; its target took requests then. */
     std::optional<Instant> stopCallAt;
+    /** The source stated that it stopped the run. */
+    bool isStopped { false };
     /** How the source's stream ended. All of its events were relayed to the caller. */
     std::optional<ExchangeEnd> streamEnd;
     /** Handle of the KV cache that the source kept when it stopped the run. */
@@ -68,6 +70,17 @@
     std::optional<Instant> nextTryAt;
 };
 
+/** A run whose stream the gateway gave up, while its engine may still work on it. */
+struct UnstoppedRun {
+    ExchangeId exchange;
+    EndpointId endpoint;
+    Address address;
+    ZoneId zone;
+    bool hasBegun { false };
+    /** The engine was asked to stop the run. */
+    bool wasAsked { false };
+};
+
 /** A request that waits for an endpoint or has an exchange in progress. */
 struct ActiveRequest {
     GatewayRequest request;
@@ -103,6 +116,8 @@
     std::optional<EndpointId> replicaEngine;
     std::optional<StreamMigration> migration;
     std::optional<StoppedRun> stoppedRun;
+    /** Unset once the run is known to have ended; until then, the stream goes on at no other engine. */
+    std::optional<UnstoppedRun> unstoppedRun;
     /** Engines at which the run broke before it got past its start. */
     std::uint32_t brokenStarts { 0 };
     /** The run got past its start at an engine, so its prompt crashes none. */
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -257,12 +257,14 @@
         this->crashes.runSucceeded(*active, now);
     if (event.end == ExchangeEnd::Complete)
         return this->completion.complete(*active, now, actions);
+    if (event.end == ExchangeEnd::Spoiled)
+        StreamMigrator::streamSpoiled(*active, event.exchange, *exchange);
     if (event.end == ExchangeEnd::Closed || StreamMigrator::mayBeStopped(*active))
         return this->streamClosed(*active, event.end, now, actions);
-    if (event.end == ExchangeEnd::Broken)
-        this->crashes.runBroke(*active, *exchange, now, actions);
-    else
+    if (event.end == ExchangeEnd::NotConnected)
         this->crashes.connectionRefused(exchange->endpoint, now, actions);
+    else
+        this->crashes.runBroke(*active, *exchange, now, actions);
     this->state.endpoints.recordFailure(exchange->endpoint, now);
     const bool mayResend = !active->mayHaveRun || isIdempotent(*active);
     if (event.end == ExchangeEnd::NotConnected && mayResend && !active->responseStarted)
@@ -273,7 +275,7 @@
         active->mayHaveRun = true;
     if (active->stoppedRun) {
         active->stoppedRun->wasRefused = false;
-        if (event.end == ExchangeEnd::Broken)
+        if (event.end != ExchangeEnd::NotConnected)
             active->stoppedRun->mayRunAt = exchange->endpoint;
     }
     StreamMigrator::streamEnded(*active, event.end);
@@ -309,6 +311,8 @@
 
 bool ExchangeDispatcher::tryFailover(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
+    if (active.unstoppedRun)
+        return StreamMigrator::isAwaitingAnswer(active) || this->migrator.stopSpoiledRun(active, now, actions);
     if (auto run = StreamMigrator::takeStoppedRun(active)) {
         active.stoppedRun = std::move(run);
         return this->resumeStoppedRun(active, now, actions);
--- a/src/core/gateway/StreamMigrator.cpp
+++ b/src/core/gateway/StreamMigrator.cpp
@@ -42,7 +42,8 @@
 
     std::string_view outcomeName(MigrationOutcome outcome)
     {
-        constexpr std::array<std::string_view, 5> names { "copied", "no_such_run", "in_progress", "no_room", "failed" };
+        constexpr std::array<std::string_view, 6> names { "copied", "no_such_run", "in_progress", "no_room", "failed",
+            "unreachable" };
         return names[static_cast<std::size_t>(outcome)];
     }
 
@@ -126,7 +127,7 @@
     if (!target)
         return false;
     active.migration = StreamMigration { MigrationPhase::Copying, *active.exchange, source, exchange.address,
-        target->record.id, target->record.address, now, 0, active.tokens, std::nullopt, false, std::nullopt,
+        target->record.id, target->record.address, now, 0, active.tokens, std::nullopt, false, std::nullopt, false,
         std::nullopt, std::nullopt };
     this->state.endpoints.addCopy(target->record.id, active.tokens);
     this->requestByExchange[*active.exchange] = active.request.id;
@@ -163,6 +164,11 @@
     line.fields.push_back({ "outcome", std::string(outcomeName(event.outcome)) });
     actions.emplace_back(std::move(line));
     const bool copied = event.outcome == MigrationOutcome::Copied;
+    if (migration.phase == MigrationPhase::Finishing)
+        migration.isStopped = copied || event.outcome == MigrationOutcome::NoRoom;
+    if (migration.isStopped || event.outcome == MigrationOutcome::NoSuchRun
+        || event.outcome == MigrationOutcome::Unreachable)
+        active.unstoppedRun.reset();
     if (copied)
         migration.copy = event.handle;
     if (migration.phase == MigrationPhase::Finishing && !event.handle.get().empty())
@@ -253,6 +259,52 @@
         active.migration->streamEnd = end;
 }
 
+void StreamMigrator::streamSpoiled(ActiveRequest& active, ExchangeId id, const Exchange& exchange)
+{
+    // A stopped run goes on from its copy, which can be used once, and nowhere else once an engine may have used it.
+    if (!active.stoppedRun && !(active.migration && active.migration->isStopped))
+        active.unstoppedRun = UnstoppedRun { id, exchange.endpoint, exchange.address, exchange.zone,
+            exchange.lastEventAt.has_value(), false };
+}
+
+const GatewayEndpoint* StreamMigrator::targetOfSpoiledRun(const ActiveRequest& active, Instant now) const
+{
+    const UnstoppedRun& run = *active.unstoppedRun;
+    if (active.replicaEngine && this->state.endpoints.acceptsRequests(*active.replicaEngine))
+        return this->state.endpoints.find(*active.replicaEngine);
+    return chooseCopyTarget(this->state, active, { run.zone, { run.endpoint }, {} }, now);
+}
+
+bool StreamMigrator::stopSpoiledRun(ActiveRequest& active, Instant now, GatewayActions& actions)
+{
+    UnstoppedRun& run = *active.unstoppedRun;
+    // An engine knows no run that waits for its first event, and may begin it later.
+    const bool canStop = run.hasBegun && active.service->engine && active.service->engine->canMigrate;
+    if (run.wasAsked || !canStop || !this->state.endpoints.rateLimits().allows(run.endpoint, 0, now))
+        return false;
+    run.wasAsked = true;
+    if (!active.migration) {
+        const GatewayEndpoint* target = this->targetOfSpoiledRun(active, now);
+        if (!target)
+            return false;
+        active.migration.emplace();
+        active.migration->target = target->record.id;
+        active.migration->targetAddress = target->record.address;
+        active.migration->tokens = active.tokens;
+    }
+    StreamMigration& migration = *active.migration;
+    migration.phase = MigrationPhase::Finishing;
+    migration.exchange = run.exchange;
+    migration.source = run.endpoint;
+    migration.sourceAddress = run.address;
+    migration.streamEnd = ExchangeEnd::Spoiled;
+    this->state.endpoints.addCopy(migration.target, migration.tokens);
+    this->requestByExchange[run.exchange] = active.request.id;
+    this->sendCopyCall(active, now, actions);
+    actions.emplace_back(migrationLogEvent("stop_started", active, now));
+    return true;
+}
+
 bool StreamMigrator::isOver(const ActiveRequest& active)
 {
     return active.migration && active.migration->streamEnd == ExchangeEnd::Closed && !mayBeStopped(active);
--- a/src/core/gateway/StreamMigrator.h
+++ b/src/core/gateway/StreamMigrator.h
@@ -30,6 +30,10 @@
         const MigrationResponseReceived& event, Instant now, GatewayActions& actions);
     /** Handles the end of a stream at its engine, other than ExchangeEnd::Complete. */
     static void streamEnded(ActiveRequest& active, ExchangeEnd end);
+    /** Handles a stream that the gateway gave up, so that its run has to be stopped before it goes on elsewhere. */
+    static void streamSpoiled(ActiveRequest& active, ExchangeId id, const Exchange& exchange);
+    /** Asks the engine of a stream that the gateway gave up to stop the run. @return false if it cannot be asked. */
+    bool stopSpoiledRun(ActiveRequest& active, Instant now, GatewayActions& actions);
     /** @return true if the engine may have stopped the run for a migration, so that its stream ends early. */
     static bool mayBeStopped(const ActiveRequest& active);
     /** @return true if the stream ended with its connection, and its engine has stated that it did not stop the run. */
@@ -70,6 +74,8 @@
     /** Sends the copy call of the migration's phase. */
     void sendCopyCall(ActiveRequest& active, Instant now, GatewayActions& actions);
     bool isWorthMigrating(const ActiveRequest& active, Instant now) const;
+    /** @return the engine that gets the rest of a run whose stream was spoiled; null if there is none. */
+    const GatewayEndpoint* targetOfSpoiledRun(const ActiveRequest& active, Instant now) const;
     /** @return true if the stream could resume at the target if its run were stopped now. */
     bool canResumeAtTarget(const ActiveRequest& active, Instant now) const;
     /** Gives up the target for a run that goes on at its source, and looks for another one. A copy is kept until then.
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -116,8 +116,11 @@
     Closed,
     /** No connection could be established, so nothing was sent. */
     NotConnected,
-    /** The connection broke, or the data received was not a valid response. */
+    /** The endpoint ended or reset the connection. */
     Broken,
+    /** The gateway closed the connection, since it got no valid response. The endpoint may still work on the request.
+     */
+    Spoiled,
 };
 
 /** Last event of an exchange. Follows ResponseReceived when there was a response. */
@@ -142,6 +145,8 @@
     /** The target engine has too little free memory. */
     NoRoom,
     Failed,
+    /** No connection to the source engine could be established. */
+    Unreachable,
 };
 
 /** An engine responded to a StartMigration, or the call failed. */
