Weigh the early end of an unframed stream with what is seen of its engine

Cause: an unframed stream that ends between two events counted at once as a run that produced its whole output. So the crash of an engine after the first event was not recorded, and the survival cleared the prompt part here and, by gossip, at all gateways.

Change: such an end soon after its start is kept (UnframedEnds). A request with an uncertain end clears no suspicion of its fingerprint either.

--- a/src/core/gateway/ActiveRequest.h
+++ b/src/core/gateway/ActiveRequest.h
@@ -122,6 +122,8 @@
     std::uint32_t brokenStarts { 0 };
     /** The run got past its start at an engine, so its prompt crashes none. */
     bool isPastStart { false };
+    /** Its stream ended unframed soon after its start, so that nothing tells yet whether its endpoint crashed. */
+    bool isEndUncertain { false };
     /** Migrations that failed in a row. */
     std::uint32_t failedMigrations { 0 };
     /** When the last migration failed. */
--- a/src/core/gateway/CrashAttribution.cpp
+++ b/src/core/gateway/CrashAttribution.cpp
@@ -34,6 +34,48 @@
         this->state.crashDetector.recordBrokenConnection(exchange.endpoint, active.request.fingerprint, now), actions);
 }
 
+void CrashAttribution::streamClosed(
+    ActiveRequest& active, const Exchange& exchange, Instant now, GatewayActions& actions)
+{
+    if (active.isPastStart)
+        return this->runSucceeded(active, now);
+    active.isEndUncertain = true;
+    const GatewayEndpoint* endpoint = this->state.endpoints.find(exchange.endpoint);
+    // One that leaves refuses connections afterwards without a crash.
+    if (!endpoint || !this->state.endpoints.acceptsRequests(exchange.endpoint))
+        return;
+    const Fingerprint fingerprint = active.request.fingerprint;
+    this->state.unframedEnds.add(
+        { exchange.endpoint, endpoint->record.startedAt, fingerprint, active.request.sharedPromptParts, now, false });
+    logCrash(exchange.endpoint, this->state.crashDetector.recordBrokenConnection(exchange.endpoint, fingerprint, now),
+        actions);
+}
+
+SeenSince CrashAttribution::seenSince(const UnframedEnd& end)
+{
+    if (this->state.crashDetector.hasRefusedSince(end.endpoint, end.at))
+        return SeenSince::Crash;
+    const GatewayEndpoint* endpoint = this->state.endpoints.find(end.endpoint);
+    if (!endpoint)
+        return SeenSince::Nothing;
+    return endpoint->record.startedAt == end.startedAt ? SeenSince::SameIncarnation : SeenSince::Crash;
+}
+
+void CrashAttribution::weighUnframedEnds(Instant now, GatewayActions& actions)
+{
+    const auto verdicts
+        = this->state.unframedEnds.weigh([&](const UnframedEnd& end) { return this->seenSince(end); }, now);
+    for (const UnframedEnd& end : verdicts.crashed) {
+        actions.emplace_back(LogEvent { "unframed_stream_cut", { { "endpoint", end.endpoint.get() } } });
+        this->state.promptParts.recordBrokenStart(
+            this->state.randomness.next(), endpointHashOf(end.endpoint), end.promptParts, end.at);
+    }
+    for (const UnframedEnd& end : verdicts.survived) {
+        this->state.quarantine.recordSurvival(end.fingerprint, now);
+        this->state.promptParts.recordSurvival(end.promptParts, end.at);
+    }
+}
+
 void CrashAttribution::connectionRefused(const EndpointId& endpoint, Instant now, GatewayActions& actions)
 {
     logCrash(endpoint, this->state.crashDetector.recordRefusedConnection(endpoint, now), actions);
@@ -52,6 +94,8 @@
 
 void CrashAttribution::requestCompleted(const ActiveRequest& active, Instant now)
 {
+    if (active.isEndUncertain)
+        return;
     this->state.quarantine.recordSurvival(active.request.fingerprint, now);
 }
 
--- a/src/core/gateway/CrashAttribution.h
+++ b/src/core/gateway/CrashAttribution.h
@@ -23,6 +23,12 @@
 
     /** Handles a run whose connection broke. */
     void runBroke(ActiveRequest& active, const Exchange& exchange, Instant now, GatewayActions& actions);
+    /** Handles an unframed stream that its endpoint closed after a whole event. It is complete, or cut by a crash. */
+    void streamClosed(ActiveRequest& active, const Exchange& exchange, Instant now, GatewayActions& actions);
+    /** Handles the unframed streams of which it is certain now how they ended. */
+    void weighUnframedEnds(Instant now, GatewayActions& actions);
+    /** Handles a response of an endpoint. */
+    void endpointAnswered(const EndpointId& endpoint) { this->state.unframedEnds.recordAnswer(endpoint); }
     /** Handles a connection that an endpoint refused. */
     void connectionRefused(const EndpointId& endpoint, Instant now, GatewayActions& actions);
     /** Handles an event of a run, which may be the one that shows that it got past its start. */
@@ -38,6 +44,9 @@
     bool mayResume(const ActiveRequest& active, Instant now) const;
 
 private:
+    /** @return what is known of an endpoint since the end of a stream. */
+    SeenSince seenSince(const UnframedEnd& end);
+
     GatewayState& state;
 };
 
--- a/src/core/gateway/CrashDetector.cpp
+++ b/src/core/gateway/CrashDetector.cpp
@@ -36,6 +36,12 @@
     return 1;
 }
 
+bool CrashDetector::hasRefusedSince(const EndpointId& endpoint, Instant endedAt) const
+{
+    const auto refusal = this->refusals.find(endpointHashOf(endpoint));
+    return refusal != this->refusals.end() && isSameCrash(endedAt, refusal->second.at);
+}
+
 std::size_t CrashDetector::recordRefusedConnection(const EndpointId& endpoint, Instant now)
 {
     return this->addRefusal(endpointHashOf(endpoint), { now, true });
--- a/src/core/gateway/CrashDetector.h
+++ b/src/core/gateway/CrashDetector.h
@@ -27,6 +27,8 @@
      * @return the number of requests that become suspects, because another gateway noticed the crash earlier.
      */
     std::size_t recordBrokenConnection(const EndpointId& endpoint, Fingerprint fingerprint, Instant now);
+    /** @return true if the endpoint has refused a connection since a request's connection ended. */
+    bool hasRefusedSince(const EndpointId& endpoint, Instant endedAt) const;
     /** Records that a connection could not be opened. @return the number of requests that become suspects. */
     std::size_t recordRefusedConnection(const EndpointId& endpoint, Instant now);
     /** Merges what another gateway recorded. @return the number of requests that become suspects. */
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -197,6 +197,7 @@
     if (isRunResult && (response.status < firstServerError || !this->reserveRetry(*active, now))) {
         if (isSuccess(response)) {
             this->state.endpoints.recordSuccess(exchange.endpoint);
+            this->crashes.endpointAnswered(exchange.endpoint);
             if (!response.isStream)
                 this->crashes.runSucceeded(*active, now);
         }
@@ -253,8 +254,10 @@
     ActiveRequest* active = this->findRequest(exchange->request);
     internalCheck(active, "an exchange belongs to an active request");
     active->exchange.reset();
-    if (exchange->firstEventAt && (event.end == ExchangeEnd::Complete || event.end == ExchangeEnd::Closed))
+    if (exchange->firstEventAt && event.end == ExchangeEnd::Complete)
         this->crashes.runSucceeded(*active, now);
+    if (event.end == ExchangeEnd::Closed && !StreamMigrator::mayBeStopped(*active))
+        this->crashes.streamClosed(*active, *exchange, now, actions);
     if (event.end == ExchangeEnd::Complete)
         return this->completion.complete(*active, now, actions);
     if (event.end == ExchangeEnd::Spoiled)
@@ -487,6 +490,7 @@
     }
     for (const RequestId id : expired)
         this->completion.expire(*this->findRequest(id), now, actions);
+    this->crashes.weighUnframedEnds(now, actions);
     this->resumeWaitingRuns(now, actions);
     this->dispatchWaiting(now, actions);
 }
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -11,6 +11,7 @@
 #include "core/gateway/ReaderRank.h"
 #include "core/gateway/RouteTable.h"
 #include "core/gateway/StoreFreshness.h"
+#include "core/gateway/UnframedEnds.h"
 #include "ports/Randomness.h"
 
 #include <map>
@@ -73,6 +74,7 @@
     Quarantine quarantine;
     CrashDetector crashDetector;
     PromptPartQuarantine promptParts;
+    UnframedEnds unframedEnds;
     RouterLimits sharedLimits;
     std::map<ServiceId, RetryBudget> retryBudgets;
     /** When the last caller that was refused because of rate limits was told to come back. */
--- a/test/support/EngineFleet.cpp
+++ b/test/support/EngineFleet.cpp
@@ -242,6 +242,8 @@
         const auto deadly = this->deadlyRequests.find(this->requests[run.request].fingerprint);
         if (deadly != this->deadlyRequests.end())
             deadly->second.crashes.push_back(this->time);
+        if (this->options.isUnframed)
+            this->sendFirstEvent(run);
         return this->crash(engine);
     }
     if (isFirst && this->engines.at(engine).isGrey)
@@ -265,7 +267,8 @@
     this->requests[request].isCompleted = true;
     const auto ended = std::find_if(this->runs.begin(), this->runs.end(),
         [&](const Run& each) { return each.node == node && each.exchange == exchange; });
-    this->endRun(static_cast<std::size_t>(ended - this->runs.begin()), ExchangeEnd::Complete);
+    this->endRun(static_cast<std::size_t>(ended - this->runs.begin()),
+        this->options.isUnframed ? ExchangeEnd::Closed : ExchangeEnd::Complete);
 }
 
 void EngineFleet::endRun(std::size_t index, ExchangeEnd end)
@@ -275,6 +278,13 @@
     this->handle(run.node, ExchangeEnded { run.exchange, end });
 }
 
+void EngineFleet::sendFirstEvent(const Run& run)
+{
+    const Run copy = run;
+    this->handle(copy.node, ResponseReceived { copy.exchange, GatewayScenario::streamStart() });
+    this->handle(copy.node, EventsRelayed { copy.exchange, 1 });
+}
+
 void EngineFleet::crash(const EndpointId& engine)
 {
     this->engines.at(engine).backAt = this->time + downTime;
@@ -285,7 +295,8 @@
         return run.engine == engine;
     });
     for (const Run& run : broken)
-        this->handle(run.node, ExchangeEnded { run.exchange, ExchangeEnd::Broken });
+        this->handle(run.node,
+            ExchangeEnded { run.exchange, this->options.isUnframed ? ExchangeEnd::Closed : ExchangeEnd::Broken });
 }
 
 void EngineFleet::crashEngines(double share)
--- a/test/support/EngineFleet.h
+++ b/test/support/EngineFleet.h
@@ -39,6 +39,8 @@
         double loss { 0 };
         /** Path of the requests: "/draft/1" for streams of engines, "/read/1" or "/write/1" for plain endpoints. */
         std::string path { "/draft/1" };
+        /** Streams end with their connections, and crashes come after the first event. */
+        bool isUnframed { false };
     };
 
     explicit EngineFleet(Options options);
@@ -142,6 +144,8 @@
     void advanceRun(std::size_t run);
     void endRun(std::size_t run, ExchangeEnd end);
     void crash(const EndpointId& engine);
+    /** Sends the first event of a run, so that the crash that follows looks like the end of its stream. */
+    void sendFirstEvent(const Run& run);
 
     Options options;
     SeededRandomness randomness;
