--- a/src/core/gateway/ActiveRequest.h
+++ b/src/core/gateway/ActiveRequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/gateway/KeptCopies.h"
 #include "ports/GatewayConfiguration.h"
 #include "ports/GatewayMessages.h"
 
@@ -32,12 +33,18 @@
     std::uint32_t callCount { 0 };
     /** Tokens reserved at the target. */
     std::uint64_t tokens { 0 };
+    /** Last event that the caller had when the last copy call was sent. */
+    std::uint64_t calledAtEvent { 0 };
     /** Handle of the last copy at the target. */
     std::optional<KvCacheHandle> copy;
+    /** Last event that the caller had when that copy was asked for. */
+    std::uint64_t copiedAtEvent { 0 };
     /** The source was asked to stop the run, and did not state that it left the run alone. */
     bool mayBeStopped { false };
     /** When the source was last asked to stop the run; its target took requests then. */
     std::optional<Instant> stopCallAt;
+    /** The source stated that it stopped the run. */
+    bool isStopped { false };
     /** How the source's stream ended. All of its events were relayed to the caller. */
     std::optional<ExchangeEnd> streamEnd;
     /** Handle of the KV cache that the source kept when it stopped the run. */
@@ -50,8 +57,19 @@
     ResumePoint point;
 };
 
-/** The way back of a stream whose run was stopped for a migration, until an engine has accepted it. */
+/** The way back of a stream whose run was stopped or whose engine ended, until an engine has accepted it. */
 struct StoppedRun {
+    /** @return the way back of a run whose engine ended. */
+    static StoppedRun fromCopy(const KeptCopy& copy, std::uint64_t lastEventId)
+    {
+        StoppedRun run;
+        run.target = { copy.endpoint, { copy.holder, copy.handle, lastEventId } };
+        run.tries = 1;
+        run.triedAt = copy.endpoint;
+        run.isBroken = true;
+        return run;
+    }
+
     ResumptionPlace target;
     /** The engine that stopped the run; unset if it kept no KV cache. */
     std::optional<ResumptionPlace> source;
@@ -60,6 +78,8 @@
     std::uint32_t tries { 0 };
     /** Engine of the last try. */
     std::optional<EndpointId> triedAt;
+    /** The run was not stopped: its engine ended, and it goes on from one of the copies that it has. */
+    bool isBroken { false };
     /** Engine that may have taken the run, so that it resumes at no other one. */
     std::optional<EndpointId> mayRunAt;
     /** The last try was refused as not run, so the engine has no copy that a later try could use. */
@@ -68,6 +88,17 @@
     std::optional<Instant> nextTryAt;
 };
 
+/** A run whose stream the gateway gave up, while its engine may still work on it. */
+struct UnstoppedRun {
+    ExchangeId exchange;
+    EndpointId endpoint;
+    Address address;
+    ZoneId zone;
+    bool hasBegun { false };
+    /** The engine was asked to stop the run. */
+    bool wasAsked { false };
+};
+
 /** A request that waits for an endpoint or has an exchange in progress. */
 struct ActiveRequest {
     GatewayRequest request;
@@ -104,11 +135,17 @@
     /** Engine that holds a replica of the run's KV cache. */
     std::optional<EndpointId> replicaEngine;
     std::optional<StreamMigration> migration;
+    /** Copies of earlier migrations, which were given up, and replicas of a run that ended. */
+    KeptCopies keptCopies;
     std::optional<StoppedRun> stoppedRun;
+    /** Unset once the run is known to have ended; until then, the stream goes on at no other engine. */
+    std::optional<UnstoppedRun> unstoppedRun;
     /** Engines at which the run broke before it got past its start. */
     std::uint32_t brokenStarts { 0 };
     /** The run got past its start at an engine, so its prompt crashes none. */
     bool isPastStart { false };
+    /** Its stream ended unframed soon after its start, so that nothing tells yet whether its endpoint crashed. */
+    bool isEndUncertain { false };
     /** Migrations that failed in a row. */
     std::uint32_t failedMigrations { 0 };
     /** When the last migration failed. */
