Let runs outlive their engines: kept copies, an order of moves, other zones

Change: KeptCopies keeps copies of given up moves; a run whose engine ended goes on from the newest one, and a resumption that was not connected is tried again. MoveOrder moves what is not expected to end in half of the time that the engine has left, runs without a copy first; DepartureTimes learns that time. CopyRefusals keeps a gateway from asking engines that just had no room, so that other zones come next, where engines have room.

--- a/src/core/gateway/ActiveRequest.h
+++ b/src/core/gateway/ActiveRequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/gateway/KeptCopies.h"
 #include "ports/GatewayConfiguration.h"
 #include "ports/GatewayMessages.h"
 
@@ -32,8 +33,12 @@
     std::uint32_t callCount { 0 };
     /** Tokens reserved at the target. */
     std::uint64_t tokens { 0 };
+    /** Last event that the caller had when the last copy call was sent. */
+    std::uint64_t calledAtEvent { 0 };
     /** Handle of the last copy at the target. */
     std::optional<KvCacheHandle> copy;
+    /** Last event that the caller had when that copy was asked for. */
+    std::uint64_t copiedAtEvent { 0 };
     /** The source was asked to stop the run, and did not state that it left the run alone. */
     bool mayBeStopped { false };
     /** When the source was last asked to stop the run; its target took requests then. */
@@ -52,8 +57,19 @@
     ResumePoint point;
 };
 
-/** The way back of a stream whose run was stopped for a migration, until an engine has accepted it. */
+/** The way back of a stream whose run was stopped or whose engine ended, until an engine has accepted it. */
 struct StoppedRun {
+    /** @return the way back of a run whose engine ended. */
+    static StoppedRun fromCopy(const KeptCopy& copy, std::uint64_t lastEventId)
+    {
+        StoppedRun run;
+        run.target = { copy.endpoint, { copy.holder, copy.handle, lastEventId } };
+        run.tries = 1;
+        run.triedAt = copy.endpoint;
+        run.isBroken = true;
+        return run;
+    }
+
     ResumptionPlace target;
     /** The engine that stopped the run; unset if it kept no KV cache. */
     std::optional<ResumptionPlace> source;
@@ -62,6 +78,8 @@
     std::uint32_t tries { 0 };
     /** Engine of the last try. */
     std::optional<EndpointId> triedAt;
+    /** The run was not stopped: its engine ended, and it goes on from one of the copies that it has. */
+    bool isBroken { false };
     /** Engine that may have taken the run, so that it resumes at no other one. */
     std::optional<EndpointId> mayRunAt;
     /** The last try was refused as not run, so the engine has no copy that a later try could use. */
@@ -115,6 +133,8 @@
     /** Engine that holds a replica of the run's KV cache. */
     std::optional<EndpointId> replicaEngine;
     std::optional<StreamMigration> migration;
+    /** Copies of earlier migrations, which were given up, and replicas of a run that ended. */
+    KeptCopies keptCopies;
     std::optional<StoppedRun> stoppedRun;
     /** Unset once the run is known to have ended; until then, the stream goes on at no other engine. */
     std::optional<UnstoppedRun> unstoppedRun;
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -3,6 +3,7 @@
 #include "core/common/Check.h"
 #include "core/gateway/CopyPlacement.h"
 #include "core/gateway/GatewayLog.h"
+#include "core/gateway/ResumptionPlaces.h"
 #include "core/gateway/StreamForecast.h"
 
 #include <algorithm>
@@ -203,6 +204,7 @@
         }
         active->responseStarted = true;
         active->stoppedRun.reset();
+        active->keptCopies.clear();
         actions.emplace_back(RelayResponse { event.exchange });
         return;
     }
@@ -268,6 +270,7 @@
         this->crashes.connectionRefused(exchange->endpoint, now, actions);
     else
         this->crashes.runBroke(*active, *exchange, now, actions);
+    this->migrator.exchangeBroke(*exchange, active->service->name, now);
     this->state.endpoints.recordFailure(exchange->endpoint, now);
     const bool mayResend = !active->mayHaveRun || isIdempotent(*active);
     if (event.end == ExchangeEnd::NotConnected && mayResend && !active->responseStarted)
@@ -320,46 +323,25 @@
         active.stoppedRun = std::move(run);
         return this->resumeStoppedRun(active, now, actions);
     }
-    const EndpointId target = active.migration ? active.migration->target : EndpointId();
-    if (const auto point = StreamMigrator::takeResumePoint(active))
-        return this->resumeBrokenRun(active, target, *point, now, actions);
-    if (active.stoppedRun)
-        return this->resumeStoppedRun(active, now, actions);
     if (StreamMigrator::isAwaitingAnswer(active))
         return true;
-    if (!active.replicaEngine)
-        return false;
-    const EndpointId replicaEngine = *active.replicaEngine;
-    active.replicaEngine.reset();
-    const GatewayEndpoint* endpoint = this->state.endpoints.find(replicaEngine);
-    if (!endpoint)
+    this->migrator.keepCopies(active);
+    const auto& stopped = active.stoppedRun;
+    // Unlike the copy of a stopped run, a replica may be used twice, so that a second run might begin.
+    if (stopped && stopped->isBroken && stopped->mayRunAt)
         return false;
-    const ResumePoint point { endpoint->record.address, KvCacheHandle(active.request.callerRequestId),
-        active.lastEventId };
-    return this->resumeBrokenRun(active, replicaEngine, point, now, actions);
-}
-
-const ResumptionPlace* ExchangeDispatcher::placeOfStoppedRun(const StoppedRun& run, Instant now) const
-{
-    const auto mayTake = [&](const EndpointId& endpoint) { return !run.mayRunAt || run.mayRunAt == endpoint; };
-    const bool isTargetReady = StreamMigrator::isTargetPrepared(run.stopCallAt, now)
-        ? this->state.endpoints.acceptsStoppedRun(run.target.endpoint, now)
-        : this->state.endpoints.acceptsResumption(run.target.endpoint, now)
-            || this->state.endpoints.acceptsReturn(run.target.endpoint, now);
-    const bool acceptsTarget = isTargetReady && mayTake(run.target.endpoint);
-    const bool acceptsSource
-        = run.source && mayTake(run.source->endpoint) && this->state.endpoints.acceptsReturn(run.source->endpoint, now);
-    const bool wasTriedAtTarget = run.triedAt == run.target.endpoint;
-    if (acceptsSource && (wasTriedAtTarget || !acceptsTarget))
-        return &*run.source;
-    return acceptsTarget ? &run.target : nullptr;
+    const bool hasOtherCopy = !active.keptCopies.isEmpty() && !(stopped && stopped->mayRunAt);
+    const bool isCopyUseless = stopped && stopped->isBroken && stopped->wasRefused;
+    if (stopped && !(hasOtherCopy && isCopyUseless) && this->resumeStoppedRun(active, now, actions))
+        return true;
+    return hasOtherCopy && this->resumeFromKeptCopy(active, now, actions);
 }
 
 bool ExchangeDispatcher::resumeStoppedRun(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
     StoppedRun& run = *active.stoppedRun;
     // The caller's stream was whole until the gateway stopped its run, so it goes on even if the exit may cut it again.
-    const ResumptionPlace* place = this->placeOfStoppedRun(run, now);
+    const ResumptionPlace* place = placeOfStoppedRun(this->state, run, now);
     std::string refusal = place ? "" : "endpoint takes no requests";
     if (run.tries >= (run.wasRefused ? maxRefusedResumptionTries : maxResumptionTries))
         refusal = "no tries left";
@@ -383,15 +365,20 @@
     return true;
 }
 
-bool ExchangeDispatcher::resumeBrokenRun(
-    ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now, GatewayActions& actions)
+bool ExchangeDispatcher::resumeFromKeptCopy(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
-    std::string refusal;
-    if (!this->state.endpoints.acceptsResumption(endpoint, now))
-        refusal = "endpoint takes no requests";
-    else if (!hasTimeForEventsBeforeStop(this->state, endpoint, now))
-        refusal = "the exit is too near";
-    return this->resume(active, endpoint, point, refusal, now, actions);
+    while (const auto copy = active.keptCopies.takeNewest()) {
+        std::string refusal;
+        if (!this->state.endpoints.acceptsResumption(copy->endpoint, now))
+            refusal = "endpoint takes no requests";
+        else if (!hasTimeForEventsBeforeStop(this->state, copy->endpoint, now))
+            refusal = "the exit is too near";
+        active.stoppedRun = StoppedRun::fromCopy(*copy, active.lastEventId);
+        if (this->resume(active, copy->endpoint, active.stoppedRun->target.point, refusal, now, actions))
+            return true;
+        active.stoppedRun.reset();
+    }
+    return false;
 }
 
 bool ExchangeDispatcher::resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point,
--- a/src/core/gateway/ExchangeDispatcher.h
+++ b/src/core/gateway/ExchangeDispatcher.h
@@ -46,11 +46,8 @@
      */
     bool resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, const std::string& refusal,
         Instant now, GatewayActions& actions);
-    /** Resumes a stream whose engine broke off. @return false if it does not resume. */
-    bool resumeBrokenRun(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point, Instant now,
-        GatewayActions& actions);
-    /** @return the engine at which a stopped run resumes next; null if none accepts it. */
-    const ResumptionPlace* placeOfStoppedRun(const StoppedRun& run, Instant now) const;
+    /** Resumes a stream whose engine broke off from one of its copies. @return false if it does not resume. */
+    bool resumeFromKeptCopy(ActiveRequest& active, Instant now, GatewayActions& actions);
     /**
      * Tries to resume a run that was stopped for a migration, or lets it wait for its next try.
      * @return false if it does not resume.
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -72,7 +72,7 @@
     this->state.promptParts.expire(now);
     this->state.endpoints.rateLimits().tick(now);
     this->logQuarantinedParts(actions);
-    this->migrator.expire();
+    this->migrator.expire(now);
     this->exchanges.tick(now, actions);
     this->state.peers.expire(now);
     this->sendGossip(now, actions);
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -3,7 +3,9 @@
 #include "core/entry/Quarantine.h"
 #include "core/entry/RetryBudget.h"
 #include "core/gateway/ActiveRequest.h"
+#include "core/gateway/CopyRefusals.h"
 #include "core/gateway/CrashDetector.h"
+#include "core/gateway/DepartureTimes.h"
 #include "core/gateway/EndpointDirectory.h"
 #include "core/gateway/PeerLoadTable.h"
 #include "core/gateway/PlannedStop.h"
@@ -75,6 +77,8 @@
     CrashDetector crashDetector;
     PromptPartQuarantine promptParts;
     UnframedEnds unframedEnds;
+    CopyRefusals copyRefusals;
+    DepartureTimes departureTimes;
     RouterLimits sharedLimits;
     std::map<ServiceId, RetryBudget> retryBudgets;
     /** When the last caller that was refused because of rate limits was told to come back. */
--- a/src/core/gateway/StreamForecast.cpp
+++ b/src/core/gateway/StreamForecast.cpp
@@ -25,6 +25,11 @@
     return expected > produced ? expected - produced : produced / 2;
 }
 
+std::uint64_t heldTokens(const ActiveRequest& active)
+{
+    return active.request.promptTokens + active.lastEventId * active.service->engine->tokensPerEvent;
+}
+
 Duration expectedRemainingTime(const GatewayState& state, const ActiveRequest& active)
 {
     const std::uint64_t events = expectedRemainingTokens(active) / active.service->engine->tokensPerEvent + 1;
--- a/src/core/gateway/StreamForecast.h
+++ b/src/core/gateway/StreamForecast.h
@@ -7,6 +7,9 @@
 /** @return the tokens that a stream is expected to produce from now on. */
 std::uint64_t expectedRemainingTokens(const ActiveRequest& active);
 
+/** @return the tokens that the run of a stream holds in its engine's KV cache. */
+std::uint64_t heldTokens(const ActiveRequest& active);
+
 /** @return false if a stopping gateway may exit before a stream in progress is expected to end. */
 bool endsBeforeStop(const GatewayState& state, const ActiveRequest& active, Instant now);
 
--- a/src/core/gateway/StreamMigrator.cpp
+++ b/src/core/gateway/StreamMigrator.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-    /** A run with fewer remaining tokens is not migrated, since it finishes before its engine exits. */
-    constexpr std::uint64_t minRemainingTokens = 100;
     /**
      * A copy that takes longer has queued behind other transfers. The run is stopped only after a faster copy, since
      * the stream pauses for as long as the last copy takes.
@@ -27,7 +25,7 @@
      */
     constexpr Milliseconds preparedTargetTime(500);
     /** Attempts to migrate a run that may fail in a row. */
-    constexpr std::uint32_t maxFailedMigrations = 4;
+    constexpr std::uint32_t maxFailedMigrations = 12;
     /** Time after which failed attempts and targets no longer count: room and connections return within moments. */
     constexpr Milliseconds migrationRetryDelay(300);
 
@@ -40,6 +38,15 @@
                 || migration->callCount >= maxCopyCalls);
     }
 
+    /** Keeps the copy of a migration that is over or given up. */
+    void keepCopy(ActiveRequest& active)
+    {
+        const auto& migration = active.migration;
+        if (migration && migration->phase == MigrationPhase::Done && migration->copy)
+            active.keptCopies.add(
+                { migration->target, migration->sourceAddress, *migration->copy, migration->copiedAtEvent });
+    }
+
     std::string_view outcomeName(MigrationOutcome outcome)
     {
         constexpr std::array<std::string_view, 6> names { "copied", "no_such_run", "in_progress", "no_room", "failed",
@@ -68,13 +75,32 @@
     const bool hasBegun = active.lastEventId > 0 && !active.stoppedRun;
     const bool mayTry
         = active.failedMigrations < maxFailedMigrations || now - active.migrationFailedAt >= migrationRetryDelay;
-    return hasBegun && mayTry && this->crashes.mayResume(active, now)
-        && expectedRemainingTokens(active) >= minRemainingTokens && endsBeforeStop(this->state, active, now);
+    return hasBegun && mayTry && this->crashes.mayResume(active, now) && endsBeforeStop(this->state, active, now);
+}
+
+MovableRun StreamMigrator::movableRun(const ActiveRequest& active) const
+{
+    const bool hasCopy = !active.keptCopies.isEmpty() || (active.migration && active.migration->copy);
+    return { heldTokens(active), expectedRemainingTokens(active), expectedRemainingTime(this->state, active), hasCopy };
+}
+
+Duration StreamMigrator::timeLeft(const EndpointId& source, const ServiceId& service, Instant now) const
+{
+    const Duration left = this->draining.at(source).since + this->state.departureTimes.shortest(service) - now;
+    return std::max(left, Duration(0));
+}
+
+void StreamMigrator::exchangeBroke(const Exchange& exchange, const ServiceId& service, Instant now)
+{
+    const auto source = this->draining.find(exchange.endpoint);
+    if (source == this->draining.end() || std::exchange(source->second.hasEnded, true))
+        return;
+    this->state.departureTimes.record(service, now - source->second.since);
 }
 
 void StreamMigrator::drainEndpoint(const EndpointId& endpoint, Instant now, GatewayActions& actions)
 {
-    this->draining.try_emplace(endpoint);
+    this->draining.try_emplace(endpoint, Draining { now, std::nullopt, false });
     this->startNextMigration(endpoint, now, actions);
 }
 
@@ -86,13 +112,18 @@
 ActiveRequest* StreamMigrator::nextToMigrate(const EndpointId& source, Instant now)
 {
     ActiveRequest* next = nullptr;
+    MovableRun first;
     for (const auto& [id, exchange] : this->state.exchanges) {
         if (exchange.endpoint != source)
             continue;
         ActiveRequest& active = this->state.requests.at(exchange.request);
-        if (this->isWorthMigrating(active, now)
-            && (!next || expectedRemainingTokens(active) > expectedRemainingTokens(*next)))
-            next = &active;
+        if (!this->isWorthMigrating(active, now))
+            continue;
+        const MovableRun run = this->movableRun(active);
+        if (!needsMove(run, this->timeLeft(source, active.service->name, now)) || (next && !movesBefore(run, first)))
+            continue;
+        next = &active;
+        first = run;
     }
     return next;
 }
@@ -100,11 +131,11 @@
 void StreamMigrator::startNextMigration(const EndpointId& source, Instant now, GatewayActions& actions)
 {
     const auto entry = this->draining.find(source);
-    if (entry == this->draining.end() || entry->second || !this->acceptsCopyCalls(source, now))
+    if (entry == this->draining.end() || entry->second.migrating || !this->acceptsCopyCalls(source, now))
         return;
     ActiveRequest* next = this->nextToMigrate(source, now);
     if (next && this->startMigration(*next, source, now, actions))
-        entry->second = next->request.id;
+        entry->second.migrating = next->request.id;
 }
 
 bool StreamMigrator::acceptsCopyCalls(const EndpointId& source, Instant now) const
@@ -126,9 +157,14 @@
         = chooseCopyTarget(this->state, active, { exchange.zone, std::move(excluded), {} }, now);
     if (!target)
         return false;
-    active.migration = StreamMigration { MigrationPhase::Copying, *active.exchange, source, exchange.address,
-        target->record.id, target->record.address, now, 0, active.tokens, std::nullopt, false, std::nullopt, false,
-        std::nullopt, std::nullopt };
+    keepCopy(active);
+    StreamMigration& migration = active.migration.emplace();
+    migration.exchange = *active.exchange;
+    migration.source = source;
+    migration.sourceAddress = exchange.address;
+    migration.target = target->record.id;
+    migration.targetAddress = target->record.address;
+    migration.tokens = active.tokens;
     this->state.endpoints.addCopy(target->record.id, active.tokens);
     this->requestByExchange[*active.exchange] = active.request.id;
     this->sendCopyCall(active, now, actions);
@@ -140,6 +176,7 @@
 {
     StreamMigration& migration = *active.migration;
     migration.lastCallAt = now;
+    migration.calledAtEvent = active.lastEventId;
     ++migration.callCount;
     this->state.endpoints.rateLimits().recordSent(migration.source);
     const bool stopsSource = migration.phase == MigrationPhase::Finishing;
@@ -169,8 +206,12 @@
     if (migration.isStopped || event.outcome == MigrationOutcome::NoSuchRun
         || event.outcome == MigrationOutcome::Unreachable)
         active.unstoppedRun.reset();
-    if (copied)
+    if (copied) {
         migration.copy = event.handle;
+        migration.copiedAtEvent = migration.calledAtEvent;
+    }
+    if (event.outcome == MigrationOutcome::NoRoom)
+        this->state.copyRefusals.record(migration.target, heldTokens(active), now);
     if (migration.phase == MigrationPhase::Finishing && !event.handle.get().empty())
         migration.keptAtSource = event.handle;
     if (event.outcome == MigrationOutcome::NoSuchRun || event.outcome == MigrationOutcome::InProgress)
@@ -227,11 +268,12 @@
     this->state.endpoints.removeCopy(migration.target, migration.tokens);
     const auto source = this->draining.find(migration.source);
     if (source != this->draining.end())
-        source->second.reset();
+        source->second.migrating.reset();
 }
 
-void StreamMigrator::expire()
+void StreamMigrator::expire(Instant now)
 {
+    this->state.copyRefusals.expire(now);
     std::erase_if(this->draining, [&](const auto& entry) {
         return std::none_of(this->state.exchanges.begin(), this->state.exchanges.end(),
             [&](const auto& exchange) { return exchange.second.endpoint == entry.first; });
@@ -330,11 +372,27 @@
 void StreamMigrator::runReturned(ActiveRequest& active, Instant now)
 {
     const StoppedRun& run = *active.stoppedRun;
-    this->draining.try_emplace(run.source->endpoint);
+    this->draining.try_emplace(run.source->endpoint, Draining { now, std::nullopt, false });
     active.migrationFailedAt = now;
     active.failedTargets.insert(run.target.endpoint);
 }
 
+void StreamMigrator::keepCopies(ActiveRequest& active)
+{
+    keepCopy(active);
+    if (active.migration && active.migration->phase == MigrationPhase::Done) {
+        active.migration.reset();
+        active.failedMigrations = 0;
+        active.failedTargets.clear();
+    }
+    const GatewayEndpoint* replica = active.replicaEngine ? this->state.endpoints.find(*active.replicaEngine) : nullptr;
+    active.replicaEngine.reset();
+    // A replica follows its run within moments.
+    if (replica)
+        active.keptCopies.add({ replica->record.id, replica->record.address,
+            KvCacheHandle(active.request.callerRequestId), active.lastEventId });
+}
+
 std::optional<ResumePoint> StreamMigrator::takeResumePoint(ActiveRequest& active)
 {
     // The response to the outstanding copy call shows whether there is a copy.
--- a/src/core/gateway/StreamMigrator.h
+++ b/src/core/gateway/StreamMigrator.h
@@ -2,6 +2,7 @@
 
 #include "core/gateway/CrashAttribution.h"
 #include "core/gateway/GatewayState.h"
+#include "core/gateway/MoveOrder.h"
 
 #include <map>
 
@@ -30,6 +31,10 @@
         const MigrationResponseReceived& event, Instant now, GatewayActions& actions);
     /** Handles the end of a stream at its engine, other than ExchangeEnd::Complete. */
     static void streamEnded(ActiveRequest& active, ExchangeEnd end);
+    /** Handles an exchange that broke: an engine that drains has ended. */
+    void exchangeBroke(const Exchange& exchange, const ServiceId& service, Instant now);
+    /** Keeps the copies from which a run may go on whose engine ended. */
+    void keepCopies(ActiveRequest& active);
     /** Handles a stream that the gateway gave up, so that its run has to be stopped before it goes on elsewhere. */
     static void streamSpoiled(ActiveRequest& active, ExchangeId id, const Exchange& exchange);
     /** Asks the engine of a stream that the gateway gave up to stop the run. @return false if it cannot be asked. */
@@ -38,14 +43,10 @@
     static bool mayBeStopped(const ActiveRequest& active);
     /** @return true if the stream ended with its connection, and its engine has stated that it did not stop the run. */
     static bool isOver(const ActiveRequest& active);
-    /**
-     * Ends the migration of a stream that ended early.
-     * @return the point at which it resumes; unset if it has no copy or the response to a copy call is outstanding.
-     */
-    static std::optional<ResumePoint> takeResumePoint(ActiveRequest& active);
     /**
      * Ends the migration of a stream whose run may have been stopped for it.
-     * @return the way back; unset under the conditions of takeResumePoint(), and if the run was not stopped.
+     * @return the way back; unset if it has no copy, the response to a copy call is outstanding, or the run was not
+     * stopped.
      */
     static std::optional<StoppedRun> takeStoppedRun(ActiveRequest& active);
     /** Prepares another migration of a stopped run that returns to its source. */
@@ -59,13 +60,26 @@
     /** @return true if the stream ended and waits for the response to a copy call. */
     static bool isAwaitingAnswer(const ActiveRequest& active);
     /** Removes draining engines without a stream. */
-    void expire();
+    void expire(Instant now);
     /** Ends the migration of a request that is over, and starts the next one from its source. */
     void discard(const ActiveRequest& active, Instant now, GatewayActions& actions);
 
 private:
+    /** An engine that drains. */
+    struct Draining {
+        Instant since;
+        /** The request that is being migrated from it. */
+        std::optional<RequestId> migrating;
+        bool hasEnded { false };
+    };
+
+    /** Ends the migration of a stream that ended early. @return the point at which it resumes, if any. */
+    static std::optional<ResumePoint> takeResumePoint(ActiveRequest& active);
+    MovableRun movableRun(const ActiveRequest& active) const;
+    /** @return the time for which a draining engine is expected to go on. */
+    Duration timeLeft(const EndpointId& source, const ServiceId& service, Instant now) const;
     void startNextMigration(const EndpointId& source, Instant now, GatewayActions& actions);
-    /** @return the stream of the engine with the most remaining tokens; null if none is worth migrating. */
+    /** @return the stream of the engine that is migrated first; null if none is worth migrating. */
     ActiveRequest* nextToMigrate(const EndpointId& source, Instant now);
     /** @return false while the engine wants no further calls. */
     bool acceptsCopyCalls(const EndpointId& source, Instant now) const;
@@ -86,8 +100,7 @@
 
     GatewayState& state;
     CrashAttribution crashes;
-    /** Draining engines, and the request that is being migrated from each. */
-    std::map<EndpointId, std::optional<RequestId>> draining;
+    std::map<EndpointId, Draining> draining;
     std::map<ExchangeId, RequestId> requestByExchange;
 };
 
