--- a/src/adapters/peers/GossipCodec.cpp
+++ b/src/adapters/peers/GossipCodec.cpp
@@ -3,6 +3,8 @@
 #include "adapters/peers/PeerWire.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace teaselfold {
 
@@ -20,7 +22,9 @@
         constexpr std::size_t usagesPerStart = 3;
         constexpr std::size_t partsPerUsage = 2;
         constexpr std::size_t usagesPerRateLimit = 2;
-        std::size_t usages = gossip.promptParts.survivals.size() + gossip.rateLimits.size() * usagesPerRateLimit;
+        constexpr std::size_t conditionsPerUsage = 2;
+        std::size_t usages = gossip.promptParts.survivals.size() + gossip.rateLimits.size() * usagesPerRateLimit
+            + gossip.conditions.size() / conditionsPerUsage;
         for (const auto& start : gossip.promptParts.brokenStarts)
             usages += usagesPerStart + start.parts.size() / partsPerUsage;
         return std::min(usages, maxUsages);
@@ -45,6 +49,26 @@
         return encoded;
     }
 
+    constexpr Microseconds intervalUnit(20);
+    constexpr Milliseconds ageUnit(10);
+    constexpr double slowdownUnitsPerFactor = 20;
+
+    template <typename Field> Field encodeBounded(double units)
+    {
+        return static_cast<Field>(std::clamp(units, 0.0, static_cast<double>(std::numeric_limits<Field>::max())));
+    }
+
+    std::vector<peerwire::Condition> encodeConditions(const std::vector<EndpointCondition>& conditions)
+    {
+        std::vector<peerwire::Condition> encoded;
+        for (const EndpointCondition& condition : conditions)
+            encoded.emplace_back(condition.endpoint,
+                encodeBounded<std::uint16_t>(static_cast<double>(condition.eventInterval / intervalUnit)),
+                encodeBounded<std::uint8_t>(std::round(condition.slowdown * slowdownUnitsPerFactor)),
+                encodeBounded<std::uint8_t>(static_cast<double>(condition.age / ageUnit)));
+        return encoded;
+    }
+
     std::vector<EndpointUsage> selectLargestUsages(std::vector<EndpointUsage> usages, std::size_t limit)
     {
         std::sort(usages.begin(), usages.end(),
@@ -96,6 +120,17 @@
         return reports;
     }
 
+    std::vector<EndpointCondition> decodeConditions(const peerwire::News& news)
+    {
+        std::vector<EndpointCondition> conditions;
+        for (flatbuffers::uoffset_t index = 0; index < entriesOf(news.conditions()); ++index) {
+            const auto* condition = news.conditions()->Get(index);
+            conditions.push_back({ condition->endpoint(), intervalUnit * condition->event_interval(),
+                condition->slowdown() / slowdownUnitsPerFactor, ageUnit * condition->age() });
+        }
+        return conditions;
+    }
+
     PromptPartEvidence decodeEvidence(const peerwire::News& news)
     {
         PromptPartEvidence evidence;
@@ -143,9 +178,11 @@
     const auto refusalVector = refusals.empty() ? 0 : builder.CreateVectorOfStructs(refusals);
     const auto rateLimits = encodeRateLimits(gossip.rateLimits);
     const auto rateLimitVector = rateLimits.empty() ? 0 : builder.CreateVectorOfStructs(rateLimits);
-    const auto root
-        = peerwire::CreateNews(builder, instance, gossip.incarnation.get(), gossip.sequence, gossip.isDraining,
-            loadVector, suspectVector, gossip.isPartial, startVector, survivalVector, refusalVector, rateLimitVector);
+    const auto conditions = encodeConditions(gossip.conditions);
+    const auto conditionVector = conditions.empty() ? 0 : builder.CreateVectorOfStructs(conditions);
+    const auto root = peerwire::CreateNews(builder, instance, gossip.incarnation.get(), gossip.sequence,
+        gossip.isDraining, loadVector, suspectVector, gossip.isPartial, startVector, survivalVector, refusalVector,
+        rateLimitVector, conditionVector);
     builder.Finish(root, peerwire::NewsIdentifier());
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
@@ -183,6 +220,7 @@
         gossip.refusedConnections.push_back({ refusal->endpoint(), Milliseconds(refusal->age_ms()) });
     }
     gossip.rateLimits = decodeRateLimits(*root);
+    gossip.conditions = decodeConditions(*root);
     return gossip;
 }
 
--- a/src/adapters/peers/Peers_generated.h
+++ b/src/adapters/peers/Peers_generated.h
@@ -29,6 +29,8 @@
 
 struct RateLimit;
 
+struct Condition;
+
 struct News;
 struct NewsBuilder;
 
@@ -197,6 +199,41 @@
 };
 FLATBUFFERS_STRUCT_END(RateLimit, 20);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) Condition FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t endpoint_;
+  uint16_t event_interval_;
+  uint8_t slowdown_;
+  uint8_t age_;
+
+ public:
+  Condition()
+      : endpoint_(0),
+        event_interval_(0),
+        slowdown_(0),
+        age_(0) {
+  }
+  Condition(uint32_t _endpoint, uint16_t _event_interval, uint8_t _slowdown, uint8_t _age)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        event_interval_(flatbuffers::EndianScalar(_event_interval)),
+        slowdown_(flatbuffers::EndianScalar(_slowdown)),
+        age_(flatbuffers::EndianScalar(_age)) {
+  }
+  uint32_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  uint16_t event_interval() const {
+    return flatbuffers::EndianScalar(event_interval_);
+  }
+  uint8_t slowdown() const {
+    return flatbuffers::EndianScalar(slowdown_);
+  }
+  uint8_t age() const {
+    return flatbuffers::EndianScalar(age_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Condition, 8);
+
 struct BrokenStart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef BrokenStartBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -297,7 +334,8 @@
     VT_BROKEN_STARTS = 18,
     VT_SURVIVALS = 20,
     VT_REFUSALS = 22,
-    VT_RATE_LIMITS = 24
+    VT_RATE_LIMITS = 24,
+    VT_CONDITIONS = 26
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -332,6 +370,9 @@
   const flatbuffers::Vector<const teaselfold::peerwire::RateLimit *> *rate_limits() const {
     return GetPointer<const flatbuffers::Vector<const teaselfold::peerwire::RateLimit *> *>(VT_RATE_LIMITS);
   }
+  const flatbuffers::Vector<const teaselfold::peerwire::Condition *> *conditions() const {
+    return GetPointer<const flatbuffers::Vector<const teaselfold::peerwire::Condition *> *>(VT_CONDITIONS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCE) &&
@@ -353,6 +394,8 @@
            verifier.VerifyVector(refusals()) &&
            VerifyOffset(verifier, VT_RATE_LIMITS) &&
            verifier.VerifyVector(rate_limits()) &&
+           VerifyOffset(verifier, VT_CONDITIONS) &&
+           verifier.VerifyVector(conditions()) &&
            verifier.EndTable();
   }
 };
@@ -394,6 +437,9 @@
   void add_rate_limits(flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::RateLimit *>> rate_limits) {
     fbb_.AddOffset(News::VT_RATE_LIMITS, rate_limits);
   }
+  void add_conditions(flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Condition *>> conditions) {
+    fbb_.AddOffset(News::VT_CONDITIONS, conditions);
+  }
   explicit NewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -417,10 +463,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<teaselfold::peerwire::BrokenStart>>> broken_starts = 0,
     flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Survival *>> survivals = 0,
     flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Refusal *>> refusals = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::RateLimit *>> rate_limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::RateLimit *>> rate_limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Condition *>> conditions = 0) {
   NewsBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_conditions(conditions);
   builder_.add_rate_limits(rate_limits);
   builder_.add_refusals(refusals);
   builder_.add_survivals(survivals);
@@ -445,7 +493,8 @@
     const std::vector<flatbuffers::Offset<teaselfold::peerwire::BrokenStart>> *broken_starts = nullptr,
     const std::vector<teaselfold::peerwire::Survival> *survivals = nullptr,
     const std::vector<teaselfold::peerwire::Refusal> *refusals = nullptr,
-    const std::vector<teaselfold::peerwire::RateLimit> *rate_limits = nullptr) {
+    const std::vector<teaselfold::peerwire::RateLimit> *rate_limits = nullptr,
+    const std::vector<teaselfold::peerwire::Condition> *conditions = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Load>(*loads) : 0;
   auto suspects__ = suspects ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Suspect>(*suspects) : 0;
@@ -453,6 +502,7 @@
   auto survivals__ = survivals ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Survival>(*survivals) : 0;
   auto refusals__ = refusals ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Refusal>(*refusals) : 0;
   auto rate_limits__ = rate_limits ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::RateLimit>(*rate_limits) : 0;
+  auto conditions__ = conditions ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Condition>(*conditions) : 0;
   return teaselfold::peerwire::CreateNews(
       _fbb,
       instance__,
@@ -465,7 +515,8 @@
       broken_starts__,
       survivals__,
       refusals__,
-      rate_limits__);
+      rate_limits__,
+      conditions__);
 }
 
 inline const teaselfold::peerwire::News *GetNews(const void *buf) {
--- a/src/core/gateway/CopyPlacement.cpp
+++ b/src/core/gateway/CopyPlacement.cpp
@@ -7,8 +7,8 @@
 const GatewayEndpoint* chooseCopyTarget(
     GatewayState& state, const ActiveRequest& active, const CopyRequirements& requirements, Instant now)
 {
-    const PickContext context { requirements.zone, now, active.tokens, 0, 0, state.limits, state.peers,
-        state.randomness };
+    const PickContext context { requirements.zone, now, active.tokens, 0, 0, {},
+        state.endpoints.slowdownShares(active.service->name), state.limits, state.peers, state.randomness };
     auto candidates = state.endpoints.candidates(*active.service, state.peers.gatewayCount(), now);
     std::erase_if(candidates, [&](const GatewayEndpoint* candidate) {
         const bool isOverUtilized = requirements.maxUtilization
--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -54,7 +54,8 @@
         this->limitsOfRate.add(record.id, record.service);
     if (restarted) {
         endpoint.consecutiveFailures = 0;
-        endpoint.externalRequests = 0;
+        endpoint.externalLoad = {};
+        endpoint.pace = {};
         endpoint.copyTokens = 0;
         endpoint.restsUntil = Instant {};
         endpoint.eventInterval.reset();
@@ -252,6 +253,7 @@
 {
     if (GatewayEndpoint* found = this->find(endpoint))
         found->promptTokens += tokens;
+    this->hasPromptNews = this->hasPromptNews || tokens > 0;
 }
 
 void EndpointDirectory::removePendingPrompt(const EndpointId& endpoint, std::uint64_t tokens)
@@ -274,8 +276,10 @@
 
 void EndpointDirectory::recordEventInterval(const EndpointId& endpoint, Duration interval)
 {
-    if (GatewayEndpoint* found = this->find(endpoint))
+    if (GatewayEndpoint* found = this->find(endpoint)) {
         addToAverage(found->eventInterval, interval);
+        found->pace.recordInterval(interval);
+    }
 }
 
 void EndpointDirectory::recordFirstEvent(const EndpointId& endpoint, Duration time)
@@ -325,11 +329,43 @@
 {
     if (GatewayEndpoint* found = this->find(endpoint)) {
         const std::uint32_t total = load.running + load.waiting;
-        found->externalRequests = total > found->inFlight ? total - found->inFlight : 0;
-        found->loadReportedAt = now;
+        found->externalLoad.record(total > found->inFlight ? total - found->inFlight : 0, now);
+        if (load.slowdown && found->pace.recordSlowdown(*load.slowdown, now))
+            this->slowdowns[found->record.service].record(*load.slowdown);
     }
 }
 
+std::vector<EndpointCondition> EndpointDirectory::conditions(Instant now) const
+{
+    std::vector<EndpointCondition> conditions;
+    for (const auto& [id, endpoint] : this->endpoints) {
+        if (const auto condition = endpoint.pace.condition(endpoint.idHash, now))
+            conditions.push_back(*condition);
+    }
+    return conditions;
+}
+
+void EndpointDirectory::mergeConditions(const std::vector<EndpointCondition>& conditions, Instant now)
+{
+    if (conditions.empty())
+        return;
+    for (auto& [id, endpoint] : this->endpoints) {
+        const auto condition = std::find_if(conditions.begin(), conditions.end(),
+            [&](const EndpointCondition& each) { return each.endpoint == endpoint.idHash; });
+        if (condition == conditions.end())
+            continue;
+        if (const auto slowdown = endpoint.pace.merge(*condition, now))
+            this->slowdowns[endpoint.record.service].record(*slowdown);
+    }
+}
+
+const SlowdownShares& EndpointDirectory::slowdownShares(const ServiceId& service) const
+{
+    static const SlowdownShares none;
+    const auto found = this->slowdowns.find(service);
+    return found == this->slowdowns.end() ? none : found->second;
+}
+
 void EndpointDirectory::recordSuccess(const EndpointId& endpoint)
 {
     if (GatewayEndpoint* found = this->find(endpoint)) {
--- a/src/core/gateway/EndpointDirectory.h
+++ b/src/core/gateway/EndpointDirectory.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "core/gateway/EndpointPace.h"
 #include "core/gateway/EndpointRateLimits.h"
+#include "core/gateway/ExternalLoadEstimate.h"
 #include "core/gateway/LeavingEndpoints.h"
+#include "core/gateway/SlowdownShares.h"
 #include "ports/GatewayLimits.h"
 #include "ports/GatewayMessages.h"
 #include "ports/PeerMessages.h"
@@ -11,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace teaselfold {
@@ -49,9 +53,9 @@
     std::optional<Duration> eventInterval;
     /** Moving average of the time from sending a stream's request to its first event; unset before the first stream. */
     std::optional<Duration> firstEventTime;
-    /** Requests of other gateways according to the endpoint's last load report. */
-    std::uint32_t externalRequests { 0 };
-    Instant loadReportedAt;
+    /** Requests of other gateways according to the endpoint's load reports. */
+    ExternalLoadEstimate externalLoad;
+    EndpointPace pace;
     std::uint32_t consecutiveFailures { 0 };
     Instant ejectedUntil;
     /** Send times of the recent requests that count against the rate limit of a cold endpoint. */
@@ -143,6 +147,14 @@
      */
     Duration resumptionTime(const EndpointId& endpoint) const;
     void recordLoad(const EndpointId& endpoint, const ReportedLoad& load, Instant now);
+    /** @return what this gateway knows of the endpoints' pace from its own exchanges. */
+    std::vector<EndpointCondition> conditions(Instant now) const;
+    /** Adds what another gateway knows of the endpoints' pace. */
+    void mergeConditions(const std::vector<EndpointCondition>& conditions, Instant now);
+    /** @return how often the endpoints of a service state which slowdown. */
+    const SlowdownShares& slowdownShares(const ServiceId& service) const;
+    /** @return true if a prompt was added since the last call, which the other gateways should know of. */
+    bool takePromptNews() { return std::exchange(this->hasPromptNews, false); }
     void recordSuccess(const EndpointId& endpoint);
     /** Records that the endpoint announced in an answer that it leaves. @return true if that was not known. */
     bool recordLeaving(const EndpointId& endpoint, Instant now);
@@ -194,6 +206,8 @@
     std::map<EndpointId, GatewayEndpoint> endpoints;
     LeavingEndpoints leavingEndpoints;
     std::set<ZoneId> zonesOutOfService;
+    std::map<ServiceId, SlowdownShares> slowdowns;
+    bool hasPromptNews { false };
 };
 
 }
--- a/src/core/gateway/EndpointPicker.cpp
+++ b/src/core/gateway/EndpointPicker.cpp
@@ -1,5 +1,8 @@
 #include "core/gateway/EndpointPicker.h"
 
+#include "core/gateway/PauseForecast.h"
+#include "core/gateway/PromptReading.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -22,14 +25,12 @@
     constexpr double overcommitDelaySeconds = 60;
     /** Expected delay of a request at a full engine, in seconds, since its steps take longer. */
     constexpr double fullEngineDelaySeconds = 1;
-    /** Prefill time of one prompt token at an average engine: 14 tokens per millisecond. */
-    constexpr double secondsPerPromptToken = 1.0 / 14000;
     /** Fraction of a prompt's prefill time by which each running stream is delayed. */
     constexpr double prefillDelayShare = 0.5;
-    /** Factor by which prefill takes longer when interleaved with the steps of running streams. */
-    constexpr double interleavedPrefillFactor = 2;
     /** Weight of a second before the first event relative to a second between events. */
     constexpr double firstEventWeight = 2;
+    /** Weight of a stream that is late by a pause, in seconds of delay. */
+    constexpr double lateStreamSeconds = 3;
     /** Factor on the tokens of other gateways' runs that accounts for the replicas of those runs. */
     constexpr double externalReplicaFactor = 1.7;
 
@@ -39,11 +40,10 @@
         return static_cast<double>(randomness.next()) / randomRange * scoreJitter;
     }
 
-    /** @return the reported number of requests of other gateways; zero if the report is too old. */
-    double recentExternalRequests(const GatewayEndpoint& endpoint, const PickContext& context)
+    /** @return the requests of other gateways that the endpoint is expected to have according to its reports. */
+    double reportedRequests(const GatewayEndpoint& endpoint, const PickContext& context)
     {
-        const bool recent = endpoint.loadReportedAt + context.limits.maxLoadReportAge > context.now;
-        return recent ? static_cast<double>(endpoint.externalRequests) : 0;
+        return endpoint.externalLoad.requests(context.limits.maxLoadReportAge, context.now);
     }
 
     double zonePenalty(const GatewayEndpoint& endpoint, const PickContext& context)
@@ -53,16 +53,22 @@
 
     double secondsOf(Duration time) { return std::chrono::duration<double>(time).count(); }
 
-    /** @return the event interval assumed for an engine that has no measured interval, in seconds. */
-    double averageEventInterval(const std::vector<GatewayEndpoint*>& candidates)
+    /** @return the time between two events at an engine beside no prompt; unset if nothing is known of it. */
+    std::optional<Duration> intervalOf(const GatewayEndpoint& endpoint)
     {
-        double sum = secondsOf(assumedEventInterval);
-        double count = 1;
+        const auto usual = endpoint.pace.usualInterval();
+        return usual ? usual : endpoint.eventInterval;
+    }
+
+    /** @return the event interval assumed for an engine of which none is known. */
+    Duration averageEventInterval(const std::vector<GatewayEndpoint*>& candidates)
+    {
+        Duration sum = assumedEventInterval;
+        Duration::rep count = 1;
         for (const GatewayEndpoint* candidate : candidates) {
-            if (!candidate->eventInterval)
-                continue;
-            sum += secondsOf(*candidate->eventInterval);
-            count += 1;
+            const auto interval = intervalOf(*candidate);
+            sum += interval.value_or(Duration(0));
+            count += interval ? 1 : 0;
         }
         return sum / count;
     }
@@ -74,7 +80,7 @@
     double externalRuns(const GatewayEndpoint& endpoint, const PickContext& context)
     {
         const auto reported = static_cast<double>(context.peers.peerLoad(endpoint.idHash).runs);
-        return context.isPeerLoadComplete ? reported : std::max(reported, recentExternalRequests(endpoint, context));
+        return context.isPeerLoadComplete ? reported : std::max(reported, reportedRequests(endpoint, context));
     }
 
     /** @return the tokens that the engine is expected to hold including the new request. */
@@ -88,15 +94,15 @@
         const double tokensPerRequest
             = endpoint.inFlight == 0 ? request : static_cast<double>(endpoint.tokensInFlight) / endpoint.inFlight;
         return own
-            + std::max(reported, recentExternalRequests(endpoint, context) * tokensPerRequest * externalReplicaFactor)
+            + std::max(reported, reportedRequests(endpoint, context) * tokensPerRequest * externalReplicaFactor)
             + request;
     }
 
     /** @return the prompt tokens queued at the engine before the request's own. */
     double queuedPromptTokens(const GatewayEndpoint& endpoint, const PickContext& context)
     {
-        const auto external = context.peers.peerLoad(endpoint.idHash).promptTokens;
-        return static_cast<double>(endpoint.promptTokens + external);
+        return static_cast<double>(endpoint.promptTokens)
+            + context.peers.unreadPromptTokens(endpoint.idHash, context.now);
     }
 
     /** @return a random sample of the candidates, so that gateways with equal data rarely choose the same endpoint. */
@@ -133,8 +139,8 @@
 {
     return findLowest(candidates, [&](const GatewayEndpoint& endpoint) {
         const double slots = std::max<std::uint32_t>(endpoint.record.slots, 1);
-        const double load = (endpoint.inFlight + recentExternalRequests(endpoint, context)) / slots;
-        return load + zonePenalty(endpoint, context) + jitter(context.randomness);
+        const double load = (endpoint.inFlight + reportedRequests(endpoint, context)) / slots;
+        return load * endpoint.pace.slowdown(context.now) + zonePenalty(endpoint, context) + jitter(context.randomness);
     });
 }
 
@@ -147,19 +153,26 @@
 GatewayEndpoint* LowestCostPicker::pick(
     const std::vector<GatewayEndpoint*>& candidates, const GatewayService& service, const PickContext& context) const
 {
-    const double defaultInterval = averageEventInterval(candidates);
-    const auto events = static_cast<double>(context.events);
-    const double averagePrefill = static_cast<double>(context.promptTokens) * secondsPerPromptToken;
+    const Duration averageInterval = averageEventInterval(candidates);
+    const PauseForecast pauses(context.slowdowns, context.objectives.eventInterval, averageInterval);
     return findLowest(sampleCandidates(candidates, context.randomness), [&](const GatewayEndpoint& endpoint) {
         const double utilization = expectedUtilization(endpoint, service, context);
-        const double interval = endpoint.eventInterval ? secondsOf(*endpoint.eventInterval) : defaultInterval;
-        const double prefill = averagePrefill * interval / defaultInterval;
-        const double queueing = queuedPromptTokens(endpoint, context) * secondsPerPromptToken * interleavedPrefillFactor
-            * interval / defaultInterval * firstEventWeight;
-        const double streamDelay = (endpoint.inFlight + externalRuns(endpoint, context)) * prefill * prefillDelayShare;
+        const Duration interval = intervalOf(endpoint).value_or(averageInterval);
+        const double secondsPerToken = secondsPerPromptToken * secondsOf(interval) / secondsOf(averageInterval)
+            * endpoint.pace.slowdown(context.now);
+        const double prefill = static_cast<double>(context.promptTokens) * secondsPerToken;
+        const double queueing
+            = queuedPromptTokens(endpoint, context) * secondsPerToken * interleavedPrefillFactor * firstEventWeight;
+        const Duration duration = interval * static_cast<Duration::rep>(context.events);
+        const double runs = endpoint.inFlight + externalRuns(endpoint, context);
+        const double streamDelay = runs * prefill * prefillDelayShare;
+        const double lateStreams = context.promptTokens == 0
+            ? 0
+            : runs * pauses.riskOfPrompt(endpoint.pace, context.now) + pauses.riskOfStream(endpoint.pace, duration);
         const double overcommit = std::max(0.0, utilization - overcommitThreshold) * overcommitDelaySeconds;
-        return prefill + queueing + events * interval + streamDelay + utilization * fullEngineDelaySeconds + overcommit
-            + zonePenalty(endpoint, context) + jitter(context.randomness);
+        return prefill + queueing + secondsOf(duration) + streamDelay + lateStreams * lateStreamSeconds
+            + utilization * fullEngineDelaySeconds + overcommit + zonePenalty(endpoint, context)
+            + jitter(context.randomness);
     });
 }
 
--- a/src/core/gateway/EndpointPicker.h
+++ b/src/core/gateway/EndpointPicker.h
@@ -2,6 +2,7 @@
 
 #include "core/gateway/EndpointDirectory.h"
 #include "core/gateway/PeerLoadTable.h"
+#include "core/gateway/StreamObjectives.h"
 #include "ports/Randomness.h"
 
 namespace teaselfold {
@@ -16,6 +17,9 @@
     std::uint64_t promptTokens { 0 };
     /** Expected number of events of the stream; zero if only the KV cache use matters. */
     std::uint64_t events { 0 };
+    StreamObjectives objectives {};
+    /** Of the service. */
+    const SlowdownShares& slowdowns;
     const GatewayLimits& limits;
     const PeerLoadTable& peers;
     Randomness& randomness;
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -6,6 +6,7 @@
 #include "core/gateway/StreamForecast.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace teaselfold {
 
@@ -56,7 +57,9 @@
     auto candidates = this->state.endpoints.candidates(*active.service, this->state.peers.gatewayCount(), now);
     std::erase_if(candidates, [&](const auto* endpoint) { return excluded.contains(endpoint->record.id); });
     const PickContext context { this->state.zone, now, active.tokens, active.request.promptTokens, active.events,
-        this->state.limits, this->state.peers, this->state.randomness };
+        this->state.streamObjectives(*active.route, active.service->name),
+        this->state.endpoints.slowdownShares(active.service->name), this->state.limits, this->state.peers,
+        this->state.randomness };
     return pickerFor(*active.service).pick(candidates, *active.service, context);
 }
 
@@ -137,7 +140,8 @@
     line.fields.push_back({ "endpoint", endpoint.record.id.get() });
     line.fields.push_back({ "attempt", std::to_string(active.attempts) });
     line.fields.push_back({ "in_flight", std::to_string(endpoint.inFlight) });
-    line.fields.push_back({ "foreign", std::to_string(endpoint.externalRequests) });
+    line.fields.push_back({ "slowdown_percent", std::to_string(std::llround(endpoint.pace.slowdown(now) * 100)) });
+    line.fields.push_back({ "foreign", std::to_string(std::llround(endpoint.externalLoad.requests(this->state.limits.maxLoadReportAge, now))) });
     if (isStream(active))
         line.fields.push_back({ "expected_events", std::to_string(active.events) });
     if (!active.request.sharedPromptParts.empty())
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -59,6 +59,9 @@
     GatewayActions actions;
     this->noticeSuspension(now, actions);
     Handlers::events().dispatch(*this, event, now, actions);
+    // Other gateways choose engines at the same moment, so a prompt is told before the next tick.
+    if (this->state.endpoints.takePromptNews())
+        this->sendGossip(now, actions);
     return actions;
 }
 
@@ -255,6 +258,7 @@
     const auto sender = this->state.peers.receive(event.gossip, now);
     if (!sender)
         return;
+    this->state.endpoints.mergeConditions(event.gossip.conditions, now);
     EndpointRateLimits& limits = this->state.endpoints.rateLimits();
     for (const EndpointId& endpoint : limits.merge(*sender, event.gossip.rateLimits, now))
         actions.emplace_back(Internal::rateLimitLogEvent(endpoint, limits.rateOf(endpoint), "gateway"));
@@ -279,7 +283,7 @@
         this->state.quarantine.recentDelivery(now, maxSentSuspects), this->state.stop.has_value(),
         this->state.peers.receiverCount(), this->state.promptParts.recentEvidence(now),
         this->state.promptParts.allEvidence(now), this->state.crashDetector.refusedConnections(now),
-        this->state.endpoints.rateLimits().reports(now) };
+        this->state.endpoints.rateLimits().reports(now), this->state.endpoints.conditions(now) };
     auto message = this->gossip.compose(content, now);
     if (!message)
         return;
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -11,6 +11,7 @@
 #include "core/gateway/ReaderRank.h"
 #include "core/gateway/RouteTable.h"
 #include "core/gateway/StoreFreshness.h"
+#include "core/gateway/StreamObjectives.h"
 #include "ports/Randomness.h"
 
 #include <map>
@@ -50,6 +51,13 @@
         return budget;
     }
 
+    /** @return the objectives of a request of the route and of the streams that run beside it at the service. */
+    StreamObjectives streamObjectives(const GatewayRoute& route, const ServiceId& service) const
+    {
+        return { route.latencyObjective,
+            this->routes ? this->routes->eventIntervalObjective(service) : route.eventIntervalObjective };
+    }
+
     /** @return false if a stopping gateway may exit before the given time. */
     bool endsBeforeStop(Instant time) const
     {
--- a/src/core/gateway/GossipComposer.cpp
+++ b/src/core/gateway/GossipComposer.cpp
@@ -1,6 +1,7 @@
 #include "core/gateway/GossipComposer.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace teaselfold {
 
@@ -16,10 +17,26 @@
     constexpr std::size_t suspectBytes = 16;
     constexpr std::size_t refusalBytes = 8;
     constexpr std::size_t rateLimitBytes = 20;
+    constexpr std::size_t conditionBytes = 8;
     /** Interval at which gateways tell each other their demand for endpoints with a rate limit. */
     constexpr Milliseconds demandInterval(500);
     /** Time in which an empty token bucket is filled. */
     constexpr Milliseconds burstTime(500);
+    /** Fraction of a full token bucket beyond which messages that are not urgent need no more bytes left. */
+    constexpr double largestReserve = 0.6;
+
+    /** @return the conditions of the endpoints in the usages. */
+    std::vector<EndpointCondition> selectConditions(
+        const std::vector<EndpointCondition>& conditions, const std::vector<EndpointUsage>& usages)
+    {
+        std::vector<EndpointCondition> selected;
+        std::copy_if(conditions.begin(), conditions.end(), std::back_inserter(selected),
+            [&](const EndpointCondition& condition) {
+                return std::any_of(usages.begin(), usages.end(),
+                    [&](const EndpointUsage& usage) { return usage.endpoint == condition.endpoint; });
+            });
+        return selected;
+    }
 
 }
 
@@ -43,7 +60,8 @@
 {
     std::size_t bytes = headerBytes + message.usages.size() * usageBytes
         + message.promptParts.survivals.size() * survivalBytes + message.suspects.suspects.size() * suspectBytes
-        + message.refusedConnections.size() * refusalBytes + message.rateLimits.size() * rateLimitBytes;
+        + message.refusedConnections.size() * refusalBytes + message.rateLimits.size() * rateLimitBytes
+        + message.conditions.size() * conditionBytes;
     for (const auto& start : message.promptParts.brokenStarts)
         bytes += brokenStartBytes + start.parts.size() * sizeof(std::uint64_t);
     this->availableBytes -= static_cast<double>(bytes * receiverCount);
@@ -81,6 +99,41 @@
     return changed;
 }
 
+GossipUrgency GossipComposer::urgencyOf(const std::vector<EndpointUsage>& changed) const
+{
+    GossipUrgency urgency = GossipUrgency::None;
+    for (const EndpointUsage& usage : changed) {
+        const auto found = this->lastSent.find(usage.endpoint);
+        const EndpointUsage last = found == this->lastSent.end() ? EndpointUsage { usage.endpoint } : found->second;
+        if (usage.promptTokens > last.promptTokens)
+            return GossipUrgency::High;
+        if (usage.tokens != last.tokens || usage.promptTokens != last.promptTokens)
+            urgency = GossipUrgency::Normal;
+    }
+    return urgency;
+}
+
+bool GossipComposer::maySend(GossipUrgency urgency, std::size_t usageCount, std::size_t receiverCount) const
+{
+    if (urgency == GossipUrgency::High)
+        return this->availableBytes > 0;
+    const double capacity = this->limits.gossipBytesPerSecond * std::chrono::duration<double>(burstTime).count();
+    const auto bytes = static_cast<double>((headerBytes + usageCount * (usageBytes + conditionBytes)) * receiverCount);
+    return this->availableBytes >= std::min(bytes, capacity * largestReserve);
+}
+
+bool GossipComposer::isDue(const GossipContent& content, const std::vector<EndpointUsage>& changed) const
+{
+    if (changed.empty())
+        return false;
+    // Runs that end may be ones that crashed, which the others compare with what they saw.
+    if (!content.suspects.suspects.empty() || !content.refusedConnections.empty()
+        || content.recentEvidence != PromptPartEvidence {})
+        return true;
+    const GossipUrgency urgency = this->urgencyOf(changed);
+    return urgency != GossipUrgency::None && this->maySend(urgency, changed.size(), content.receiverCount);
+}
+
 GossipMessage GossipComposer::makeMessage(
     const GossipContent& content, std::vector<EndpointUsage> usages, const PromptPartEvidence& evidence)
 {
@@ -92,6 +145,7 @@
         this->lastReports.insert(start.report);
     GossipMessage message { this->self, this->incarnation, ++this->sequence, content.isDraining, false,
         std::move(usages), content.suspects, evidence, content.refusedConnections, content.rateLimits };
+    message.conditions = selectConditions(content.conditions, message.usages);
     this->lastRateLimits.clear();
     for (const RateLimitReport& report : content.rateLimits)
         this->lastRateLimits[report.endpoint] = report.requestsPerSecond;
@@ -111,8 +165,9 @@
     if (this->availableBytes <= 0)
         return std::nullopt;
     auto changed = this->changedUsages(content.usages);
-    if (changed.empty() && !this->hasNewReport(content.recentEvidence)
-        && !this->hasNewRateLimits(content.rateLimits, now))
+    const bool hasNewFindings
+        = this->hasNewReport(content.recentEvidence) || this->hasNewRateLimits(content.rateLimits, now);
+    if (!hasNewFindings && !this->isDue(content, changed))
         return std::nullopt;
     GossipMessage partial = this->makeMessage(content, std::move(changed), content.recentEvidence);
     this->sentAt = now;
--- a/src/core/gateway/GossipComposer.h
+++ b/src/core/gateway/GossipComposer.h
@@ -3,6 +3,7 @@
 #include "ports/GatewayLimits.h"
 #include "ports/PeerMessages.h"
 
+#include <cstdint>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -25,11 +26,23 @@
     PromptPartEvidence allEvidence {};
     std::vector<RefusedConnection> refusedConnections {};
     std::vector<RateLimitReport> rateLimits {};
+    /** Of all endpoints whose condition is known; those of the endpoints in a message's usages are sent with it. */
+    std::vector<EndpointCondition> conditions {};
+};
+
+/** How soon the others should know of a change. */
+enum class GossipUrgency : std::uint8_t {
+    None,
+    /** Sent as long as the token bucket keeps enough for a message about a new prompt. */
+    Normal,
+    /** Sent at once: a prompt was sent, and until the others know of it they may send theirs to the same engine. */
+    High,
 };
 
 /**
  * Decides when a gateway sends gossip and what it contains. Changes are sent as soon as the token bucket that limits
- * the bytes per second allows. Full messages are sent periodically, because datagrams may be lost.
+ * the bytes per second allows, new prompts first. Calls to endpoints without engines are too short for the others to
+ * use what is told of them; they are listed only in messages that are sent for another reason. Full messages are sent periodically, because datagrams may be lost.
  */
 class GossipComposer {
 public:
@@ -47,6 +60,12 @@
     GossipMessage makeMessage(
         const GossipContent& content, std::vector<EndpointUsage> usages, const PromptPartEvidence& evidence);
     std::vector<EndpointUsage> changedUsages(const std::vector<EndpointUsage>& usages) const;
+    /** @return how soon the changed usages should be sent. */
+    GossipUrgency urgencyOf(const std::vector<EndpointUsage>& changed) const;
+    /** @return true if the changed usages should be sent now. */
+    bool isDue(const GossipContent& content, const std::vector<EndpointUsage>& changed) const;
+    /** @return true if the token bucket allows a message of the urgency. */
+    bool maySend(GossipUrgency urgency, std::size_t usageCount, std::size_t receiverCount) const;
     void refill(Instant now);
     /** Takes the bytes of one message to all receivers from the token bucket. */
     void spend(const GossipMessage& message, std::size_t receiverCount);
--- a/src/core/gateway/PeerLoadTable.cpp
+++ b/src/core/gateway/PeerLoadTable.cpp
@@ -32,6 +32,10 @@
     const bool isSameIncarnation = !isNew && peer.incarnation == message.incarnation;
     if (isSameIncarnation && message.sequence <= peer.sequence)
         return std::nullopt;
+    if (!isSameIncarnation)
+        this->clearPendingPrompts(*sender, peer, {}, now);
+    else if (!message.isPartial)
+        this->clearPendingPrompts(*sender, peer, message.usages, now);
     if (!isSameIncarnation || !message.isPartial)
         this->clearUsages(peer);
     peer.incarnation = message.incarnation;
@@ -43,6 +47,7 @@
         this->removeFromTotals(known);
         known = usage;
         this->addToTotals(known);
+        this->setPendingPrompts(*sender, usage, now);
     }
     if (isNew)
         this->updateCompleteness();
@@ -58,8 +63,10 @@
     const std::size_t before = this->peers.size();
     for (auto entry = this->peers.begin(); entry != this->peers.end();) {
         const bool isSilent = now - entry->second.lastReceivedAt > silence;
-        if (isSilent)
+        if (isSilent) {
+            this->clearPendingPrompts(entry->first, entry->second, {}, now);
             this->clearUsages(entry->second);
+        }
         entry = isSilent ? this->peers.erase(entry) : std::next(entry);
     }
     if (this->peers.size() != before)
@@ -88,6 +95,34 @@
         this->totals.erase(found);
 }
 
+void PeerLoadTable::setPendingPrompts(const GatewayId& sender, const EndpointUsage& usage, Instant now)
+{
+    const auto found = this->pendingPrompts.find(usage.endpoint);
+    if (found == this->pendingPrompts.end() && usage.promptTokens == 0)
+        return;
+    PendingPrompts& pending = this->pendingPrompts[usage.endpoint];
+    pending.update(sender, usage.promptTokens, now);
+    if (pending.isEmpty())
+        this->pendingPrompts.erase(usage.endpoint);
+}
+
+void PeerLoadTable::clearPendingPrompts(
+    const GatewayId& sender, const Peer& peer, const std::vector<EndpointUsage>& kept, Instant now)
+{
+    for (const auto& [endpoint, usage] : peer.usages) {
+        const bool isKept = std::any_of(
+            kept.begin(), kept.end(), [&, id = endpoint](const EndpointUsage& each) { return each.endpoint == id; });
+        if (usage.promptTokens > 0 && !isKept)
+            this->setPendingPrompts(sender, { endpoint, 0, 0, 0 }, now);
+    }
+}
+
+double PeerLoadTable::unreadPromptTokens(std::uint32_t endpoint, Instant now) const
+{
+    const auto found = this->pendingPrompts.find(endpoint);
+    return found == this->pendingPrompts.end() ? 0 : found->second.unreadTokens(now);
+}
+
 void PeerLoadTable::clearUsages(Peer& peer)
 {
     for (const auto& [endpoint, usage] : peer.usages)
--- a/src/core/gateway/PeerLoadTable.h
+++ b/src/core/gateway/PeerLoadTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/gateway/PendingPrompts.h"
 #include "ports/GatewayLimits.h"
 #include "ports/PeerInterfaces.h"
 
@@ -34,6 +35,11 @@
      * @return the load of all other gateways at the endpoint.
      */
     EndpointUsage peerLoad(std::uint32_t endpoint) const;
+    /**
+     * @param endpoint hash of an engine's id.
+     * @return the prompt tokens of the other gateways that the engine is expected to have before it.
+     */
+    double unreadPromptTokens(std::uint32_t endpoint, Instant now) const;
     /** @return true if the load of every other listed gateway is known. */
     bool isComplete() const { return this->complete; }
     /**
@@ -66,6 +72,10 @@
     std::optional<GatewayId> senderOf(const GossipMessage& message) const;
     void addToTotals(const EndpointUsage& usage);
     void removeFromTotals(const EndpointUsage& usage);
+    void setPendingPrompts(const GatewayId& sender, const EndpointUsage& usage, Instant now);
+    /** Forgets the peer's pending prompts, except at the kept usages' endpoints. */
+    void clearPendingPrompts(
+        const GatewayId& sender, const Peer& peer, const std::vector<EndpointUsage>& kept, Instant now);
     /** Forgets the peer's load, and takes it out of the totals. */
     void clearUsages(Peer& peer);
     void updateCompleteness();
@@ -77,6 +87,8 @@
     std::map<GatewayId, Peer> peers;
     /** Load of all peers together, by endpoint hash. */
     std::unordered_map<std::uint32_t, EndpointUsage> totals;
+    /** By endpoint hash. */
+    std::unordered_map<std::uint32_t, PendingPrompts> pendingPrompts;
     bool complete { false };
 };
 
--- a/src/core/gateway/RouteTable.cpp
+++ b/src/core/gateway/RouteTable.cpp
@@ -7,8 +7,11 @@
 RouteTable::RouteTable(std::shared_ptr<const GatewayConfiguration> configuration)
     : current(std::move(configuration))
 {
-    for (const GatewayRoute& route : this->current->routes)
+    for (const GatewayRoute& route : this->current->routes) {
         this->byHost[route.host].push_back(&route);
+        if (route.kind == RequestKind::Stream && route.eventIntervalObjective > Milliseconds(0))
+            this->addEventIntervalObjective(route);
+    }
     for (auto& [host, routes] : this->byHost) {
         std::stable_sort(routes.begin(), routes.end(),
             [](const auto* left, const auto* right) { return left->prefix.size() > right->prefix.size(); });
@@ -23,6 +26,21 @@
     }
 }
 
+void RouteTable::addEventIntervalObjective(const GatewayRoute& route)
+{
+    for (const WeightedService& service : route.services) {
+        const auto [entry, isNew]
+            = this->eventIntervalObjectives.try_emplace(service.service, route.eventIntervalObjective);
+        entry->second = std::min(entry->second, route.eventIntervalObjective);
+    }
+}
+
+Milliseconds RouteTable::eventIntervalObjective(const ServiceId& service) const
+{
+    const auto found = this->eventIntervalObjectives.find(service);
+    return found == this->eventIntervalObjectives.end() ? Milliseconds(0) : found->second;
+}
+
 const GatewayRoute* RouteTable::findRoute(std::string_view host, std::string_view path) const
 {
     const auto routes = this->byHost.find(std::string(host));
--- a/src/core/gateway/RouteTable.h
+++ b/src/core/gateway/RouteTable.h
@@ -20,6 +20,8 @@
     const GatewayTeam* findTeam(const std::string& key) const;
     /** @return the service, or null. */
     const GatewayService* findService(const ServiceId& service) const;
+    /** @return the shortest event interval objective of the routes that use the service; zero if none states one. */
+    Milliseconds eventIntervalObjective(const ServiceId& service) const;
     /**
      * Chooses a service of the route at random, with probability proportional to its weight.
      * @param random uniformly distributed bits.
@@ -28,11 +30,14 @@
     static const ServiceId* chooseService(const GatewayRoute& route, std::uint64_t random);
 
 private:
+    void addEventIntervalObjective(const GatewayRoute& route);
+
     std::shared_ptr<const GatewayConfiguration> current;
     /** Routes of each host, longest prefix first. */
     std::unordered_map<std::string, std::vector<const GatewayRoute*>> byHost;
     std::unordered_map<std::string, const GatewayTeam*> byKey;
     std::unordered_map<ServiceId, const GatewayService*> byService;
+    std::unordered_map<ServiceId, Milliseconds> eventIntervalObjectives;
 };
 
 }
--- a/src/ports/GatewayConfiguration.h
+++ b/src/ports/GatewayConfiguration.h
@@ -38,6 +38,8 @@
     Milliseconds timeout { 0 };
     /** Latency objective for the response, or for the first event of a stream. */
     Milliseconds latencyObjective { 0 };
+    /** Longest time between two events of a stream that is in time; zero if the route states none. */
+    Milliseconds eventIntervalObjective { 0 };
     /** Zero is the most urgent. */
     std::uint32_t priority { 0 };
     std::vector<WeightedService> services;
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -73,6 +73,8 @@
     std::uint32_t running { 0 };
     std::uint32_t waiting { 0 };
     std::uint32_t slots { 0 };
+    /** Factor by which work takes longer than usual at the endpoint now; unset if it states none. */
+    std::optional<double> slowdown {};
 };
 
 /** What an endpoint states in a response of the request rate that it takes from all gateways together. */
--- a/src/ports/PeerMessages.h
+++ b/src/ports/PeerMessages.h
@@ -26,6 +26,20 @@
     bool operator==(const EndpointUsage&) const = default;
 };
 
+/** How fast an endpoint works, as one gateway knows it. */
+struct EndpointCondition {
+    /** Lower 32 bits of the XXH3 hash of the endpoint's id. */
+    std::uint32_t endpoint { 0 };
+    /** Usual time between two events of a stream; zero if it was not measured. */
+    Microseconds eventInterval { 0 };
+    /** Factor by which work took longer than usual according to the endpoint's last load report; zero without one. */
+    double slowdown { 0 };
+    /** Time since that report. */
+    Milliseconds age { 0 };
+
+    bool operator==(const EndpointCondition&) const = default;
+};
+
 /** Evidence on which parts of prompts crash engines. */
 struct PromptPartEvidence {
     /** A run that broke before it got past its start. */
@@ -99,6 +113,8 @@
     /** Recent ones of the sender, by which others recognize that their connections broke because of a crash. */
     std::vector<RefusedConnection> refusedConnections {};
     std::vector<RateLimitReport> rateLimits {};
+    /** Of endpoints listed in `usages`, as far as the sender measured or was told their condition itself. */
+    std::vector<EndpointCondition> conditions {};
 
     bool operator==(const GossipMessage&) const = default;
 };
