Tell prompts to the gateways that use the same engines when there are many

With 300 gateways a message for all takes two seconds of the byte budget, so the choice rested on news that was seconds old. Beyond 64 gateways each prefers some twelve engines, and new prompts are told at once to those that prefer the engine.

--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -216,6 +216,17 @@
     return healthy.empty() ? ejected : healthy;
 }
 
+std::size_t EndpointDirectory::usableEndpointsBeside(std::uint32_t endpoint) const
+{
+    const auto found = std::find_if(this->endpoints.begin(), this->endpoints.end(),
+        [&](const auto& entry) { return entry.second.idHash == endpoint; });
+    if (found == this->endpoints.end())
+        return 0;
+    return static_cast<std::size_t>(std::count_if(this->endpoints.begin(), this->endpoints.end(), [&](const auto& each) {
+        return each.second.record.service == found->second.record.service && this->isUsable(each.second);
+    }));
+}
+
 std::vector<EndpointUsage> EndpointDirectory::usages() const
 {
     std::vector<EndpointUsage> usages;
--- a/src/core/gateway/EndpointDirectory.h
+++ b/src/core/gateway/EndpointDirectory.h
@@ -119,6 +119,11 @@
      * @param gatewayCount number of gateways that share the request rates of endpoints.
      */
     std::vector<GatewayEndpoint*> candidates(const GatewayService& service, std::size_t gatewayCount, Instant now);
+    /**
+     * @param endpoint hash of an endpoint's id.
+     * @return the number of endpoints of its service that may receive requests; zero if it is not known.
+     */
+    std::size_t usableEndpointsBeside(std::uint32_t endpoint) const;
     /** @return this gateway's load at each endpoint. */
     std::vector<EndpointUsage> usages() const;
 
--- a/src/core/gateway/EndpointPicker.cpp
+++ b/src/core/gateway/EndpointPicker.cpp
@@ -4,6 +4,7 @@
 #include "core/gateway/PromptReading.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 
 namespace teaselfold {
@@ -105,6 +106,18 @@
             + context.peers.unreadPromptTokens(endpoint.idHash, context.now);
     }
 
+    /** @return the candidates that the gateway prefers if the gateways divide the engines; all if those are too few. */
+    std::vector<GatewayEndpoint*> preferredCandidates(
+        const std::vector<GatewayEndpoint*>& candidates, const PickContext& context)
+    {
+        constexpr std::size_t fewest = 3;
+        std::vector<GatewayEndpoint*> preferred;
+        if (context.peers.dividesEngines())
+            std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(preferred),
+                [&](const GatewayEndpoint* each) { return context.peers.prefers(each->idHash, candidates.size()); });
+        return preferred.size() < fewest ? candidates : preferred;
+    }
+
     /** @return a random sample of the candidates, so that gateways with equal data rarely choose the same endpoint. */
     std::vector<GatewayEndpoint*> sampleCandidates(std::vector<GatewayEndpoint*> candidates, Randomness& randomness)
     {
@@ -155,7 +168,7 @@
 {
     const Duration averageInterval = averageEventInterval(candidates);
     const PauseForecast pauses(context.slowdowns, context.objectives.eventInterval, averageInterval);
-    return findLowest(sampleCandidates(candidates, context.randomness), [&](const GatewayEndpoint& endpoint) {
+    return findLowest(sampleCandidates(preferredCandidates(candidates, context), context.randomness), [&](const GatewayEndpoint& endpoint) {
         const double utilization = expectedUtilization(endpoint, service, context);
         const Duration interval = intervalOf(endpoint).value_or(averageInterval);
         const double secondsPerToken = secondsPerPromptToken * secondsOf(interval) / secondsOf(averageInterval)
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -61,7 +61,7 @@
     Handlers::events().dispatch(*this, event, now, actions);
     // Other gateways choose engines at the same moment, so a prompt is told before the next tick.
     if (this->state.endpoints.takePromptNews())
-        this->sendGossip(now, actions);
+        this->tellPrompts(now, actions);
     return actions;
 }
 
@@ -277,6 +277,21 @@
     actions.emplace_back(LogEvent { "reload", { { "outcome", changed ? "applied" : "unchanged" } } });
 }
 
+void Gateway::tellPrompts(Instant now, GatewayActions& actions)
+{
+    if (!this->state.peers.dividesEngines())
+        return this->sendGossip(now, actions);
+    const auto prompts = this->gossip.newPrompts(this->state.endpoints.usages());
+    if (prompts.empty())
+        return;
+    const std::size_t engines = this->state.endpoints.usableEndpointsBeside(prompts.front().endpoint);
+    auto receivers = this->state.peers.addressesPreferring(prompts, engines);
+    GossipContent content { {}, {}, this->state.stop.has_value(), receivers.size() };
+    content.conditions = this->state.endpoints.conditions(now);
+    if (auto message = this->gossip.composePrompts(content, prompts, now))
+        actions.emplace_back(SendGossip { std::move(*message), std::move(receivers) });
+}
+
 void Gateway::sendGossip(Instant now, GatewayActions& actions)
 {
     const GossipContent content { this->state.endpoints.usages(),
--- a/src/core/gateway/Gateway.h
+++ b/src/core/gateway/Gateway.h
@@ -66,6 +66,8 @@
     void storeReadingReceived(const StoreReadingReceived& event, Instant now, GatewayActions& actions);
     void limitsChanged(const LimitsChanged& event, Instant now, GatewayActions& actions);
     /** Sends this gateway's load to the other gateways if a message is due. */
+    /** Tells the other gateways, or those that use the same engines, of prompts that were just sent. */
+    void tellPrompts(Instant now, GatewayActions& actions);
     void sendGossip(Instant now, GatewayActions& actions);
     /** Logs which parts of prompts were quarantined since the last call. */
     void logQuarantinedParts(GatewayActions& actions);
--- a/src/core/gateway/GossipComposer.cpp
+++ b/src/core/gateway/GossipComposer.cpp
@@ -24,6 +24,8 @@
     constexpr Milliseconds burstTime(500);
     /** Fraction of a full token bucket beyond which messages that are not urgent need no more bytes left. */
     constexpr double largestReserve = 0.6;
+    /** Debt of the token bucket, in full buckets, beyond which new prompts are not told to some gateways either. */
+    constexpr double maxDebt = 4;
 
     /** @return the conditions of the endpoints in the usages. */
     std::vector<EndpointCondition> selectConditions(
@@ -153,6 +155,32 @@
     return message;
 }
 
+std::vector<EndpointUsage> GossipComposer::newPrompts(const std::vector<EndpointUsage>& usages) const
+{
+    std::vector<EndpointUsage> prompts;
+    std::copy_if(usages.begin(), usages.end(), std::back_inserter(prompts), [&](const EndpointUsage& usage) {
+        const auto last = this->lastSent.find(usage.endpoint);
+        return usage.promptTokens > (last == this->lastSent.end() ? 0 : last->second.promptTokens);
+    });
+    return prompts;
+}
+
+std::optional<GossipMessage> GossipComposer::composePrompts(
+    const GossipContent& content, const std::vector<EndpointUsage>& prompts, Instant now)
+{
+    this->refill(now);
+    const double capacity = this->limits.gossipBytesPerSecond * std::chrono::duration<double>(burstTime).count();
+    // A message for all of many gateways takes several times what the bucket holds.
+    if (prompts.empty() || !this->fullGossipSentAt || this->availableBytes < -maxDebt * capacity)
+        return std::nullopt;
+    GossipMessage message { GatewayId(), this->incarnation, ++this->sequence, content.isDraining, true, prompts, {} };
+    message.conditions = selectConditions(content.conditions, prompts);
+    for (const EndpointUsage& usage : prompts)
+        this->lastSent[usage.endpoint] = usage;
+    this->spend(message, content.receiverCount);
+    return message;
+}
+
 std::optional<GossipMessage> GossipComposer::compose(const GossipContent& content, Instant now)
 {
     this->refill(now);
--- a/src/core/gateway/GossipComposer.h
+++ b/src/core/gateway/GossipComposer.h
@@ -56,6 +56,17 @@
     /** @return the message to send to each receiver now; unset if nothing changed or the token bucket is empty. */
     std::optional<GossipMessage> compose(const GossipContent& content, Instant now);
 
+    /** @return those of the usages that have prompts of which the others were not told. */
+    std::vector<EndpointUsage> newPrompts(const std::vector<EndpointUsage>& usages) const;
+    /**
+     * Makes a message about new prompts for some of the gateways, which are few enough to be told at once. The others
+     * hear of the prompts with the next message for all.
+     * @param prompts from `newPrompts`; the other fields of the content are not used, but for the conditions.
+     * @return the message; unset if the token bucket has too many bytes less than none.
+     */
+    std::optional<GossipMessage> composePrompts(
+        const GossipContent& content, const std::vector<EndpointUsage>& prompts, Instant now);
+
 private:
     GossipMessage makeMessage(
         const GossipContent& content, std::vector<EndpointUsage> usages, const PromptPartEvidence& evidence);
--- a/src/core/gateway/PeerLoadTable.cpp
+++ b/src/core/gateway/PeerLoadTable.cpp
@@ -173,6 +173,20 @@
     return addresses;
 }
 
+std::vector<Address> PeerLoadTable::addressesPreferring(
+    const std::vector<EndpointUsage>& usages, std::size_t engineCount) const
+{
+    std::vector<Address> addresses;
+    for (const GatewayMember& member : this->otherMembers()) {
+        const bool isConcerned = std::any_of(usages.begin(), usages.end(), [&](const EndpointUsage& usage) {
+            return prefersEngine(member.instance, usage.endpoint, engineCount);
+        });
+        if (isConcerned)
+            addresses.push_back(member.address);
+    }
+    return addresses;
+}
+
 std::vector<Address> PeerLoadTable::addressesInZone(const ZoneId& zone) const
 {
     std::vector<Address> addresses;
--- a/src/core/gateway/PeerLoadTable.h
+++ b/src/core/gateway/PeerLoadTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/gateway/EnginePreference.h"
 #include "core/gateway/PendingPrompts.h"
 #include "ports/GatewayLimits.h"
 #include "ports/PeerInterfaces.h"
@@ -53,6 +54,18 @@
     std::size_t receiverCount() const { return this->members ? this->members->size() : 0; }
     /** @return the addresses at which the other listed gateways receive messages. */
     std::vector<Address> receiverAddresses() const;
+    /**
+     * @param engineCount number of engines of the service.
+     * @return the addresses of the other listed gateways that prefer one of the engines.
+     */
+    std::vector<Address> addressesPreferring(const std::vector<EndpointUsage>& usages, std::size_t engineCount) const;
+    /** @return true if there are so many gateways that they divide the engines among them. */
+    bool dividesEngines() const { return this->gatewayCount() > maxFullyInformedGateways; }
+    /** @return true if this gateway prefers the engine. */
+    bool prefers(std::uint32_t endpoint, std::size_t engineCount) const
+    {
+        return prefersEngine(this->self, endpoint, engineCount);
+    }
     /** @return the addresses of the other listed gateways of a zone. */
     std::vector<Address> addressesInZone(const ZoneId& zone) const;
     /** @return true if another gateway of the zone has sent gossip recently and is not stopping. */
--- a/test/support/LoadModel.cpp
+++ b/test/support/LoadModel.cpp
@@ -190,7 +190,7 @@
             gateway.directory.beginExchange(
                 found->record.id, this->parameters.isEngine ? promptTokens + 40 : 0, this->now);
             if (gateway.directory.takePromptNews())
-                this->gossip(gateway);
+                this->tellPrompts(gateway);
         }
 
         void advance(ModelEndpoint& endpoint)
@@ -225,6 +225,27 @@
             endpoint.work.erase(endpoint.work.begin() + static_cast<std::ptrdiff_t>(position));
         }
 
+        void tellPrompts(ModelGateway& sender)
+        {
+            if (!sender.peers.dividesEngines())
+                return this->gossip(sender);
+            const auto prompts = sender.composer.newPrompts(sender.directory.usages());
+            std::vector<ModelGateway*> receivers;
+            for (ModelGateway& each : this->gateways) {
+                const bool isConcerned = std::any_of(prompts.begin(), prompts.end(), [&](const EndpointUsage& usage) {
+                    return each.peers.prefers(usage.endpoint, this->endpoints.size());
+                });
+                if (&each != &sender && isConcerned)
+                    receivers.push_back(&each);
+            }
+            const GossipContent content { {}, {}, false, receivers.size() };
+            const auto message = sender.composer.composePrompts(content, prompts, this->now);
+            for (ModelGateway* receiver : receivers) {
+                if (message)
+                    receiver->peers.receive(*message, this->now);
+            }
+        }
+
         void gossip(ModelGateway& sender)
         {
             if (sender.nextTick <= this->now)
