--- a/src/core/gateway/EnginePreference.h
+++ b/src/core/gateway/EnginePreference.h
@@ -7,7 +7,7 @@
 namespace teaselfold {
 
 /** Number of gateways up to which each prompt is told to all of them. */
-constexpr std::size_t maxFullyInformedGateways = 64;
+constexpr std::size_t maxFullyInformedGateways = 24;
 
 /**
  * Divides engines among gateways that are too many to tell all of them of each prompt. A gateway sends its prompts to
