--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -222,9 +222,10 @@
         [&](const auto& entry) { return entry.second.idHash == endpoint; });
     if (found == this->endpoints.end())
         return 0;
-    return static_cast<std::size_t>(std::count_if(this->endpoints.begin(), this->endpoints.end(), [&](const auto& each) {
-        return each.second.record.service == found->second.record.service && this->isUsable(each.second);
-    }));
+    return static_cast<std::size_t>(
+        std::count_if(this->endpoints.begin(), this->endpoints.end(), [&](const auto& each) {
+            return each.second.record.service == found->second.record.service && this->isUsable(each.second);
+        }));
 }
 
 std::vector<EndpointUsage> EndpointDirectory::usages() const
--- a/src/core/gateway/EndpointDirectory.h
+++ b/src/core/gateway/EndpointDirectory.h
@@ -111,6 +111,12 @@
     void setZonesOutOfService(std::set<ZoneId> zones) { this->zonesOutOfService = std::move(zones); }
 
     GatewayEndpoint* find(const EndpointId& endpoint);
+    /** Calls a function with each endpoint. */
+    template <typename Function> void forEach(const Function& function) const
+    {
+        for (const auto& [id, endpoint] : this->endpoints)
+            function(endpoint);
+    }
     /** @return true if the endpoint may receive new requests. */
     bool acceptsRequests(const EndpointId& endpoint) const;
     /**
--- a/src/core/gateway/EndpointPicker.cpp
+++ b/src/core/gateway/EndpointPicker.cpp
@@ -94,8 +94,7 @@
             return own + reported + request;
         const double tokensPerRequest
             = endpoint.inFlight == 0 ? request : static_cast<double>(endpoint.tokensInFlight) / endpoint.inFlight;
-        return own
-            + std::max(reported, reportedRequests(endpoint, context) * tokensPerRequest * externalReplicaFactor)
+        return own + std::max(reported, reportedRequests(endpoint, context) * tokensPerRequest * externalReplicaFactor)
             + request;
     }
 
@@ -168,25 +167,26 @@
 {
     const Duration averageInterval = averageEventInterval(candidates);
     const PauseForecast pauses(context.slowdowns, context.objectives.eventInterval, averageInterval);
-    return findLowest(sampleCandidates(preferredCandidates(candidates, context), context.randomness), [&](const GatewayEndpoint& endpoint) {
-        const double utilization = expectedUtilization(endpoint, service, context);
-        const Duration interval = intervalOf(endpoint).value_or(averageInterval);
-        const double secondsPerToken = secondsPerPromptToken * secondsOf(interval) / secondsOf(averageInterval)
-            * endpoint.pace.slowdown(context.now);
-        const double prefill = static_cast<double>(context.promptTokens) * secondsPerToken;
-        const double queueing
-            = queuedPromptTokens(endpoint, context) * secondsPerToken * interleavedPrefillFactor * firstEventWeight;
-        const Duration duration = interval * static_cast<Duration::rep>(context.events);
-        const double runs = endpoint.inFlight + externalRuns(endpoint, context);
-        const double streamDelay = runs * prefill * prefillDelayShare;
-        const double lateStreams = context.promptTokens == 0
-            ? 0
-            : runs * pauses.riskOfPrompt(endpoint.pace, context.now) + pauses.riskOfStream(endpoint.pace, duration);
-        const double overcommit = std::max(0.0, utilization - overcommitThreshold) * overcommitDelaySeconds;
-        return prefill + queueing + secondsOf(duration) + streamDelay + lateStreams * lateStreamSeconds
-            + utilization * fullEngineDelaySeconds + overcommit + zonePenalty(endpoint, context)
-            + jitter(context.randomness);
-    });
+    return findLowest(sampleCandidates(preferredCandidates(candidates, context), context.randomness),
+        [&](const GatewayEndpoint& endpoint) {
+            const double utilization = expectedUtilization(endpoint, service, context);
+            const Duration interval = intervalOf(endpoint).value_or(averageInterval);
+            const double secondsPerToken = secondsPerPromptToken * secondsOf(interval) / secondsOf(averageInterval)
+                * endpoint.pace.slowdown(context.now);
+            const double prefill = static_cast<double>(context.promptTokens) * secondsPerToken;
+            const double queueing
+                = queuedPromptTokens(endpoint, context) * secondsPerToken * interleavedPrefillFactor * firstEventWeight;
+            const Duration duration = interval * static_cast<Duration::rep>(context.events);
+            const double runs = endpoint.inFlight + externalRuns(endpoint, context);
+            const double streamDelay = runs * prefill * prefillDelayShare;
+            const double lateStreams = context.promptTokens == 0
+                ? 0
+                : runs * pauses.riskOfPrompt(endpoint.pace, context.now) + pauses.riskOfStream(endpoint.pace, duration);
+            const double overcommit = std::max(0.0, utilization - overcommitThreshold) * overcommitDelaySeconds;
+            return prefill + queueing + secondsOf(duration) + streamDelay + lateStreams * lateStreamSeconds
+                + utilization * fullEngineDelaySeconds + overcommit + zonePenalty(endpoint, context)
+                + jitter(context.randomness);
+        });
 }
 
 const EndpointPicker& pickerFor(const GatewayService& service)
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -141,7 +141,8 @@
     line.fields.push_back({ "attempt", std::to_string(active.attempts) });
     line.fields.push_back({ "in_flight", std::to_string(endpoint.inFlight) });
     line.fields.push_back({ "slowdown_percent", std::to_string(std::llround(endpoint.pace.slowdown(now) * 100)) });
-    line.fields.push_back({ "foreign", std::to_string(std::llround(endpoint.externalLoad.requests(this->state.limits.maxLoadReportAge, now))) });
+    line.fields.push_back({ "foreign",
+        std::to_string(std::llround(endpoint.externalLoad.requests(this->state.limits.maxLoadReportAge, now))) });
     if (isStream(active))
         line.fields.push_back({ "expected_events", std::to_string(active.events) });
     if (!active.request.sharedPromptParts.empty())
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -79,6 +79,7 @@
     this->exchanges.tick(now, actions);
     this->state.peers.expire(now);
     this->sendGossip(now, actions);
+    this->loadSpread.tick(now, actions);
     this->store.tick(now, actions);
     this->advanceStop(now, actions);
     return actions;
--- a/src/core/gateway/Gateway.h
+++ b/src/core/gateway/Gateway.h
@@ -3,6 +3,7 @@
 #include "core/gateway/ExchangeDispatcher.h"
 #include "core/gateway/GatewayAdmission.h"
 #include "core/gateway/GossipComposer.h"
+#include "core/gateway/LoadSpread.h"
 #include "core/gateway/StoreSynchronizer.h"
 
 #include <memory>
@@ -86,6 +87,7 @@
     StreamMigrator migrator;
     RequestCompletion completion;
     ExchangeDispatcher exchanges;
+    LoadSpread loadSpread { this->state };
     GossipComposer gossip;
     StoreSynchronizer store;
     /** Time of the last event or tick; unset before the first. */
--- a/src/core/gateway/GossipComposer.h
+++ b/src/core/gateway/GossipComposer.h
@@ -42,7 +42,8 @@
 /**
  * Decides when a gateway sends gossip and what it contains. Changes are sent as soon as the token bucket that limits
  * the bytes per second allows, new prompts first. Calls to endpoints without engines are too short for the others to
- * use what is told of them; they are listed only in messages that are sent for another reason. Full messages are sent periodically, because datagrams may be lost.
+ * use what is told of them; they are listed only in messages that are sent for another reason. Full messages are sent
+ * periodically, because datagrams may be lost.
  */
 class GossipComposer {
 public:
--- a/src/core/gateway/PeerLoadTable.cpp
+++ b/src/core/gateway/PeerLoadTable.cpp
@@ -178,9 +178,8 @@
 {
     std::vector<Address> addresses;
     for (const GatewayMember& member : this->otherMembers()) {
-        const bool isConcerned = std::any_of(usages.begin(), usages.end(), [&](const EndpointUsage& usage) {
-            return prefersEngine(member.instance, usage.endpoint, engineCount);
-        });
+        const bool isConcerned = std::any_of(usages.begin(), usages.end(),
+            [&](const EndpointUsage& usage) { return prefersEngine(member.instance, usage.endpoint, engineCount); });
         if (isConcerned)
             addresses.push_back(member.address);
     }
--- a/test/correctness/LoadIsEstimatedBetweenReports.cpp
+++ b/test/correctness/LoadIsEstimatedBetweenReports.cpp
@@ -5,6 +5,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace teaselfold;
 
 namespace {
@@ -118,3 +120,17 @@
     CHECK(sent->gossip.conditions.front().slowdown == 2.5);
     CHECK(sent->gossip.conditions.front().endpoint == sent->gossip.usages.front().endpoint);
 }
+
+TEST_CASE("A gateway logs how even the load is that it knows of")
+{
+    GatewayScenario scenario;
+    scenario.start();
+    scenario.sendStream(400);
+    scenario.clearActions();
+    scenario.advance(Milliseconds(100));
+    const auto line = scenario.lastAction<LogEvent>();
+    REQUIRE(line);
+    const LogField busiest { "busiest_to_mean_percent", "300" };
+    CHECK(line->name == "load_spread");
+    CHECK(std::find(line->fields.begin(), line->fields.end(), busiest) != line->fields.end());
+}
--- a/test/correctness/LoadIsEvenAmongManyGateways.cpp
+++ b/test/correctness/LoadIsEvenAmongManyGateways.cpp
@@ -13,6 +13,7 @@
     parameters.endpoints = isEngine ? 50 : 5;
     parameters.isEngine = isEngine;
     parameters.policy = policy;
+    parameters.duration = Milliseconds(10000);
     return runLoadModel(parameters);
 }
 
--- a/test/support/LoadModel.h
+++ b/test/support/LoadModel.h
@@ -28,6 +28,7 @@
     double utilization { 0.6 };
     ModelPolicy policy { ModelPolicy::Product };
     std::uint64_t seed { 1 };
+    Milliseconds duration { 30000 };
 };
 
 struct LoadModelResult {
