--- a/src/adapters/peers/Peers_generated.h
+++ b/src/adapters/peers/Peers_generated.h
@@ -34,6 +34,8 @@
 struct Rollout;
 struct RolloutBuilder;
 
+struct Condition;
+
 struct News;
 struct NewsBuilder;
 
@@ -249,6 +251,41 @@
 };
 FLATBUFFERS_STRUCT_END(RolloutCount, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) Condition FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t endpoint_;
+  uint16_t event_interval_;
+  uint8_t slowdown_;
+  uint8_t age_;
+
+ public:
+  Condition()
+      : endpoint_(0),
+        event_interval_(0),
+        slowdown_(0),
+        age_(0) {
+  }
+  Condition(uint32_t _endpoint, uint16_t _event_interval, uint8_t _slowdown, uint8_t _age)
+      : endpoint_(flatbuffers::EndianScalar(_endpoint)),
+        event_interval_(flatbuffers::EndianScalar(_event_interval)),
+        slowdown_(flatbuffers::EndianScalar(_slowdown)),
+        age_(flatbuffers::EndianScalar(_age)) {
+  }
+  uint32_t endpoint() const {
+    return flatbuffers::EndianScalar(endpoint_);
+  }
+  uint16_t event_interval() const {
+    return flatbuffers::EndianScalar(event_interval_);
+  }
+  uint8_t slowdown() const {
+    return flatbuffers::EndianScalar(slowdown_);
+  }
+  uint8_t age() const {
+    return flatbuffers::EndianScalar(age_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Condition, 8);
+
 struct BrokenStart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef BrokenStartBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -485,7 +522,8 @@
     VT_SURVIVALS = 20,
     VT_REFUSALS = 22,
     VT_RATE_LIMITS = 24,
-    VT_ROLLOUTS = 26
+    VT_ROLLOUTS = 26,
+    VT_CONDITIONS = 28
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -523,6 +561,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<teaselfold::peerwire::Rollout>> *rollouts() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<teaselfold::peerwire::Rollout>> *>(VT_ROLLOUTS);
   }
+  const flatbuffers::Vector<const teaselfold::peerwire::Condition *> *conditions() const {
+    return GetPointer<const flatbuffers::Vector<const teaselfold::peerwire::Condition *> *>(VT_CONDITIONS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCE) &&
@@ -547,6 +588,8 @@
            VerifyOffset(verifier, VT_ROLLOUTS) &&
            verifier.VerifyVector(rollouts()) &&
            verifier.VerifyVectorOfTables(rollouts()) &&
+           VerifyOffset(verifier, VT_CONDITIONS) &&
+           verifier.VerifyVector(conditions()) &&
            verifier.EndTable();
   }
 };
@@ -591,6 +634,9 @@
   void add_rollouts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<teaselfold::peerwire::Rollout>>> rollouts) {
     fbb_.AddOffset(News::VT_ROLLOUTS, rollouts);
   }
+  void add_conditions(flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Condition *>> conditions) {
+    fbb_.AddOffset(News::VT_CONDITIONS, conditions);
+  }
   explicit NewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -615,10 +661,12 @@
     flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Survival *>> survivals = 0,
     flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Refusal *>> refusals = 0,
     flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::RateLimit *>> rate_limits = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<teaselfold::peerwire::Rollout>>> rollouts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<teaselfold::peerwire::Rollout>>> rollouts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const teaselfold::peerwire::Condition *>> conditions = 0) {
   NewsBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_conditions(conditions);
   builder_.add_rollouts(rollouts);
   builder_.add_rate_limits(rate_limits);
   builder_.add_refusals(refusals);
@@ -645,7 +693,8 @@
     const std::vector<teaselfold::peerwire::Survival> *survivals = nullptr,
     const std::vector<teaselfold::peerwire::Refusal> *refusals = nullptr,
     const std::vector<teaselfold::peerwire::RateLimit> *rate_limits = nullptr,
-    const std::vector<flatbuffers::Offset<teaselfold::peerwire::Rollout>> *rollouts = nullptr) {
+    const std::vector<flatbuffers::Offset<teaselfold::peerwire::Rollout>> *rollouts = nullptr,
+    const std::vector<teaselfold::peerwire::Condition> *conditions = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Load>(*loads) : 0;
   auto suspects__ = suspects ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Suspect>(*suspects) : 0;
@@ -654,6 +703,7 @@
   auto refusals__ = refusals ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Refusal>(*refusals) : 0;
   auto rate_limits__ = rate_limits ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::RateLimit>(*rate_limits) : 0;
   auto rollouts__ = rollouts ? _fbb.CreateVector<flatbuffers::Offset<teaselfold::peerwire::Rollout>>(*rollouts) : 0;
+  auto conditions__ = conditions ? _fbb.CreateVectorOfStructs<teaselfold::peerwire::Condition>(*conditions) : 0;
   return teaselfold::peerwire::CreateNews(
       _fbb,
       instance__,
@@ -667,7 +717,8 @@
       survivals__,
       refusals__,
       rate_limits__,
-      rollouts__);
+      rollouts__,
+      conditions__);
 }
 
 inline const teaselfold::peerwire::News *GetNews(const void *buf) {
--- a/src/core/gateway/EndpointDirectory.h
+++ b/src/core/gateway/EndpointDirectory.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "core/gateway/EndpointPace.h"
 #include "core/gateway/EndpointRateLimits.h"
+#include "core/gateway/ExternalLoadEstimate.h"
 #include "core/gateway/LeavingEndpoints.h"
 #include "core/gateway/VersionRule.h"
+#include "core/gateway/SlowdownShares.h"
 #include "ports/GatewayLimits.h"
 #include "ports/GatewayMessages.h"
 #include "ports/PeerMessages.h"
@@ -12,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace teaselfold {
@@ -52,9 +56,9 @@
     std::optional<Duration> eventInterval;
     /** Moving average of the time from sending a stream's request to its first event; unset before the first stream. */
     std::optional<Duration> firstEventTime;
-    /** Requests of other gateways according to the endpoint's last load report. */
-    std::uint32_t externalRequests { 0 };
-    Instant loadReportedAt;
+    /** Requests of other gateways according to the endpoint's load reports. */
+    ExternalLoadEstimate externalLoad;
+    EndpointPace pace;
     std::uint32_t consecutiveFailures { 0 };
     Instant ejectedUntil;
     /** Send times of the recent requests that count against the rate limit of a cold endpoint. */
@@ -115,6 +119,12 @@
     GatewayEndpoint* find(const EndpointId& endpoint);
     /** @return all endpoints of a service. */
     std::vector<const GatewayEndpoint*> endpointsOf(const ServiceId& service) const;
+    /** Calls a function with each endpoint. */
+    template <typename Function> void forEach(const Function& function) const
+    {
+        for (const auto& [id, endpoint] : this->endpoints)
+            function(endpoint);
+    }
     /** @return true if the endpoint may receive new requests. */
     bool acceptsRequests(const EndpointId& endpoint) const;
     /**
@@ -123,6 +133,11 @@
      * @param gatewayCount number of gateways that share the request rates of endpoints.
      */
     std::vector<GatewayEndpoint*> candidates(const GatewayService& service, std::size_t gatewayCount, Instant now);
+    /**
+     * @param endpoint hash of an endpoint's id.
+     * @return the number of endpoints of its service that may receive requests; zero if it is not known.
+     */
+    std::size_t usableEndpointsBeside(std::uint32_t endpoint) const;
     /** @return this gateway's load at each endpoint. */
     std::vector<EndpointUsage> usages() const;
 
@@ -151,6 +166,14 @@
      */
     Duration resumptionTime(const EndpointId& endpoint) const;
     void recordLoad(const EndpointId& endpoint, const ReportedLoad& load, Instant now);
+    /** @return what this gateway knows of the endpoints' pace from its own exchanges. */
+    std::vector<EndpointCondition> conditions(Instant now) const;
+    /** Adds what another gateway knows of the endpoints' pace. */
+    void mergeConditions(const std::vector<EndpointCondition>& conditions, Instant now);
+    /** @return how often the endpoints of a service state which slowdown. */
+    const SlowdownShares& slowdownShares(const ServiceId& service) const;
+    /** @return true if a prompt was added since the last call, which the other gateways should know of. */
+    bool takePromptNews() { return std::exchange(this->hasPromptNews, false); }
     void recordSuccess(const EndpointId& endpoint);
     /** Records that the endpoint announced in an answer that it leaves. @return true if that was not known. */
     bool recordLeaving(const EndpointId& endpoint, Instant now);
@@ -204,6 +227,8 @@
     LeavingEndpoints leavingEndpoints;
     std::set<ZoneId> zonesOutOfService;
     std::map<ServiceId, VersionRule> versionRules;
+    std::map<ServiceId, SlowdownShares> slowdowns;
+    bool hasPromptNews { false };
 };
 
 }
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -7,6 +7,7 @@
 #include "core/gateway/StreamForecast.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace teaselfold {
 
@@ -58,7 +59,9 @@
     std::erase_if(candidates, [&](const auto* endpoint) { return excluded.contains(endpoint->record.id); });
     this->state.rolloutTraffic.filter(active, candidates);
     const PickContext context { this->state.zone, now, active.tokens, active.request.promptTokens, active.events,
-        this->state.limits, this->state.peers, this->state.randomness };
+        this->state.streamObjectives(*active.route, active.service->name),
+        this->state.endpoints.slowdownShares(active.service->name), this->state.limits, this->state.peers,
+        this->state.randomness };
     return pickerFor(*active.service).pick(candidates, *active.service, context);
 }
 
@@ -140,7 +143,9 @@
     line.fields.push_back({ "endpoint", endpoint.record.id.get() });
     line.fields.push_back({ "attempt", std::to_string(active.attempts) });
     line.fields.push_back({ "in_flight", std::to_string(endpoint.inFlight) });
-    line.fields.push_back({ "foreign", std::to_string(endpoint.externalRequests) });
+    line.fields.push_back({ "slowdown_percent", std::to_string(std::llround(endpoint.pace.slowdown(now) * 100)) });
+    line.fields.push_back({ "foreign",
+        std::to_string(std::llround(endpoint.externalLoad.requests(this->state.limits.maxLoadReportAge, now))) });
     if (isStream(active))
         line.fields.push_back({ "expected_events", std::to_string(active.events) });
     if (!active.request.sharedPromptParts.empty())
@@ -275,6 +280,8 @@
         this->crashes.connectionRefused(exchange->endpoint, now, actions);
     else {
         this->crashes.runBroke(*active, *exchange, now, actions);
+        this->state.rolloutTraffic.broke(*active, *exchange);
+    }
     this->migrator.exchangeBroke(*exchange, active->service->name, now);
     this->state.endpoints.recordFailure(exchange->endpoint, now);
     const bool mayResend = !active->mayHaveRun || isIdempotent(*active);
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -60,6 +60,9 @@
     GatewayActions actions;
     this->noticeSuspension(now, actions);
     Handlers::events().dispatch(*this, event, now, actions);
+    // Other gateways choose engines at the same moment, so a prompt is told before the next tick.
+    if (this->state.endpoints.takePromptNews())
+        this->tellPrompts(now, actions);
     return actions;
 }
 
@@ -74,9 +77,11 @@
     this->state.endpoints.rateLimits().tick(now);
     this->logQuarantinedParts(actions);
     this->migrator.expire(now);
+    this->advanceRollouts(now, actions);
     this->exchanges.tick(now, actions);
     this->state.peers.expire(now);
     this->sendGossip(now, actions);
+    this->loadSpread.tick(now, actions);
     this->store.tick(now, actions);
     this->advanceStop(now, actions);
     return actions;
@@ -259,6 +264,7 @@
     this->state.rollouts.merge(event.gossip.incarnation, sender, event.gossip.rollouts, now, actions);
     if (!sender)
         return;
+    this->state.endpoints.mergeConditions(event.gossip.conditions, now);
     EndpointRateLimits& limits = this->state.endpoints.rateLimits();
     for (const EndpointId& endpoint : limits.merge(*sender, event.gossip.rateLimits, now))
         actions.emplace_back(Internal::rateLimitLogEvent(endpoint, limits.rateOf(endpoint), "gateway"));
@@ -277,13 +283,29 @@
     actions.emplace_back(LogEvent { "reload", { { "outcome", changed ? "applied" : "unchanged" } } });
 }
 
+void Gateway::tellPrompts(Instant now, GatewayActions& actions)
+{
+    if (!this->state.peers.dividesEngines())
+        return this->sendGossip(now, actions);
+    const auto prompts = this->gossip.newPrompts(this->state.endpoints.usages());
+    if (prompts.empty())
+        return;
+    const std::size_t engines = this->state.endpoints.usableEndpointsBeside(prompts.front().endpoint);
+    auto receivers = this->state.peers.addressesPreferring(prompts, engines);
+    GossipContent content { {}, {}, this->state.stop.has_value(), receivers.size() };
+    content.conditions = this->state.endpoints.conditions(now);
+    if (auto message = this->gossip.composePrompts(content, prompts, now))
+        actions.emplace_back(SendGossip { std::move(*message), std::move(receivers) });
+}
+
 void Gateway::sendGossip(Instant now, GatewayActions& actions)
 {
     const GossipContent content { this->state.endpoints.usages(),
         this->state.quarantine.recentDelivery(now, maxSentSuspects), this->state.stop.has_value(),
         this->state.peers.receiverCount(), this->state.promptParts.recentEvidence(now),
         this->state.promptParts.allEvidence(now), this->state.crashDetector.refusedConnections(now),
-        this->state.endpoints.rateLimits().reports(now), this->state.rollouts.reports(now) };
+        this->state.endpoints.rateLimits().reports(now), this->state.rollouts.reports(now),
+        this->state.endpoints.conditions(now) };
     auto message = this->gossip.compose(content, now);
     if (!message)
         return;
--- a/src/core/gateway/Gateway.h
+++ b/src/core/gateway/Gateway.h
@@ -3,6 +3,7 @@
 #include "core/gateway/ExchangeDispatcher.h"
 #include "core/gateway/GatewayAdmission.h"
 #include "core/gateway/GossipComposer.h"
+#include "core/gateway/LoadSpread.h"
 #include "core/gateway/StoreSynchronizer.h"
 
 #include <memory>
@@ -66,6 +67,8 @@
     void storeReadingReceived(const StoreReadingReceived& event, Instant now, GatewayActions& actions);
     void limitsChanged(const LimitsChanged& event, Instant now, GatewayActions& actions);
     /** Sends this gateway's load to the other gateways if a message is due. */
+    /** Tells the other gateways, or those that use the same engines, of prompts that were just sent. */
+    void tellPrompts(Instant now, GatewayActions& actions);
     void sendGossip(Instant now, GatewayActions& actions);
     /** Logs which parts of prompts were quarantined since the last call. */
     void logQuarantinedParts(GatewayActions& actions);
@@ -90,6 +93,7 @@
     StreamMigrator migrator;
     RequestCompletion completion;
     ExchangeDispatcher exchanges;
+    LoadSpread loadSpread { this->state };
     GossipComposer gossip;
     StoreSynchronizer store;
     /** Time of the last event or tick; unset before the first. */
--- a/src/core/gateway/PeerLoadTable.h
+++ b/src/core/gateway/PeerLoadTable.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/gateway/EnginePreference.h"
+#include "core/gateway/PendingPrompts.h"
 #include "ports/GatewayLimits.h"
 #include "ports/PeerInterfaces.h"
 
@@ -34,6 +36,11 @@
      * @return the load of all other gateways at the endpoint.
      */
     EndpointUsage peerLoad(std::uint32_t endpoint) const;
+    /**
+     * @param endpoint hash of an engine's id.
+     * @return the prompt tokens of the other gateways that the engine is expected to have before it.
+     */
+    double unreadPromptTokens(std::uint32_t endpoint, Instant now) const;
     /** @return true if the load of every other listed gateway is known. */
     bool isComplete() const { return this->complete; }
     /**
@@ -47,6 +54,18 @@
     std::size_t receiverCount() const { return this->members ? this->members->size() : 0; }
     /** @return the addresses at which the other listed gateways receive messages. */
     std::vector<Address> receiverAddresses() const;
+    /**
+     * @param engineCount number of engines of the service.
+     * @return the addresses of the other listed gateways that prefer one of the engines.
+     */
+    std::vector<Address> addressesPreferring(const std::vector<EndpointUsage>& usages, std::size_t engineCount) const;
+    /** @return true if there are so many gateways that they divide the engines among them. */
+    bool dividesEngines() const { return this->gatewayCount() > maxFullyInformedGateways; }
+    /** @return true if this gateway prefers the engine. */
+    bool prefers(std::uint32_t endpoint, std::size_t engineCount) const
+    {
+        return prefersEngine(this->self, endpoint, engineCount);
+    }
     /** @return the addresses of the other listed gateways of a zone. */
     std::vector<Address> addressesInZone(const ZoneId& zone) const;
     /** @return true if another gateway of the zone has sent gossip recently and is not stopping. */
@@ -66,6 +85,10 @@
     std::optional<GatewayId> senderOf(const GossipMessage& message) const;
     void addToTotals(const EndpointUsage& usage);
     void removeFromTotals(const EndpointUsage& usage);
+    void setPendingPrompts(const GatewayId& sender, const EndpointUsage& usage, Instant now);
+    /** Forgets the peer's pending prompts, except at the kept usages' endpoints. */
+    void clearPendingPrompts(
+        const GatewayId& sender, const Peer& peer, const std::vector<EndpointUsage>& kept, Instant now);
     /** Forgets the peer's load, and takes it out of the totals. */
     void clearUsages(Peer& peer);
     void updateCompleteness();
@@ -77,6 +100,8 @@
     std::map<GatewayId, Peer> peers;
     /** Load of all peers together, by endpoint hash. */
     std::unordered_map<std::uint32_t, EndpointUsage> totals;
+    /** By endpoint hash. */
+    std::unordered_map<std::uint32_t, PendingPrompts> pendingPrompts;
     bool complete { false };
 };
 
