--- a/test/process/lib/Processes.sh
+++ b/test/process/lib/Processes.sh
@@ -123,6 +123,7 @@
 {
     printf 'instance: entry-%s\nzone: %s\nregion: kigali\ncallers: %s\nadmin: %s\nplatform: %s\n%s\n' \
         "$1" "$2" "$3" "$4" "$PLATFORM" "admin_tokens_required: false" > "$FOLDER/entry-$1.yaml"
+    echo "${ENTRY_SETTINGS:-}" >> "$FOLDER/entry-$1.yaml"
     start_process "entry-$1" teaselfold-entry --config "$FOLDER/entry-$1.yaml"
 }
 
--- a/test/process/lib/gateway_session.py
+++ b/test/process/lib/gateway_session.py
@@ -37,10 +37,10 @@
 
 
 class Gateway:
-    def __init__(self, binaries, store, instance="gateway-1", zone="north"):
+    def __init__(self, binaries, store, instance="gateway-1", zone="north", more_settings=None):
         self.callers, self.status, self.metrics = (free_address(socket.SOCK_STREAM) for _ in range(3))
         settings = {"instance": instance, "zone": zone, "callers": self.callers, "readiness": self.status,
-                    "metrics": self.metrics, "peers": free_address(socket.SOCK_DGRAM), "store": store.address}
+                    "metrics": self.metrics, "peers": free_address(socket.SOCK_DGRAM), "store": store.address, **(more_settings or {})}
         self.file = tempfile.NamedTemporaryFile("w", suffix=".yaml")
         self.file.write("".join("%s: \"%s\"\n" % item for item in settings.items()))
         self.file.flush()
