Do not end when descriptors run out with connections waiting at two addresses

Cause: when accepting fails, all listeners leave the poll set until the next tick. If connections waited at another listener in the same iteration, accepting failed there too, and removing the listeners a second time threw Poco::IOException out of the loop's thread: the process ended. Strangers reach this with idle connections at the callers' and the readiness address.

Change: an iteration that has stopped accepting accepts at no other listener.

Test: process test crowds-at-a-gateway, case trickling connections. Looked for elsewhere: entries' and agents' links have one listener each.

--- a/src/adapters/net/SocketLoop.cpp
+++ b/src/adapters/net/SocketLoop.cpp
@@ -121,6 +121,9 @@
 
 void SocketLoop::handleAccept(Poco::Net::ServerSocket& listener)
 {
+    // Another listener found no descriptor in this iteration; all of them have left the poll set.
+    if (!this->accepting)
+        return;
     try {
         Poco::Net::StreamSocket socket = listener.acceptConnection();
         if (this->connections.size() >= this->options.maxConnections)
