Bound what callers hold in a gateway: one unread answer a connection, one budget for all

Cause: the next request of a connection was taken up as soon as the answer before was queued, not when it was written, and nothing bounded all connections together: bodies, heads, answers and descriptors grew with the crowd.

Change: - A connection's next request is taken up when the answer before is written; reading stops while more than 64 KB wait. - core/gateway/CallerBudget decides, without a network, who goes when memory or connections run short: those that hold most per byte moved lately, requests in progress last, a single caller never; without progress for longest for connections. A request that is not received whole is refused with 503 and Retry-After (not run), others are closed. - A caller that takes nothing of its answer for unread_limit (10s) is closed; suspensions don't count. - New settings memory_limit_mb, descriptor_limit (from the platform's limits) and unread_limit; log line caller_shed and counter callers_shed_total by reason. Status clients are 32 at most. - Large freed blocks go back to the system at once (mallopt), buffers of idle connections are released.

--- a/apps/teaselfold-gateway/Main.cpp
+++ b/apps/teaselfold-gateway/Main.cpp
@@ -6,6 +6,7 @@
 #include "platform/PlatformTrafficCodec.h"
 #include "platform/StoreReader.h"
 #include "runtime/BootClock.h"
+#include "runtime/FreedMemory.h"
 #include "runtime/SystemRandomness.h"
 
 #include <csignal>
@@ -51,6 +52,8 @@
     options.readiness = settings.readiness;
     options.metrics = settings.metrics;
     options.connectTimeout = settings.connectTimeout;
+    options.maxConnections = maxTrafficConnections(settings);
+    options.callerLimits = callerBudgetLimits(settings);
     return options;
 }
 
@@ -182,6 +185,7 @@
 
 int main(int argc, char** argv)
 {
+    returnFreedMemory();
     const HandledSignals signals = blockHandledSignals();
     const std::vector<std::string> arguments(argv + 1, argv + argc);
     const auto parsed = readGatewayCommandLine({ "teaselfold-gateway", TEASELFOLD_VERSION }, arguments);
--- a/src/adapters/metrics/MetricStore.cpp
+++ b/src/adapters/metrics/MetricStore.cpp
@@ -46,6 +46,8 @@
         MetricRow { Metric::Cancelled, "cancelled_total", MetricKind::Counter, "Requests given up by their callers." },
         MetricRow { Metric::RateLimited, "rate_limited_total", MetricKind::Counter,
             "Requests refused because every endpoint had reached the rate that it takes." },
+        MetricRow { Metric::CallerShed, "callers_shed_total", MetricKind::Counter,
+            "Callers' connections closed and bodies refused to save memory or connections, by reason." },
     };
     static_assert(metricRows.size() == metricCount);
 
--- a/src/adapters/net/SocketLoop.cpp
+++ b/src/adapters/net/SocketLoop.cpp
@@ -352,12 +352,15 @@
         if (*count == 0)
             break;
         connection->bytesWritten += *count;
+        connection->totalBytesWritten += *count;
         this->bytesSent.fetch_add(*count, std::memory_order_relaxed);
         connection->closeDeadline = std::chrono::steady_clock::now() + stalledWriteTimeout;
     }
     if (connection->bytesWritten >= readChunkBytes || connection->bytesWritten == connection->outbound.size()) {
         connection->outbound.erase(0, connection->bytesWritten);
         connection->bytesWritten = 0;
+        if (connection->outbound.empty() && connection->outbound.capacity() > readChunkBytes)
+            connection->outbound.shrink_to_fit();
     }
     this->updatePollMode(*connection);
     if (!connection->outbound.empty())
@@ -389,6 +392,12 @@
     return connection ? connection->outbound.size() - connection->bytesWritten : 0;
 }
 
+std::uint64_t SocketLoop::writtenBytes(ConnectionId id) const
+{
+    const Connection* connection = this->find(id);
+    return connection ? connection->totalBytesWritten : 0;
+}
+
 std::size_t SocketLoop::listenerIndex(ConnectionId id) const
 {
     const Connection* connection = this->find(id);
--- a/src/adapters/net/SocketLoop.h
+++ b/src/adapters/net/SocketLoop.h
@@ -23,9 +23,6 @@
 
 namespace teaselfold {
 
-/** Identifies a TCP connection of a socket loop. Never reused within a process. */
-using ConnectionId = Id<struct ConnectionTag, std::uint64_t>;
-
 /** How a connection ended. */
 struct ConnectionClosure {
     std::string_view reason;
@@ -97,6 +94,8 @@
     void send(ConnectionId connection, std::string_view bytes);
     /** @return number of bytes queued but not yet written. */
     std::size_t queuedBytes(ConnectionId connection) const;
+    /** @return number of bytes written since the connection began. */
+    std::uint64_t writtenBytes(ConnectionId connection) const;
     /** Stops or resumes reading from the peer, to apply back-pressure. */
     void setReadEnabled(ConnectionId connection, bool enabled);
     /**
@@ -124,6 +123,7 @@
         std::unique_ptr<StreamDecoder> decoder;
         std::string outbound;
         std::size_t bytesWritten { 0 };
+        std::uint64_t totalBytesWritten { 0 };
         bool established { false };
         std::size_t listenerIndex { 0 };
         /** Received messages wait until the handler can take them; reading is paused meanwhile. */
--- a/src/adapters/settings/GatewaySettings.cpp
+++ b/src/adapters/settings/GatewaySettings.cpp
@@ -2,6 +2,8 @@
 
 #include "adapters/settings/SettingTable.h"
 
+#include <algorithm>
+
 namespace teaselfold {
 
 namespace {
@@ -36,6 +38,12 @@
             "multiple of its declared rate that a cold endpoint can serve" },
         Row { "cold_headroom", &GatewaySettings::coldHeadroom, Requirement::Optional,
             "requests per second that a cold endpoint can serve beyond the multiple" },
+        Row { "memory_limit_mb", &GatewaySettings::memoryLimitMb, Requirement::Optional,
+            "memory that the process may use, in megabytes" },
+        Row { "descriptor_limit", &GatewaySettings::descriptorLimit, Requirement::Optional,
+            "descriptors that the process may open, those for files included" },
+        Row { "unread_limit", &GatewaySettings::unreadLimit, Requirement::Optional,
+            "time in which a caller must take some of its answer" },
     };
 
     const Internal::SettingTable<GatewaySettings, rows.size()> table(rows);
@@ -49,6 +57,28 @@
     /** Part of the stop limit that is reserved for the process to exit before it is killed. */
     constexpr Milliseconds exitMargin(500);
 
+    constexpr std::size_t bytesPerMegabyte = 1024UL * 1024UL;
+
+    /** Memory of the process without callers: code, tables of the fleet, log lines. */
+    constexpr std::uint32_t processMemoryMb = 16;
+
+    /** Copies of what callers hold while buffers grow, and freed memory that the allocator keeps. */
+    constexpr std::size_t memoryPerHeldByte = 2;
+
+    /** Spared for callers even if the limit leaves nothing, so that the process serves as long as it lives. */
+    constexpr std::size_t minCallerMemoryMb = 4;
+
+    /** Descriptors that the platform keeps for files. */
+    constexpr std::uint32_t fileDescriptors = 200;
+
+    /** Descriptors for listeners, wake-ups, the store and peers. */
+    constexpr std::uint32_t ownDescriptors = 32;
+
+    constexpr std::uint32_t minConnections = 32;
+
+    /** Part of the connections that is kept free for endpoints. */
+    constexpr std::size_t endpointReserveFraction = 8;
+
     void checkConsistency(const GatewaySettings& settings, std::vector<SettingProblem>& problems)
     {
         if (settings.revocationLimit <= revocationMargin)
@@ -73,6 +103,23 @@
 
 std::string describeGatewaySettings() { return table.describe(); }
 
+std::size_t maxTrafficConnections(const GatewaySettings& settings)
+{
+    const std::uint32_t kept = fileDescriptors + ownDescriptors;
+    return std::max(settings.descriptorLimit, kept + minConnections) - kept;
+}
+
+CallerBudgetLimits callerBudgetLimits(const GatewaySettings& settings)
+{
+    CallerBudgetLimits limits;
+    const std::size_t spareMb = std::max(settings.memoryLimitMb, processMemoryMb) - processMemoryMb;
+    limits.memoryBytes = std::max(spareMb / memoryPerHeldByte, minCallerMemoryMb) * bytesPerMegabyte;
+    const std::size_t connections = maxTrafficConnections(settings);
+    limits.connections = connections - connections / endpointReserveFraction;
+    limits.unreadLimit = settings.unreadLimit;
+    return limits;
+}
+
 GatewayLimits gatewayLimits(const GatewaySettings& settings)
 {
     GatewayLimits limits;
--- a/src/adapters/settings/GatewaySettings.h
+++ b/src/adapters/settings/GatewaySettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/settings/SettingProblem.h"
+#include "ports/CallerBudgetLimits.h"
 #include "ports/Fleet.h"
 #include "ports/GatewayLimits.h"
 
@@ -30,6 +31,12 @@
     Milliseconds retryWindow { 10000 };
     double coldFactor { 1.5 };
     double coldHeadroom { 5 };
+    /** Memory that the process may use, in megabytes. */
+    std::uint32_t memoryLimitMb { 88 };
+    /** Descriptors that the process may open, those for files included. */
+    std::uint32_t descriptorLimit { 4096 };
+    /** Time in which a caller must take some of an answer that is ready for it. */
+    Milliseconds unreadLimit { 10000 };
 
     bool operator==(const GatewaySettings&) const = default;
 };
@@ -47,5 +54,9 @@
 std::string describeGatewaySettings();
 /** @return the limits of the gateway core that are derived from the settings. */
 GatewayLimits gatewayLimits(const GatewaySettings& settings);
+/** @return the connections that callers, endpoints and status clients may have together. */
+std::size_t maxTrafficConnections(const GatewaySettings& settings);
+/** @return what the process can spare for its callers. */
+CallerBudgetLimits callerBudgetLimits(const GatewaySettings& settings);
 
 }
--- a/src/adapters/traffic/CallerConnections.cpp
+++ b/src/adapters/traffic/CallerConnections.cpp
@@ -16,6 +16,9 @@
     constexpr std::size_t maxPipelinedBytes = 65536;
     constexpr std::string_view continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
     constexpr std::string_view lastChunk = "0\r\n\r\n";
+    constexpr Milliseconds unreadCheckInterval(500);
+    /** Time after which memory is likely to be free again. */
+    constexpr Milliseconds memoryRetryAfter(1000);
     constexpr std::uint16_t statusPayloadTooLarge = 413;
     constexpr std::uint16_t statusBadRequest = 400;
 
@@ -49,6 +52,16 @@
 void CallerConnections::connected(ConnectionId connection)
 {
     this->callers[connection].phaseStartedAt = this->context.now;
+    this->budget.opened(connection, this->context.now);
+    this->record(connection);
+    this->keepWithinConnections();
+}
+
+void CallerConnections::keepWithinConnections()
+{
+    const std::size_t others = this->context.loop.traffic().connections - this->callers.size();
+    for (const ConnectionId excess : this->budget.shortOfConnections(others))
+        this->shed(excess, "connections");
 }
 
 void CallerConnections::received(ConnectionId connection, std::string_view bytes)
@@ -56,13 +69,29 @@
     const auto found = this->callers.find(connection);
     if (found == this->callers.end() || found->second.phase == Phase::Closing)
         return;
-    Caller& caller = found->second;
+    CallerState& caller = found->second;
     if (caller.inbound.empty() && caller.phase == Phase::Head)
         caller.phaseStartedAt = this->context.now;
     caller.inbound.append(bytes);
-    if (caller.phase == Phase::Response && caller.inbound.size() > maxPipelinedBytes)
-        this->context.loop.setReadEnabled(connection, false);
+    caller.receivedBytes += bytes.size();
     this->processInbound(connection);
+    this->record(connection);
+    const bool waits = caller.phase == Phase::Response || caller.phase == Phase::Head;
+    if (waits && caller.inbound.size() > maxPipelinedBytes)
+        this->context.loop.setReadEnabled(connection, false);
+}
+
+void CallerConnections::drained(ConnectionId connection)
+{
+    const auto found = this->callers.find(connection);
+    if (found == this->callers.end())
+        return;
+    if (found->second.phase == Phase::Head) {
+        found->second.phaseStartedAt = this->context.now;
+        this->context.loop.setReadEnabled(connection, true);
+        this->processInbound(connection);
+    }
+    this->record(connection);
 }
 
 void CallerConnections::processInbound(ConnectionId connection)
@@ -70,14 +99,18 @@
     const auto found = this->callers.find(connection);
     if (found == this->callers.end())
         return;
-    Caller& caller = found->second;
+    CallerState& caller = found->second;
+    // The next request is taken up when the caller has taken the response before, so that unread responses do not pile
+    // up.
+    if (caller.phase == Phase::Head && this->context.loop.queuedBytes(connection) > 0)
+        return;
     if (caller.phase == Phase::Head && !caller.inbound.empty() && !this->readHead(connection, caller))
         return;
     if (caller.phase == Phase::Body && this->readBody(connection, caller))
         this->submitRequest(connection, caller);
 }
 
-bool CallerConnections::readHead(ConnectionId connection, Caller& caller)
+bool CallerConnections::readHead(ConnectionId connection, CallerState& caller)
 {
     auto read = parseRequestHead(caller.inbound, this->bounds.maxHeadBytes);
     if (std::holds_alternative<HeadIncomplete>(read))
@@ -101,6 +134,10 @@
         this->rejectRequest(connection, caller, statusPayloadTooLarge, "body too large");
         return false;
     }
+    if (!this->budget.admitsBody(memoryOfBody(body.length))) {
+        this->refuseForMemory(connection, caller);
+        return false;
+    }
     caller.inbound.erase(0, parsed.bytes);
     caller.head = std::move(parsed.head);
     caller.body.clear();
@@ -113,7 +150,7 @@
     return true;
 }
 
-bool CallerConnections::readBody(ConnectionId connection, Caller& caller)
+bool CallerConnections::readBody(ConnectionId connection, CallerState& caller)
 {
     const std::size_t used = caller.decoder->feed(caller.inbound, caller.body);
     caller.inbound.erase(0, used);
@@ -125,10 +162,15 @@
         this->rejectRequest(connection, caller, statusPayloadTooLarge, "body too large");
         return false;
     }
+    // The size of a body in chunks is not known before.
+    if (!this->budget.admitsBody(memoryOfBody(caller.body.size()))) {
+        this->refuseForMemory(connection, caller);
+        return false;
+    }
     return caller.decoder->isComplete();
 }
 
-void CallerConnections::submitRequest(ConnectionId connection, Caller& caller)
+void CallerConnections::submitRequest(ConnectionId connection, CallerState& caller)
 {
     const RequestId id(++this->lastRequest);
     GatewayRequest request = this->context.codec.readRequest(caller.head);
@@ -142,22 +184,43 @@
     pending.body = std::make_shared<const std::string>(std::move(caller.body));
     caller.head = {};
     caller.body = {};
+    releaseEmpty(caller.inbound);
     caller.phase = Phase::Response;
     caller.request = id;
     this->context.events.emplace_back(RequestArrived { std::move(request) });
 }
 
 void CallerConnections::rejectRequest(
-    ConnectionId connection, Caller& caller, std::uint16_t status, const std::string& reason)
+    ConnectionId connection, CallerState& caller, std::uint16_t status, const std::string& reason)
 {
     const std::string id
         = caller.phase == Phase::Body ? this->context.codec.readRequest(caller.head).callerRequestId : std::string();
     this->context.events.emplace_back(RequestUnreadable { id, status, reason });
+    this->closeRejected(connection, caller, rejectionResponse(status, reason));
+}
+
+void CallerConnections::refuseForMemory(ConnectionId connection, CallerState& caller)
+{
+    const std::string id
+        = caller.phase == Phase::Body ? this->context.codec.readRequest(caller.head).callerRequestId : std::string();
+    const Failure failure { ErrorCode::NoCapacity, "no memory for the request", Executed::No, memoryRetryAfter };
+    this->context.events.emplace_back(CallerShed { "memory", this->usage(connection, caller).heldBytes, 0 });
+    const LocalResponse response = closingFailureResponse(failure, id);
+    this->context.events.emplace_back(RequestUnreadable { id, response.head.status, failure.message });
+    this->closeRejected(connection, caller, response);
+}
+
+void CallerConnections::closeRejected(ConnectionId connection, CallerState& caller, const LocalResponse& response)
+{
     caller.phase = Phase::Closing;
     caller.inbound.clear();
-    const LocalResponse response = rejectionResponse(status, reason);
+    releaseEmpty(caller.inbound);
+    caller.body.clear();
+    releaseEmpty(caller.body);
+    caller.head = {};
     this->context.loop.send(connection, response.bytes);
     this->context.loop.closeGracefully(connection);
+    this->record(connection);
 }
 
 void CallerConnections::closed(ConnectionId connection, const ConnectionClosure& closure)
@@ -165,7 +228,7 @@
     const auto found = this->callers.find(connection);
     if (found == this->callers.end())
         return;
-    const Caller& caller = found->second;
+    const CallerState& caller = found->second;
     if (caller.phase == Phase::Response) {
         this->requests.erase(caller.request);
         this->context.events.emplace_back(RequestAbandoned { caller.request, std::string(closure.reason) });
@@ -173,6 +236,7 @@
         this->context.events.emplace_back(
             ResponseLost { caller.lastEnded, std::string(closure.reason), closure.unsentBytes });
     this->callers.erase(found);
+    this->budget.closed(connection);
 }
 
 void CallerConnections::tick()
@@ -182,9 +246,11 @@
     for (const auto& [id, caller] : this->callers) {
         const Duration waited = this->context.now - caller.phaseStartedAt;
         const bool isReading = caller.phase == Phase::Body || (caller.phase == Phase::Head && !caller.inbound.empty());
-        if (isReading && waited > this->bounds.headTimeout)
-            slow.push_back(id);
-        else if (caller.phase == Phase::Head && caller.inbound.empty() && waited > this->bounds.idleTimeout)
+        if (isReading && waited > this->bounds.headTimeout) {
+            // A request behind a response that is not taken has not been looked at.
+            if (caller.phase == Phase::Body || this->context.loop.queuedBytes(id) == 0)
+                slow.push_back(id);
+        } else if (caller.phase == Phase::Head && caller.inbound.empty() && waited > this->bounds.idleTimeout)
             idle.push_back(id);
     }
     constexpr std::uint16_t statusRequestTimeout = 408;
@@ -192,6 +258,9 @@
         this->rejectRequest(id, this->callers.at(id), statusRequestTimeout, "request took too long");
     for (const ConnectionId id : idle)
         this->closeIdle(id);
+    this->shedUnread();
+    this->keepWithinConnections();
+    this->keepWithinMemory();
 }
 
 void CallerConnections::closeIdle(ConnectionId connection)
@@ -203,6 +272,7 @@
     // A graceful close would read and discard a request that crosses it; a reset tells its caller that nothing was
     // read.
     this->callers.erase(connection);
+    this->budget.closed(connection);
     this->context.loop.close(connection);
 }
 
@@ -275,6 +345,7 @@
         this->context.loop.send(request->connection, encodeChunk(bytes));
     else
         this->context.loop.send(request->connection, bytes);
+    this->record(request->connection);
 }
 
 void CallerConnections::completeResponse(RequestId id)
@@ -291,7 +362,7 @@
 {
     const CallerRequest request = std::move(this->requests.at(id));
     this->requests.erase(id);
-    Caller& caller = this->callers.at(request.connection);
+    CallerState& caller = this->callers.at(request.connection);
     caller.phaseStartedAt = this->context.now;
     caller.lastEnded = request.callerRequestId;
     if (request.closeAfterResponse) {
@@ -299,9 +370,11 @@
         this->context.loop.closeGracefully(request.connection);
         return;
     }
+    // The loop reports it as drained when the response is written; the next request is taken up then.
     caller.phase = Phase::Head;
-    this->context.loop.setReadEnabled(request.connection, true);
-    this->processInbound(request.connection);
+    if (this->context.loop.queuedBytes(request.connection) == 0)
+        return this->drained(request.connection);
+    this->record(request.connection);
 }
 
 void CallerConnections::sendFailure(RequestId id, const Failure& failure)
@@ -323,7 +396,7 @@
         return;
     const ConnectionId connection = request->connection;
     const bool endsWithConnection = request->endsWithConnection;
-    Caller& caller = this->callers.at(connection);
+    CallerState& caller = this->callers.at(connection);
     caller.lastEnded = request->callerRequestId;
     caller.phase = Phase::Closing;
     this->requests.erase(id);
@@ -335,6 +408,67 @@
         this->context.loop.closeGracefully(connection);
 }
 
+void CallerConnections::setBufferedResponse(RequestId id, std::size_t bytes)
+{
+    CallerRequest* request = this->findMutable(id);
+    if (!request)
+        return;
+    request->bufferedResponseBytes = bytes;
+    this->record(request->connection);
+}
+
+CallerUsage CallerConnections::usage(ConnectionId connection, const CallerState& caller) const
+{
+    const CallerRequest* request = caller.phase == Phase::Response ? this->find(caller.request) : nullptr;
+    return usageOf(
+        caller, request, { this->context.loop.queuedBytes(connection), this->context.loop.writtenBytes(connection) });
+}
+
+void CallerConnections::record(ConnectionId connection)
+{
+    const auto found = this->callers.find(connection);
+    if (found != this->callers.end())
+        this->budget.record(connection, this->usage(connection, found->second), this->context.now);
+}
+
+void CallerConnections::keepWithinMemory()
+{
+    for (const ConnectionId connection : this->budget.shortOfMemory(this->context.now)) {
+        const auto found = this->callers.find(connection);
+        if (found == this->callers.end())
+            continue;
+        CallerState& caller = found->second;
+        const bool isReading = caller.phase == Phase::Body || (caller.phase == Phase::Head && !caller.inbound.empty());
+        if (isReading && this->context.loop.queuedBytes(connection) == 0)
+            this->refuseForMemory(connection, caller);
+        else
+            this->shed(connection, "memory");
+    }
+}
+
+void CallerConnections::shed(ConnectionId connection, std::string_view reason)
+{
+    const auto found = this->callers.find(connection);
+    if (found == this->callers.end())
+        return;
+    const ConnectionClosure closure { reason, this->context.loop.queuedBytes(connection) };
+    this->context.events.emplace_back(
+        CallerShed { std::string(reason), this->usage(connection, found->second).heldBytes, closure.unsentBytes });
+    this->context.loop.close(connection);
+    this->closed(connection, closure);
+}
+
+void CallerConnections::shedUnread()
+{
+    if (this->context.now < this->nextUnreadCheck)
+        return;
+    this->nextUnreadCheck = this->context.now + unreadCheckInterval;
+    for (const ConnectionId connection : this->budget.unread())
+        this->record(connection);
+    for (const ConnectionId connection : this->budget.overdue(this->context.now))
+        this->shed(connection, "unread");
+}
+
 std::size_t CallerConnections::queuedBytes(RequestId id) const
 {
     const CallerRequest* request = this->find(id);
--- a/src/adapters/traffic/CallerConnections.h
+++ b/src/adapters/traffic/CallerConnections.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "adapters/traffic/BodyDecoder.h"
+#include "adapters/traffic/CallerState.h"
 #include "adapters/traffic/TrafficContext.h"
 
 #include <map>
@@ -8,25 +8,14 @@
 
 namespace teaselfold {
 
-/** A complete request, kept until its response is complete. */
-struct CallerRequest {
-    ConnectionId connection;
-    RequestHead head;
-    /** Shared with the endpoint connections that send it. */
-    std::shared_ptr<const std::string> body;
-    std::string callerRequestId;
-    bool closeAfterResponse { false };
-    bool responseStarted { false };
-    bool isChunked { false };
-    /** Only the end of the connection marks the end of the response. */
-    bool endsWithConnection { false };
-};
+struct LocalResponse;
 
 /** Manages the connections of callers: reads their requests and writes the responses. */
 class CallerConnections {
 public:
-    explicit CallerConnections(TrafficContext& context)
+    CallerConnections(TrafficContext& context, const CallerBudgetLimits& limits)
         : context(context)
+        , budget(limits)
     {
     }
 
@@ -35,9 +24,19 @@
     /** Removes a closed connection. Reports its open request as abandoned, and a response that was not written whole.
      */
     void closed(ConnectionId connection, const ConnectionClosure& closure);
+    /** All queued bytes of the connection are written: its next request is taken up. */
+    void drained(ConnectionId connection);
     bool owns(ConnectionId connection) const { return this->callers.contains(connection); }
-    /** Rejects requests that exceed the read timeout, and closes connections that exceed the idle timeout. */
+    /**
+     * Rejects requests that exceed the read timeout, and closes connections that exceed the idle timeout or whose
+     * caller does not take its answer.
+     */
     void tick();
+    /** Closes the connections and refuses the requests that the budget chooses, so that the others keep within memory.
+     */
+    void keepWithinMemory();
+    /** Records the memory that the response to a request takes before it is relayed. */
+    void setBufferedResponse(RequestId request, std::size_t bytes);
     void setBounds(const CallerBounds& callerBounds) { this->bounds = callerBounds; }
     /** From now on, each response closes its connection. */
     void beginDrain() { this->draining = true; }
@@ -65,41 +64,37 @@
     std::size_t queuedBytes(RequestId request) const;
 
 private:
-    enum class Phase : std::uint8_t {
-        Head,
-        Body,
-        Response,
-        /** The last response was queued; further requests are ignored. */
-        Closing,
-    };
-
-    struct Caller {
-        std::string inbound;
-        Phase phase { Phase::Head };
-        std::optional<BodyDecoder> decoder;
-        RequestHead head;
-        std::string body;
-        RequestId request;
-        /** The caller's id of the last request whose response was queued whole or aborted. */
-        std::string lastEnded;
-        Instant phaseStartedAt;
-    };
+    using Phase = CallerPhase;
 
     void processInbound(ConnectionId connection);
     /** @return false when the head is incomplete or was rejected. */
-    bool readHead(ConnectionId connection, Caller& caller);
+    bool readHead(ConnectionId connection, CallerState& caller);
     /** @return true when the body is complete; false also when it was rejected. */
-    bool readBody(ConnectionId connection, Caller& caller);
-    void submitRequest(ConnectionId connection, Caller& caller);
+    bool readBody(ConnectionId connection, CallerState& caller);
+    void submitRequest(ConnectionId connection, CallerState& caller);
     /** Closes a connection on which no request is being read or processed. */
     void closeIdle(ConnectionId connection);
-    void rejectRequest(ConnectionId connection, Caller& caller, std::uint16_t status, const std::string& reason);
+    void rejectRequest(ConnectionId connection, CallerState& caller, std::uint16_t status, const std::string& reason);
+    /** Refuses a request that is not received whole because the process has no memory for it. */
+    void refuseForMemory(ConnectionId connection, CallerState& caller);
+    void closeRejected(ConnectionId connection, CallerState& caller, const LocalResponse& response);
+    /** Records what a connection holds now. */
+    void record(ConnectionId connection);
+    CallerUsage usage(ConnectionId connection, const CallerState& caller) const;
+    /** Closes a connection at once. A request in progress on it counts as abandoned. */
+    void shed(ConnectionId connection, std::string_view reason);
+    /** Closes connections that are too many beside those to endpoints and status clients. */
+    void keepWithinConnections();
+    /** Closes connections whose callers have not taken any of their answers for too long. */
+    void shedUnread();
     void finishRequest(RequestId request);
     CallerRequest* findMutable(RequestId request);
 
     TrafficContext& context;
     CallerBounds bounds;
-    std::map<ConnectionId, Caller> callers;
+    CallerBudget budget;
+    Instant nextUnreadCheck;
+    std::map<ConnectionId, CallerState> callers;
     std::map<RequestId, CallerRequest> requests;
     std::uint64_t lastRequest { 0 };
     bool draining { false };
--- a/src/adapters/traffic/EndpointConnections.cpp
+++ b/src/adapters/traffic/EndpointConnections.cpp
@@ -15,6 +15,8 @@
     /** Limit on interim responses and responses to earlier requests before the response to a request. */
     constexpr std::size_t maxDiscardedHeads = 16;
     constexpr std::size_t maxIdlePerEndpoint = 4;
+    /** Smaller parts of a response do not count as memory held for its caller. */
+    constexpr std::size_t noticeableBufferBytes = 16384;
     /** Longest time for which an idle connection is pooled; also the default when the endpoint states no limit. */
     constexpr Milliseconds maxKeepAlive(2000);
     /** Idle connections close this long before the endpoint's limit, so that no request races with its close. */
@@ -142,6 +144,18 @@
         return this->discard(connection);
     channel.inbound.append(bytes);
     while (this->processInbound(connection, channel)) { }
+    this->reportBuffered(connection);
+}
+
+void EndpointConnections::reportBuffered(ConnectionId connection)
+{
+    const auto found = this->channels.find(connection);
+    if (found == this->channels.end() || found->second.phase != Phase::Busy || found->second.migration)
+        return;
+    const Channel& channel = found->second;
+    const std::size_t bytes = channel.inbound.size() + channel.body.size();
+    if (bytes >= noticeableBufferBytes)
+        this->callers.setBufferedResponse(channel.parameters.request, bytes);
 }
 
 bool EndpointConnections::readHead(ConnectionId connection, Channel& channel)
--- a/src/adapters/traffic/EndpointConnections.h
+++ b/src/adapters/traffic/EndpointConnections.h
@@ -81,6 +81,8 @@
     void handleResponseHead(ConnectionId connection, Channel& channel);
     /** @return true when a stale response was discarded, so that the next one can be read. */
     bool handleResponseEnd(ConnectionId connection, Channel& channel);
+    /** Reports the memory that the response takes before it is relayed. */
+    void reportBuffered(ConnectionId connection);
     void forwardEvents(ConnectionId connection, Channel& channel);
     /** Fails migrations without a timely response; their outcome at the engine stays unknown. */
     void failExpiredMigrations();
--- a/src/adapters/traffic/LocalResponses.cpp
+++ b/src/adapters/traffic/LocalResponses.cpp
@@ -66,6 +66,11 @@
     return response;
 }
 
+LocalResponse closingFailureResponse(const Failure& failure, const std::string& callerRequestId)
+{
+    return withConnectionClose(failureResponse(failure, callerRequestId));
+}
+
 LocalResponse rejectionResponse(std::uint16_t status, const std::string& reason)
 {
     LocalResponse response;
--- a/src/adapters/traffic/LocalResponses.h
+++ b/src/adapters/traffic/LocalResponses.h
@@ -15,6 +15,8 @@
 
 /** @return the response for a refused or failed request. @param callerRequestId identifies the request in the body. */
 LocalResponse failureResponse(const Failure& failure, const std::string& callerRequestId);
+/** @return the response for a request that is refused before it is received whole; it closes the connection. */
+LocalResponse closingFailureResponse(const Failure& failure, const std::string& callerRequestId);
 /** @return the response to an unacceptable request; it closes the connection. */
 LocalResponse rejectionResponse(std::uint16_t status, const std::string& reason);
 /** @return a plain-text page for probes and metric scrapers; it closes the connection. */
--- a/src/adapters/traffic/StatusConnections.cpp
+++ b/src/adapters/traffic/StatusConnections.cpp
@@ -9,6 +9,8 @@
 
     constexpr std::size_t maxHeadBytes = 8192;
     constexpr Seconds requestTimeout(5);
+    /** Limit on clients at once, so that they leave descriptors and memory to callers. */
+    constexpr std::size_t maxClients = 32;
     constexpr std::string_view metricsPath = "/metrics";
     constexpr std::uint16_t statusOk = 200;
     constexpr std::uint16_t statusNotFound = 404;
@@ -16,6 +18,17 @@
 
 }
 
+void StatusConnections::connected(ConnectionId connection)
+{
+    if (this->clients.size() >= maxClients) {
+        // Ids grow, so that the first client is the oldest.
+        const ConnectionId oldest = this->clients.begin()->first;
+        this->clients.erase(oldest);
+        this->context.loop.close(oldest);
+    }
+    this->clients[connection].connectedAt = this->context.now;
+}
+
 void StatusConnections::received(ConnectionId connection, std::string_view bytes)
 {
     std::string& buffered = this->clients[connection].inbound;
--- a/src/adapters/traffic/StatusConnections.h
+++ b/src/adapters/traffic/StatusConnections.h
@@ -25,7 +25,8 @@
     {
     }
 
-    void connected(ConnectionId connection) { this->clients[connection].connectedAt = this->context.now; }
+    /** Adds a client; closes the oldest one if there are too many. */
+    void connected(ConnectionId connection);
     void received(ConnectionId connection, std::string_view bytes);
     void closed(ConnectionId connection) { this->clients.erase(connection); }
     bool owns(ConnectionId connection) const { return this->clients.contains(connection); }
--- a/src/adapters/traffic/TrafficServer.cpp
+++ b/src/adapters/traffic/TrafficServer.cpp
@@ -9,14 +9,13 @@
     constexpr std::size_t inboxCapacity = 1024;
     constexpr std::size_t callerListener = 1;
 
-    SocketLoopOptions loopOptions()
+    SocketLoopOptions loopOptions(const TrafficOptions& traffic)
     {
         SocketLoopOptions options;
         options.makeDecoder = [] { return std::make_unique<PassthroughDecoder>(); };
         // Fits one response of maximum size; streams are paused by back-pressure long before.
         options.maxOutboundBytes = std::size_t { 16 } * 1024 * 1024;
-        // Leaves file descriptors for files and for connections to the store.
-        options.maxConnections = 3600;
+        options.maxConnections = traffic.maxConnections;
         options.tickPeriod = Milliseconds(50);
         return options;
     }
@@ -40,9 +39,9 @@
     , dependencies(std::move(serverDependencies))
     , now(this->dependencies.clock())
     , inbox(inboxCapacity)
-    , loop(loopOptions())
+    , loop(loopOptions(this->options))
     , context { this->loop, this->dependencies.codec, this->events, this->now }
-    , callers(this->context)
+    , callers(this->context, this->options.callerLimits)
     , endpoints(this->context, this->callers, this->options.connectTimeout)
     , status(this->context,
           { [this] { return this->dependencies.gateway.isReady(this->now); }, this->dependencies.metrics })
@@ -88,6 +87,8 @@
     else
         this->endpoints.received(connection, bytes);
     this->processEvents();
+    this->callers.keepWithinMemory();
+    this->processEvents();
     return true;
 }
 
@@ -105,8 +106,12 @@
 
 void TrafficServer::drained(ConnectionId connection)
 {
-    if (this->callers.owns(connection))
-        this->endpoints.callerDrained(connection);
+    if (!this->callers.owns(connection))
+        return;
+    this->now = this->dependencies.clock();
+    this->endpoints.callerDrained(connection);
+    this->callers.drained(connection);
+    this->processEvents();
 }
 
 void TrafficServer::woken()
--- a/src/adapters/traffic/TrafficServer.h
+++ b/src/adapters/traffic/TrafficServer.h
@@ -19,6 +19,9 @@
     Address readiness;
     std::optional<Address> metrics;
     Milliseconds connectTimeout { 250 };
+    /** Connections of callers, endpoints and status clients together. */
+    std::size_t maxConnections { 3600 };
+    CallerBudgetLimits callerLimits { std::size_t { 36 } * 1024 * 1024, 3200, Milliseconds(10000) };
 };
 
 /** The traffic duty: serves the sockets of callers and endpoints, and runs the gateway's decisions between them. */
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -33,12 +33,12 @@
     static const HandlerTable<Gateway, void, GatewayEvent, Instant, GatewayActions&>& events()
     {
         static const HandlerTable<Gateway, void, GatewayEvent, Instant, GatewayActions&> table(&Gateway::requestArrived,
-            &Gateway::requestAbandoned, &Gateway::responseLost, &Gateway::requestUnreadable, &Gateway::responseReceived,
-            &Gateway::exchangeEnded, &Gateway::eventsRelayed, &Gateway::migrationResponseReceived,
-            &Gateway::configurationRead, &Gateway::endpointsListed, &Gateway::endpointsChanged,
-            &Gateway::outOfServiceZonesRead, &Gateway::storeReadSucceeded, &Gateway::storeReadFailed,
-            &Gateway::membersListed, &Gateway::gossipReceived, &Gateway::storeReadingReceived, &Gateway::limitsChanged,
-            &Gateway::stopRequested);
+            &Gateway::requestAbandoned, &Gateway::responseLost, &Gateway::requestUnreadable, &Gateway::callerShed,
+            &Gateway::responseReceived, &Gateway::exchangeEnded, &Gateway::eventsRelayed,
+            &Gateway::migrationResponseReceived, &Gateway::configurationRead, &Gateway::endpointsListed,
+            &Gateway::endpointsChanged, &Gateway::outOfServiceZonesRead, &Gateway::storeReadSucceeded,
+            &Gateway::storeReadFailed, &Gateway::membersListed, &Gateway::gossipReceived,
+            &Gateway::storeReadingReceived, &Gateway::limitsChanged, &Gateway::stopRequested);
         return table;
     }
 };
@@ -147,6 +147,14 @@
             { "reason", event.reason } } });
 }
 
+void Gateway::callerShed(const CallerShed& event, Instant, GatewayActions& actions)
+{
+    actions.emplace_back(LogEvent { "caller_shed",
+        { { "reason", event.reason }, { "held_bytes", std::to_string(event.heldBytes) },
+            { "unsent_bytes", std::to_string(event.unsentBytes) } } });
+    actions.emplace_back(Observation { Metric::CallerShed, {}, PriorityClass::Standard, 1, event.reason });
+}
+
 void Gateway::responseReceived(const ResponseReceived& event, Instant now, GatewayActions& actions)
 {
     this->exchanges.responseReceived(event, now, actions);
--- a/src/core/gateway/Gateway.h
+++ b/src/core/gateway/Gateway.h
@@ -51,6 +51,7 @@
     void requestAbandoned(const RequestAbandoned& event, Instant now, GatewayActions& actions);
     void responseLost(const ResponseLost& event, Instant now, GatewayActions& actions);
     void requestUnreadable(const RequestUnreadable& event, Instant now, GatewayActions& actions);
+    void callerShed(const CallerShed& event, Instant now, GatewayActions& actions);
     void responseReceived(const ResponseReceived& event, Instant now, GatewayActions& actions);
     void exchangeEnded(const ExchangeEnded& event, Instant now, GatewayActions& actions);
     void eventsRelayed(const EventsRelayed& event, Instant now, GatewayActions& actions);
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -68,6 +68,16 @@
     std::string reason;
 };
 
+/** A caller's connection was closed, or its request refused, because the process ran short of what it can spare. */
+struct CallerShed {
+    /** What ran short: "memory" or "connections"; "unread" when the caller took nothing of its answer. */
+    std::string reason;
+    /** Bytes that were held for the connection. */
+    std::size_t heldBytes { 0 };
+    /** Bytes of answers that the caller had not taken. */
+    std::size_t unsentBytes { 0 };
+};
+
 /** Load that an endpoint reports along with a response. */
 struct ReportedLoad {
     std::uint32_t running { 0 };
@@ -198,10 +208,10 @@
     Instant signalledAt;
 };
 
-using GatewayEvent = std::variant<RequestArrived, RequestAbandoned, ResponseLost, RequestUnreadable, ResponseReceived,
-    ExchangeEnded, EventsRelayed, MigrationResponseReceived, ConfigurationRead, EndpointsListed, EndpointsChanged,
-    OutOfServiceZonesRead, StoreReadSucceeded, StoreReadFailed, MembersListed, GossipReceived, StoreReadingReceived,
-    LimitsChanged, GatewayStopRequested>;
+using GatewayEvent = std::variant<RequestArrived, RequestAbandoned, ResponseLost, RequestUnreadable, CallerShed,
+    ResponseReceived, ExchangeEnded, EventsRelayed, MigrationResponseReceived, ConfigurationRead, EndpointsListed,
+    EndpointsChanged, OutOfServiceZonesRead, StoreReadSucceeded, StoreReadFailed, MembersListed, GossipReceived,
+    StoreReadingReceived, LimitsChanged, GatewayStopRequested>;
 
 /** Point at which an endpoint resumes a stream that another endpoint started. */
 struct ResumePoint {
--- a/src/ports/Ids.h
+++ b/src/ports/Ids.h
@@ -50,6 +50,8 @@
 using OrderId = Id<struct OrderTag, std::string>;
 using IdempotencyKey = Id<struct IdempotencyKeyTag, std::string>;
 
+/** Identifies a TCP connection of a process. Never reused within it. */
+using ConnectionId = Id<struct ConnectionTag, std::uint64_t>;
 /** Identifies a caller's request at one process. Unique within that process. */
 using RequestId = Id<struct RequestTag, std::uint64_t>;
 /** Identifies one attempt to run a request at one endpoint. Random, so that ids are not reused after a restart. */
--- a/test/support/TrafficHarness.cpp
+++ b/test/support/TrafficHarness.cpp
@@ -20,13 +20,14 @@
 
 }
 
-TrafficHarness::TrafficHarness(const Address& endpoint)
+TrafficHarness::TrafficHarness(const Address& endpoint, const CallerBudgetLimits& callerLimits)
     : gateway({}, { GatewayId("gateway-1"), ZoneId("north") }, this->randomness)
     , callers(freeAddress())
 {
     TrafficOptions options;
     options.callers = this->callers;
     options.readiness = freeAddress();
+    options.callerLimits = callerLimits;
     this->server = std::make_unique<TrafficServer>(options,
         TrafficServer::Dependencies { this->gateway, this->codec, this->telemetry, this->peers, this->store,
             [] { return std::string(); }, &bootTimeNow, [] {}, [] {} });
--- a/test/support/TrafficHarness.h
+++ b/test/support/TrafficHarness.h
@@ -18,7 +18,8 @@
 class TrafficHarness {
 public:
     /** @param endpoint address of the endpoint that serves all routes. */
-    explicit TrafficHarness(const Address& endpoint);
+    explicit TrafficHarness(
+        const Address& endpoint, const CallerBudgetLimits& callerLimits = TrafficOptions().callerLimits);
     ~TrafficHarness() { this->server->stop(); }
     TrafficHarness(const TrafficHarness&) = delete;
     TrafficHarness& operator=(const TrafficHarness&) = delete;
