Bound the connections at an agent's link port that name no entry

Cause: anyone can open connections to an agent's link port. Those without a hello were limited only by the idle time, and together by 4,096 of the socket loop: a crowd took all descriptors, so that the agent could reach neither engine nor platform.

Change: 64 connections without a hello at most; a further one closes the oldest (event=link_down reason=too_many_without_hello). Entries send their hello at once.

--- a/src/adapters/link/AgentLinkServer.cpp
+++ b/src/adapters/link/AgentLinkServer.cpp
@@ -10,6 +10,8 @@
 namespace {
 
     constexpr std::size_t commandCapacity = 8192;
+    /** Limit on connections that have not sent a hello; entries send theirs at once. */
+    constexpr std::size_t maxUnknownLinks = 64;
 
     /** The duties that handle a message from an entry. */
     enum class Route : std::uint8_t {
@@ -129,6 +131,10 @@
 void AgentLinkServer::connected(ConnectionId connection)
 {
     this->links[connection] = Link { EntryId(), std::chrono::steady_clock::now() };
+    this->unknownLinks.insert(connection);
+    // Ids grow, so that the first connection is the oldest.
+    if (this->unknownLinks.size() > maxUnknownLinks)
+        this->dropLink(*this->unknownLinks.begin(), "too_many_without_hello");
     const auto frame
         = this->frameCodec.encode(AgentMessage(AgentHello { this->options.endpoint, this->options.incarnation }));
     if (const auto* bytes = std::get_if<std::string>(&frame))
@@ -170,6 +176,7 @@
         this->links.erase(previous->second);
     }
     link.entry = hello->entry;
+    this->unknownLinks.erase(connection);
     this->connectionOf[hello->entry] = connection;
     this->loop.setMaxMessageBytes(connection, maximumFrameBytes);
     this->logLinkEvent("link_up", link.entry, previous == this->connectionOf.end() ? "new" : "replaced");
@@ -210,6 +217,7 @@
         return;
     const EntryId entry = found->second.entry;
     this->links.erase(found);
+    this->unknownLinks.erase(connection);
     this->logLinkEvent("link_down", entry, closure.reason);
     if (entry == EntryId())
         return;
--- a/src/adapters/link/AgentLinkServer.h
+++ b/src/adapters/link/AgentLinkServer.h
@@ -78,6 +78,8 @@
     std::set<EntryId> overflowedEntries;
     std::map<ConnectionId, Link> links;
     std::map<EntryId, ConnectionId> connectionOf;
+    /** Connections that have not sent a hello. */
+    std::set<ConnectionId> unknownLinks;
     SocketLoop loop { linkLoopOptions() };
 };
 
