Bound the memory of request bodies in an entry

Cause: an entry reads the bodies of all its callers at once, 1 MiB on each of up to 1,024 threads, growing buffers copied and their memory kept by the allocator for each thread.

Change: bodies in progress share body_memory_mb (64). What does not fit is refused as not run, with Retry-After; the first 16 KB of each body are always taken, so that small requests pass beside a crowd of large ones. A body of known length is read into one block. Entry and agent return large freed blocks at once, and threads share what is freed (two arenas).

Test: crowds-at-an-entry-and-an-agent with body_memory_mb: 24, the same crowd and bounds.

--- a/apps/teaselfold-agent/Main.cpp
+++ b/apps/teaselfold-agent/Main.cpp
@@ -1,6 +1,7 @@
 #include "AgentProcess.h"
 #include "adapters/logging/GlogLog.h"
 #include "adapters/settings/CommandLine.h"
+#include "runtime/FreedMemory.h"
 
 #include <pthread.h>
 #include <signal.h>
@@ -35,6 +36,7 @@
 
 int main(int argc, char** argv)
 {
+    returnFreedMemory();
     sigset_t signals = blockStopSignals();
     const ProgramInfo program { "teaselfold-agent", TEASELFOLD_VERSION };
     const auto parsed = readAgentCommandLine(program, std::vector<std::string>(argv + 1, argv + argc));
--- a/apps/teaselfold-entry/Main.cpp
+++ b/apps/teaselfold-entry/Main.cpp
@@ -9,6 +9,7 @@
 #include "adapters/settings/CommandLine.h"
 #include "core/control/ConfigurationController.h"
 #include "runtime/ControlDuty.h"
+#include "runtime/FreedMemory.h"
 #include "runtime/RouterDuty.h"
 #include "runtime/SystemRandomness.h"
 
@@ -53,6 +54,8 @@
     CallerLimits limits;
     limits.threads = settings.callerThreads;
     limits.maxBodyBytes = settings.maxBodyBytes;
+    constexpr std::size_t bytesPerMegabyte = 1024UL * 1024UL;
+    limits.bodyMemoryBytes = settings.bodyMemoryMb * bytesPerMegabyte;
     limits.defaultDeadline = settings.defaultDeadline;
     limits.maxDeadline = settings.maxDeadline;
     limits.receiveTimeout = settings.callerIdleLimit;
@@ -196,6 +199,7 @@
 
 int main(int argc, char** argv)
 {
+    returnFreedMemory();
     const sigset_t signals = blockStopSignals();
     const std::vector<std::string> arguments(argv + 1, argv + argc);
     const auto parsed = readEntryCommandLine({ "teaselfold-entry", TEASELFOLD_VERSION }, arguments);
--- a/src/adapters/http/CallerContext.h
+++ b/src/adapters/http/CallerContext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/http/BodyMemory.h"
 #include "adapters/http/CallerRegistry.h"
 #include "adapters/http/ReceiveTimeoutMonitor.h"
 #include "adapters/http/TeamDirectory.h"
@@ -18,6 +19,8 @@
     /** Maximum number of accepted connections that wait for a thread. */
     std::uint32_t maxQueuedConnections { 256 };
     std::size_t maxBodyBytes { 1048576 };
+    /** Limit on the bodies of all requests in progress together. Small bodies are taken beyond it. */
+    std::size_t bodyMemoryBytes { std::size_t { 64 } * 1024 * 1024 };
     /** Time to the deadline of a request that sets none. */
     Milliseconds defaultDeadline { 600000 };
     /** Longest time to the deadline that a request may set. */
@@ -37,6 +40,7 @@
     /** @return true when the entry accepts new work. */
     std::function<bool()> isReady;
     ReceiveTimeoutMonitor& receiveTimeoutMonitor;
+    BodyMemory& bodyMemory;
 };
 
 }
--- a/src/adapters/http/CallerExchange.cpp
+++ b/src/adapters/http/CallerExchange.cpp
@@ -51,6 +51,7 @@
 CallerExchange::~CallerExchange()
 {
     this->context.receiveTimeoutMonitor.stopTracking(this->request.clientAddress().toString());
+    this->context.bodyMemory.release(this->bodyBytesTaken);
     if (!this->registration)
         return;
     const RequestId id = this->registration->request;
@@ -87,21 +88,39 @@
     if (hasLength && this->request.getContentLength64() > static_cast<std::int64_t>(limit))
         return tooLarge;
     std::string body;
-    std::array<char, readChunkBytes> chunk {};
-    std::istream& stream = this->request.stream();
-    const bool hasBody = hasLength || this->request.getChunkedTransferEncoding();
-    while (hasBody && stream.good()) {
-        stream.read(chunk.data(), chunk.size());
-        body.append(chunk.data(), static_cast<std::size_t>(stream.gcount()));
-        if (body.size() > limit)
-            return tooLarge;
+    if (hasLength || this->request.getChunkedTransferEncoding()) {
+        // A body that grows is copied each time, and takes up to twice its size.
+        const std::int64_t length = hasLength ? this->request.getContentLength64() : 0;
+        body.reserve(static_cast<std::size_t>(std::max<std::int64_t>(length, 0)));
+        if (auto failure = this->readInto(body, limit))
+            return *failure;
     }
+    if (body.size() > limit)
+        return tooLarge;
     this->context.receiveTimeoutMonitor.stopTracking(this->request.clientAddress().toString());
     if (hasLength && static_cast<std::int64_t>(body.size()) != this->request.getContentLength64())
         return badRequest("the body was cut off");
     return body;
 }
 
+std::optional<Failure> CallerExchange::readInto(std::string& body, std::size_t limit)
+{
+    std::array<char, readChunkBytes> chunk {};
+    std::istream& stream = this->request.stream();
+    while (stream.good() && body.size() <= limit) {
+        stream.read(chunk.data(), chunk.size());
+        const auto count = static_cast<std::size_t>(stream.gcount());
+        // The first chunk is always taken, so that large bodies do not keep out small ones.
+        if (!body.empty() && count > 0) {
+            if (!this->context.bodyMemory.take(count))
+                return Failure { ErrorCode::NoCapacity, "no memory for the body", Executed::No, Seconds(1) };
+            this->bodyBytesTaken += count;
+        }
+        body.append(chunk.data(), count);
+    }
+    return std::nullopt;
+}
+
 RequestId CallerExchange::openRing(std::size_t capacity)
 {
     this->registration = this->context.registry.add(capacity);
--- a/src/adapters/http/CallerExchange.h
+++ b/src/adapters/http/CallerExchange.h
@@ -29,7 +29,10 @@
 
     /** Checks the team header, the deadline header and the bearer token. @return the caller, or the failure to send. */
     Outcome<AuthenticatedCaller> authenticate() const;
-    /** @return the complete body; TooLarge if it exceeds the limit; BadRequest if it was truncated. */
+    /**
+     * @return the complete body; TooLarge if it exceeds the limit; NoCapacity if there is no memory for it beside those
+     * of other requests; BadRequest if it was truncated.
+     */
     Outcome<std::string> readBody();
     /** Opens the ring for the router's messages. @param capacity its size in messages. @return the request's id. */
     RequestId openRing(std::size_t capacity);
@@ -52,10 +55,13 @@
 
 private:
     bool isDisconnected();
+    /** Reads a body into memory that is released with this exchange. @return the failure, if it was not taken whole. */
+    std::optional<Failure> readInto(std::string& body, std::size_t limit);
 
     CallerContext& context;
     std::optional<CallerRegistry::Registration> registration;
     Poco::Net::StreamSocket socket;
+    std::size_t bodyBytesTaken { 0 };
     bool submitted { false };
     bool complete { false };
 };
--- a/src/adapters/http/CallerServer.cpp
+++ b/src/adapters/http/CallerServer.cpp
@@ -50,8 +50,9 @@
 CallerServer::CallerServer(Address listen, const CallerLimits& limits, CallerServerDependencies dependencies)
     : listen(std::move(listen))
     , receiveTimeoutMonitor(limits.receiveTimeout)
+    , bodyMemory(limits.bodyMemoryBytes)
     , context { limits, dependencies.router, dependencies.registry, dependencies.teams, std::move(dependencies.isReady),
-        this->receiveTimeoutMonitor }
+        this->receiveTimeoutMonitor, this->bodyMemory }
     , pool(minThreads, static_cast<int>(std::max<std::uint32_t>(minThreads, limits.threads)))
 {
 }
--- a/src/adapters/http/CallerServer.h
+++ b/src/adapters/http/CallerServer.h
@@ -36,6 +36,7 @@
 private:
     Address listen;
     ReceiveTimeoutMonitor receiveTimeoutMonitor;
+    BodyMemory bodyMemory;
     CallerContext context;
     Poco::ThreadPool pool;
     std::unique_ptr<Poco::Net::TCPServer> server;
--- a/src/adapters/settings/EntrySettings.cpp
+++ b/src/adapters/settings/EntrySettings.cpp
@@ -38,6 +38,8 @@
             "agents to link to until a configuration is loaded" },
         Row { "max_body_bytes", &EntrySettings::maxBodyBytes, Requirement::Optional,
             "maximum size of a request body, in bytes" },
+        Row { "body_memory_mb", &EntrySettings::bodyMemoryMb, Requirement::Optional,
+            "memory for the request bodies in progress together, in megabytes" },
         Row { "admin_tokens_required", &EntrySettings::adminTokensRequired, Requirement::Optional,
             "whether operators need a token" },
         Row { "admin_tokens", &EntrySettings::adminTokens, Requirement::Optional,
--- a/src/adapters/settings/EntrySettings.h
+++ b/src/adapters/settings/EntrySettings.h
@@ -43,6 +43,8 @@
     /** Agents to link to until a configuration is loaded, so that an entry can start while the platform is down. */
     std::vector<SeedAgent> seedAgents;
     std::uint32_t maxBodyBytes { 1048576 };
+    /** Limit on the request bodies in progress together, in megabytes. */
+    std::uint32_t bodyMemoryMb { 64 };
     bool adminTokensRequired { true };
     std::vector<AdminToken> adminTokens;
 
