--- a/apps/teaselfold-gateway/Main.cpp
+++ b/apps/teaselfold-gateway/Main.cpp
@@ -7,6 +7,7 @@
 #include "platform/RolloutDuty.h"
 #include "platform/StoreReader.h"
 #include "runtime/BootClock.h"
+#include "runtime/FreedMemory.h"
 #include "runtime/SystemRandomness.h"
 
 #include <csignal>
@@ -52,6 +53,8 @@
     options.readiness = settings.readiness;
     options.metrics = settings.metrics;
     options.connectTimeout = settings.connectTimeout;
+    options.maxConnections = maxTrafficConnections(settings);
+    options.callerLimits = callerBudgetLimits(settings);
     return options;
 }
 
@@ -187,6 +190,7 @@
 
 int main(int argc, char** argv)
 {
+    returnFreedMemory();
     const HandledSignals signals = blockHandledSignals();
     const std::vector<std::string> arguments(argv + 1, argv + argc);
     const auto parsed = readGatewayCommandLine({ "teaselfold-gateway", TEASELFOLD_VERSION }, arguments);
