Learn the output lengths of streams, and weigh callers' estimates by their accuracy

Cause: the expected length of a stream was its caller's estimate as it is, without even the stated maximum. Expected tokens and events steer placing, replicas and moves.

Change: OutputLengths learns, per route and per team with enough streams, the distribution of output lengths from streams that ended and from those that were cut off (known to be longer), and how far estimates are off. A forecast is the posterior distribution for the caller's estimate within the stated maximum, as 16 equally likely lengths; its mean replaces the estimate, and the remainder of a running stream is the mean of the lengths beyond its output. Without an estimate or observations half of the maximum is expected, as before. LengthDistribution holds what LengthModel of the agent and OutputLengths share.

The metric output_length_error_tokens and the fields expected_events, caller_estimate and max_tokens of event=completed show the error.

--- a/src/adapters/metrics/MetricStore.cpp
+++ b/src/adapters/metrics/MetricStore.cpp
@@ -46,6 +46,8 @@
         MetricRow { Metric::Cancelled, "cancelled_total", MetricKind::Counter, "Requests given up by their callers." },
         MetricRow { Metric::RateLimited, "rate_limited_total", MetricKind::Counter,
             "Requests refused because every endpoint had reached the rate that it takes." },
+        MetricRow { Metric::OutputLengthError, "output_length_error_tokens", MetricKind::LengthHistogram,
+            "Tokens by which finished streams differ from the length expected on their arrival." },
     };
     static_assert(metricRows.size() == metricCount);
 
--- a/src/core/agent/LengthModel.h
+++ b/src/core/agent/LengthModel.h
@@ -1,12 +1,10 @@
 #pragma once
 
+#include "core/common/LengthDistribution.h"
 #include "ports/Fleet.h"
 
-#include <boost/histogram.hpp>
-
 #include <array>
 #include <cstdint>
-#include <vector>
 
 namespace teaselfold {
 
@@ -28,11 +26,7 @@
         PriorityClass priority, std::uint32_t generated, double quantile, std::uint32_t maxTokens) const;
 
 private:
-    using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
-    using LengthHistogram = boost::histogram::histogram<std::tuple<Axis>, boost::histogram::dense_storage<double>>;
-
-    std::vector<LengthHistogram> histograms;
-    std::array<double, priorityClassCount> weights {};
+    std::array<LengthDistribution, priorityClassCount> distributions;
 };
 
 }
--- a/src/core/gateway/ActiveRequest.h
+++ b/src/core/gateway/ActiveRequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/gateway/OutputLengths.h"
 #include "ports/GatewayConfiguration.h"
 #include "ports/GatewayMessages.h"
 
@@ -80,6 +81,8 @@
     Instant arrivedAt;
     /** End of the caller's or the route's timeout, whichever is earlier. */
     Instant deadline;
+    /** What was known of the output length on arrival; empty at a service without engines. */
+    LikelyLengths likelyOutput;
     /** Expected tokens of the prompt and the output together. */
     std::uint64_t tokens { 0 };
     /** Expected number of events of a stream. */
@@ -140,6 +143,13 @@
 
 inline bool isIdempotent(const ActiveRequest& active) { return active.route->kind == RequestKind::Idempotent; }
 
+/** @return what the output length of a request depends on. */
+inline OutputRequest outputRequestOf(const ActiveRequest& active)
+{
+    return { active.route->name, active.team.value_or(TeamId()), active.request.expectedOutputTokens,
+        active.request.maxOutputTokens };
+}
+
 /** @return the time until the request's deadline. */
 inline Milliseconds timeLeft(const ActiveRequest& active, Instant now)
 {
--- a/src/core/gateway/GatewayAdmission.cpp
+++ b/src/core/gateway/GatewayAdmission.cpp
@@ -19,13 +19,6 @@
     /** Larger numbers of tokens are made up, and sums with them could overflow. */
     constexpr std::uint64_t maxTokens = 1'000'000'000'000;
 
-    std::uint64_t expectedOutput(const GatewayRequest& request)
-    {
-        const std::uint64_t output
-            = request.expectedOutputTokens > 0 ? request.expectedOutputTokens : request.maxOutputTokens / 2;
-        return std::min(output, maxTokens);
-    }
-
     Milliseconds timeoutOf(const GatewayRequest& request, const GatewayRoute& route)
     {
         const Milliseconds timeout = request.callerTimeout.value_or(defaultTimeout);
@@ -91,8 +84,10 @@
     active.arrivedAt = now;
     active.deadline = now + timeoutOf(request, *route);
     if (found->engine) {
-        active.tokens = std::min(request.promptTokens, maxTokens) + expectedOutput(request);
-        active.events = expectedOutput(request) / found->engine->tokensPerEvent + 1;
+        active.likelyOutput = this->state.outputLengths.forecast(outputRequestOf(active));
+        const std::uint64_t output = expectedLength(active.likelyOutput);
+        active.tokens = std::min(request.promptTokens, maxTokens) + output;
+        active.events = output / found->engine->tokensPerEvent + 1;
         active.maxEvents
             = std::max(active.events, std::min(request.maxOutputTokens, maxTokens) / found->engine->tokensPerEvent + 1);
     }
--- a/src/core/gateway/GatewayLog.cpp
+++ b/src/core/gateway/GatewayLog.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdio>
 
 namespace teaselfold::Internal {
@@ -57,6 +58,9 @@
     const double tokens = static_cast<double>(active.lastEventId)
         * (active.service->engine ? active.service->engine->tokensPerEvent : 1);
     observe(actions, active, Metric::OutputLength, tokens);
+    if (!active.likelyOutput.empty())
+        observe(actions, active, Metric::OutputLengthError,
+            std::abs(static_cast<double>(expectedLength(active.likelyOutput)) - tokens));
 }
 
 LogEvent requestLogEvent(std::string name, const ActiveRequest& active, Instant now)
@@ -77,6 +81,11 @@
     line.fields.push_back({ "first_event_ms", millisecondsText(*active.firstEventAt - active.arrivedAt) });
     line.fields.push_back({ "longest_pause_ms", millisecondsText(active.longestPause) });
     line.fields.push_back({ "last_event", std::to_string(active.lastEventId) });
+    if (active.service->engine) {
+        line.fields.push_back({ "expected_events", std::to_string(active.events) });
+        line.fields.push_back({ "caller_estimate", std::to_string(active.request.expectedOutputTokens) });
+        line.fields.push_back({ "max_tokens", std::to_string(active.request.maxOutputTokens) });
+    }
     return line;
 }
 
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -77,6 +77,7 @@
     std::map<ServiceId, RetryBudget> retryBudgets;
     /** When the last caller that was refused because of rate limits was told to come back. */
     std::map<ServiceId, Instant> lastRateLimitedReturn;
+    OutputLengths outputLengths;
     std::optional<RouteTable> routes;
     std::map<RequestId, ActiveRequest> requests;
     std::map<ExchangeId, Exchange> exchanges;
--- a/src/core/gateway/RequestCompletion.cpp
+++ b/src/core/gateway/RequestCompletion.cpp
@@ -6,6 +6,16 @@
 
 namespace teaselfold {
 
+namespace {
+
+    /** @return the tokens of a stream's events; zero at a service without engines. */
+    std::uint64_t outputTokensOf(const ActiveRequest& active)
+    {
+        return active.service->engine ? active.lastEventId * active.service->engine->tokensPerEvent : 0;
+    }
+
+}
+
 void RequestCompletion::refuseUnserved(
     ActiveRequest& active, const std::string& reason, Instant now, GatewayActions& actions)
 {
@@ -91,6 +101,7 @@
 
 void RequestCompletion::fail(ActiveRequest& active, Failure failure, Instant now, GatewayActions& actions)
 {
+    this->recordCutOutput(active);
     const Metric metric = failure.run == Executed::No ? Metric::Refusal : Metric::Failed;
     Internal::observe(actions, active, metric, 1, std::string(errorCodeName(failure.code)));
     this->state.countInStop(failure.run == Executed::No ? &PlannedStop::refused : &PlannedStop::failed);
@@ -104,12 +115,20 @@
 void RequestCompletion::complete(const ActiveRequest& active, Instant now, GatewayActions& actions)
 {
     this->crashes.requestCompleted(active, now);
+    if (const std::uint64_t tokens = outputTokensOf(active); tokens > 0)
+        this->state.outputLengths.recordEnd(outputRequestOf(active), tokens);
     actions.emplace_back(Internal::completedLogEvent(active, now));
     Internal::observeCompleted(actions, active, now);
     this->state.countInStop(&PlannedStop::completed);
     this->remove(active, now, actions);
 }
 
+void RequestCompletion::recordCutOutput(const ActiveRequest& active)
+{
+    if (const std::uint64_t tokens = outputTokensOf(active); tokens > 0)
+        this->state.outputLengths.recordCut(outputRequestOf(active), tokens);
+}
+
 void RequestCompletion::abandon(RequestId request, const std::string& reason, Instant now, GatewayActions& actions)
 {
     const auto found = this->state.requests.find(request);
@@ -120,6 +139,7 @@
     line.fields.push_back({ "reason", reason });
     actions.emplace_back(std::move(line));
     this->cancelExchange(active, actions);
+    this->recordCutOutput(active);
     Internal::observe(actions, active, Metric::Cancelled);
     this->remove(active, now, actions);
 }
--- a/src/core/gateway/RequestCompletion.h
+++ b/src/core/gateway/RequestCompletion.h
@@ -50,6 +50,8 @@
      */
     Milliseconds rateLimitedReturn(const ServiceId& service, Milliseconds untilNext, Instant now);
     void remove(const ActiveRequest& active, Instant now, GatewayActions& actions);
+    /** Learns from the output of a stream that was cut off. */
+    void recordCutOutput(const ActiveRequest& active);
 
     GatewayState& state;
     StreamMigrator& migrator;
--- a/src/core/gateway/StreamForecast.cpp
+++ b/src/core/gateway/StreamForecast.cpp
@@ -19,10 +19,7 @@
 
 std::uint64_t expectedRemainingTokens(const ActiveRequest& active)
 {
-    const std::uint64_t expected = active.tokens - std::min(active.tokens, active.request.promptTokens);
-    const std::uint64_t produced = active.lastEventId * active.service->engine->tokensPerEvent;
-    // The remainder of a run beyond its expected length is unknown; assume half of what it produced so far.
-    return expected > produced ? expected - produced : produced / 2;
+    return expectedRemainder(active.likelyOutput, active.lastEventId * active.service->engine->tokensPerEvent);
 }
 
 Duration expectedRemainingTime(const GatewayState& state, const ActiveRequest& active)
--- a/src/ports/Telemetry.h
+++ b/src/ports/Telemetry.h
@@ -42,8 +42,9 @@
     Failed,
     Cancelled,
     RateLimited,
+    OutputLengthError,
 };
-constexpr std::size_t metricCount = 14;
+constexpr std::size_t metricCount = 15;
 
 /** One observed value of a metric; 1 for counters. */
 struct Observation {
