Order waiting requests, refuse what cannot end in time, give refused callers turns

Cause: requests that find no endpoint waited in one set by number, which knew neither priority, nor slack, nor team; each was tried again at each tick; a new request overtook them. A stream that could not end by its deadline was sent all the same. Refused callers were told the same time, or a random one.

Change: WaitingRequests orders by priority, team (start-time fair queuing) and slack, and a tick tries the first request of a group only; DispatchOrder queues new requests behind those that go first. canEndInTime refuses at once what even the fastest engine would not end with the shortest likely output. ReturnTurns spaces the returns of refused callers at the measured interval of the service's starts and remembers them; it takes over the turns of rate limits. A Retry-After is computed for a refusal only, not for each rejection that is retried.

--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -301,6 +301,12 @@
     return std::accumulate(times.begin(), times.end(), Duration(0)) / static_cast<Duration::rep>(times.size());
 }
 
+Duration EndpointDirectory::shortestEventInterval(const ServiceId& service) const
+{
+    const auto times = this->measuredTimes(&GatewayEndpoint::eventInterval, Duration(0), service);
+    return times.size() < 2 ? Duration(0) : *std::min_element(times.begin() + 1, times.end());
+}
+
 Duration EndpointDirectory::longestEventInterval(const ServiceId& service) const
 {
     const auto times = this->measuredTimes(&GatewayEndpoint::eventInterval, assumedEventInterval, service);
--- a/src/core/gateway/EndpointDirectory.h
+++ b/src/core/gateway/EndpointDirectory.h
@@ -132,6 +132,8 @@
     void recordFirstEvent(const EndpointId& endpoint, Duration time);
     /** @return the average interval between events of a stream at the engines of a service. */
     Duration averageEventInterval(const ServiceId& service) const;
+    /** @return the average interval between events at the fastest engine of a service; zero before the first stream. */
+    Duration shortestEventInterval(const ServiceId& service) const;
     /** @return the average interval between events at the slowest engine of a service. */
     Duration longestEventInterval(const ServiceId& service) const;
     /** @return the average time from sending a stream's request to its first event at the slowest engine of a service.
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -32,16 +32,6 @@
         return response.status >= firstSuccess && response.status < firstRedirection;
     }
 
-    /**
-     * @return the priority at the engines. Zero is the most urgent. Values are capped at 9, so that less urgent levels
-     * remain for other uses.
-     */
-    std::uint32_t enginePriority(const ActiveRequest& active)
-    {
-        constexpr std::uint32_t lowest = 9;
-        return std::min(active.priority, lowest);
-    }
-
 }
 
 ActiveRequest* ExchangeDispatcher::findRequest(RequestId request)
@@ -62,6 +52,10 @@
 
 void ExchangeDispatcher::dispatch(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
+    if (this->order.hasToQueue(active)) {
+        this->order.wait(active, now);
+        return this->dispatchGroup(DispatchOrder::groupOf(active), now, actions);
+    }
     // The key was valid on arrival, but the configuration may have become too old to prove that it still is.
     if (active.team
         && !this->state.freshness.isFresh(StoreSection::Configuration, this->state.limits.maxKeyStaleness, now)) {
@@ -75,8 +69,10 @@
         return this->completion.refuseQuarantined(active, *verdict, now, actions);
     if (!mayStartInStop(this->state, active, now))
         return this->completion.refuseForStop(active, now, actions);
+    if (!canEndInTime(this->state, active, now))
+        return this->completion.refuseUnserved(active, "too little time left", now, actions);
     if (GatewayEndpoint* endpoint = this->pickEndpoint(active, active.triedEndpoints, now)) {
-        this->state.waiting.erase(active.request.id);
+        this->state.waiting.start(active.request.id);
         return this->startExchange(active, *endpoint, std::nullopt, now, actions);
     }
     const auto next = this->state.endpoints.nextReturn(active.service->name, now);
@@ -85,10 +81,10 @@
         return this->completion.refuseUnserved(active, "every endpoint is at its rate limit", now, actions);
     }
     const bool isBackInTime
-        = next && next->time > Milliseconds(0) && now + next->time - active.arrivedAt < this->waitLimit(active);
+        = next && next->time > Milliseconds(0) && now + next->time - active.arrivedAt < this->order.waitLimit(active);
     if (next && !isBackInTime)
         return this->completion.refuseUnserved(active, "every endpoint leaves or rests", now, actions);
-    this->state.waiting.insert(active.request.id);
+    this->order.wait(active, now);
 }
 
 std::optional<Address> ExchangeDispatcher::placeReplica(
@@ -118,7 +114,7 @@
     parameters.timeLeft = timeLeft(active, now);
     parameters.team = active.team;
     if (active.service->engine)
-        parameters.enginePriority = enginePriority(active);
+        parameters.enginePriority = DispatchOrder::enginePriority(active);
     parameters.replicaAddress = this->placeReplica(active, endpoint, now);
     parameters.resume = std::move(resume);
 
@@ -143,6 +139,7 @@
     if (!active.request.sharedPromptParts.empty())
         line.fields.push_back({ "prompt_parts", Internal::promptPartsText(active.request.sharedPromptParts) });
     this->state.endpoints.beginExchange(endpoint.record.id, active.tokens, now);
+    this->state.returnTurns.recordStart(active.service->name, now);
     actions.emplace_back(StartExchange { std::move(parameters) });
     actions.emplace_back(std::move(line));
 }
@@ -151,7 +148,7 @@
 {
     if (active.attempts >= active.route->maxAttempts || (active.mayHaveRun && !isIdempotent(active)))
         return false;
-    if (timeLeft(active, now) < this->state.limits.minDeadline)
+    if (!canEndInTime(this->state, active, now))
         return false;
     if (!this->pickEndpoint(active, active.triedEndpoints, now))
         return false;
@@ -171,6 +168,8 @@
     line.fields.push_back({ "reason", failure.message });
     line.fields.push_back({ "run", std::string(executedName(failure.run)) });
     actions.emplace_back(std::move(line));
+    if (failure.code == ErrorCode::NoCapacity)
+        failure.retryAfter = this->completion.retryAfterOf(active, now);
     this->completion.fail(active, std::move(failure), now, actions);
 }
 
@@ -241,7 +240,7 @@
     const Executed run = executedStateOf(active);
     this->retryOrFail(active,
         { run == Executed::No ? ErrorCode::NoCapacity : ErrorCode::EndpointLost,
-            "endpoint answered " + std::to_string(response.status), run, this->completion.retryAfterOf(active, now) },
+            "endpoint answered " + std::to_string(response.status), run, this->state.limits.retryAfter },
         now, actions);
 }
 
@@ -446,21 +445,22 @@
     this->migrator.streamAdvanced(running.endpoint, now, actions);
 }
 
-Duration ExchangeDispatcher::waitLimit(const ActiveRequest& active) const
+void ExchangeDispatcher::dispatchGroup(const WaitingGroup& group, Instant now, GatewayActions& actions)
 {
-    return std::chrono::duration_cast<Duration>(active.route->latencyObjective * this->state.limits.queueWaitFraction);
+    while (const auto id = this->state.waiting.next(group, now)) {
+        this->dispatch(*this->findRequest(*id), now, actions);
+        // No endpoint takes the first one, so none takes the others.
+        if (this->state.waiting.contains(*id))
+            return;
+    }
 }
 
 void ExchangeDispatcher::dispatchWaiting(Instant now, GatewayActions& actions)
 {
-    const std::vector<RequestId> waiting(this->state.waiting.begin(), this->state.waiting.end());
-    for (const RequestId id : waiting) {
-        ActiveRequest& active = *this->findRequest(id);
-        this->dispatch(active, now, actions);
-        if (!this->state.waiting.contains(id) || now - active.arrivedAt < this->waitLimit(active))
-            continue;
-        this->completion.refuseUnserved(active, "no endpoint has room", now, actions);
-    }
+    for (const WaitingGroup& group : this->state.waiting.groups())
+        this->dispatchGroup(group, now, actions);
+    for (const RequestId id : this->state.waiting.expired(now))
+        this->completion.refuseUnserved(*this->findRequest(id), "no endpoint has room", now, actions);
 }
 
 void ExchangeDispatcher::resumeWaitingRuns(Instant now, GatewayActions& actions)
--- a/src/core/gateway/ExchangeDispatcher.h
+++ b/src/core/gateway/ExchangeDispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/gateway/CrashAttribution.h"
+#include "core/gateway/DispatchOrder.h"
 #include "core/gateway/EndpointNotices.h"
 #include "core/gateway/EndpointPicker.h"
 #include "core/gateway/GatewayState.h"
@@ -21,6 +22,7 @@
         , completion(completion)
         , crashes(state)
         , notices(state, migrator)
+        , order(state)
     {
     }
 
@@ -71,8 +73,8 @@
     void recoverOrFail(ActiveRequest& active, Instant now, GatewayActions& actions);
     /** @return true if the stream resumes elsewhere or waits for the response to a copy call. */
     bool tryFailover(ActiveRequest& active, Instant now, GatewayActions& actions);
-    /** @return the maximum time for which a request may wait for an endpoint. */
-    Duration waitLimit(const ActiveRequest& active) const;
+    /** Dispatches the requests of a group in their order until one has to wait on. */
+    void dispatchGroup(const WaitingGroup& group, Instant now, GatewayActions& actions);
     void dispatchWaiting(Instant now, GatewayActions& actions);
     /** Resumes the stopped runs whose next try is due. */
     void resumeWaitingRuns(Instant now, GatewayActions& actions);
@@ -83,6 +85,7 @@
     RequestCompletion& completion;
     CrashAttribution crashes;
     EndpointNotices notices;
+    DispatchOrder order;
 };
 
 }
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -70,6 +70,7 @@
     this->state.quarantine.expire(now);
     this->state.crashDetector.expire(now);
     this->state.promptParts.expire(now);
+    this->state.returnTurns.expire(now);
     this->state.endpoints.rateLimits().tick(now);
     this->logQuarantinedParts(actions);
     this->migrator.expire();
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -9,13 +9,14 @@
 #include "core/gateway/PlannedStop.h"
 #include "core/gateway/PromptPartQuarantine.h"
 #include "core/gateway/ReaderRank.h"
+#include "core/gateway/ReturnTurns.h"
 #include "core/gateway/RouteTable.h"
 #include "core/gateway/StoreFreshness.h"
+#include "core/gateway/WaitingRequests.h"
 #include "ports/Randomness.h"
 
 #include <map>
 #include <optional>
-#include <set>
 
 namespace teaselfold {
 
@@ -75,14 +76,12 @@
     PromptPartQuarantine promptParts;
     RouterLimits sharedLimits;
     std::map<ServiceId, RetryBudget> retryBudgets;
-    /** When the last caller that was refused because of rate limits was told to come back. */
-    std::map<ServiceId, Instant> lastRateLimitedReturn;
+    ReturnTurns returnTurns;
     OutputLengths outputLengths;
     std::optional<RouteTable> routes;
     std::map<RequestId, ActiveRequest> requests;
     std::map<ExchangeId, Exchange> exchanges;
-    /** Requests that wait for an endpoint, oldest first. */
-    std::set<RequestId> waiting;
+    WaitingRequests waiting;
     std::uint64_t lastExchangeId { 0 };
     std::optional<PlannedStop> stop;
 };
--- a/src/core/gateway/RequestCompletion.cpp
+++ b/src/core/gateway/RequestCompletion.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+    /** Callers follow a Retry-After of up to this part of the time that they have left. */
+    constexpr Milliseconds::rep returnTimeDivisor = 3;
+
     /** @return the tokens of a stream's events; zero at a service without engines. */
     std::uint64_t outputTokensOf(const ActiveRequest& active)
     {
@@ -45,24 +48,24 @@
 Milliseconds RequestCompletion::retryAfterOf(const ActiveRequest& active, Instant now)
 {
     const Milliseconds shortest = this->state.limits.retryAfter;
-    const auto next = this->state.endpoints.nextReturn(active.service->name, now);
-    if (next && next->isRateLimited)
-        return this->rateLimitedReturn(active.service->name, next->time, now);
-    if (!next || next->time <= shortest)
+    const ServiceId& service = active.service->name;
+    const auto next = this->state.endpoints.nextReturn(service, now);
+    if (next && next->isRateLimited) {
+        const Duration interval = this->state.endpoints.rateLimits().intervalOf(service, now).value_or(Duration(0));
+        return this->state.returnTurns.turnAway(
+            service, active.request.fingerprint, { next->time, Milliseconds::max(), interval }, now);
+    }
+    const Milliseconds earliest = std::max(shortest, next ? next->time : shortest);
+    if (const auto interval = this->state.returnTurns.measuredInterval(service, now)) {
+        const Milliseconds longest = timeLeft(active, now) / returnTimeDivisor;
+        return this->state.returnTurns.turnAway(
+            service, active.request.fingerprint, { earliest, longest, *interval }, now);
+    }
+    if (earliest == shortest)
         return shortest;
     // Spread, so that callers do not all come back in the instant in which the endpoint does.
     const auto spread = static_cast<std::uint64_t>(shortest.count());
-    return next->time + Milliseconds(static_cast<Milliseconds::rep>(this->state.randomness.next() % spread));
-}
-
-Milliseconds RequestCompletion::rateLimitedReturn(const ServiceId& service, Milliseconds untilNext, Instant now)
-{
-    // The limit may be over long before all callers that were refused would have had their turn.
-    constexpr Milliseconds longestQueue(5000);
-    const Duration interval = this->state.endpoints.rateLimits().intervalOf(service, now).value_or(Duration(0));
-    Instant& last = this->state.lastRateLimitedReturn[service];
-    last = std::clamp(last + interval, now + untilNext, now + std::max(untilNext, longestQueue));
-    return std::chrono::ceil<Milliseconds>(last - now);
+    return earliest + Milliseconds(static_cast<Milliseconds::rep>(this->state.randomness.next() % spread));
 }
 
 void RequestCompletion::refuseQuarantined(
@@ -95,7 +98,7 @@
 {
     const RequestId request = active.request.id;
     this->migrator.discard(active, now, actions);
-    this->state.waiting.erase(request);
+    this->state.waiting.remove(request);
     this->state.requests.erase(request);
 }
 
--- a/src/core/gateway/RequestCompletion.h
+++ b/src/core/gateway/RequestCompletion.h
@@ -43,12 +43,6 @@
     void cancelExchange(ActiveRequest& active, GatewayActions& actions);
     /** Ends a request with the failure that a stop is the reason for. */
     void failForStop(ActiveRequest& active, Instant now, GatewayActions& actions);
-    /**
-     * Gives callers that were refused because of rate limits their turns one after the other.
-     * @param untilNext time until the service takes the next request.
-     * @return the time after which the caller may come back.
-     */
-    Milliseconds rateLimitedReturn(const ServiceId& service, Milliseconds untilNext, Instant now);
     void remove(const ActiveRequest& active, Instant now, GatewayActions& actions);
     /** Learns from the output of a stream that was cut off. */
     void recordCutOutput(const ActiveRequest& active);
--- a/src/core/gateway/StreamForecast.cpp
+++ b/src/core/gateway/StreamForecast.cpp
@@ -40,6 +40,19 @@
         + timeOf(active.maxEvents, state.endpoints.longestEventInterval(service));
 }
 
+bool canEndInTime(const GatewayState& state, const ActiveRequest& active, Instant now)
+{
+    /** Measured intervals are averages; an engine with few runs is faster. */
+    constexpr int fastEngineDivisor = 2;
+    Duration needed = state.limits.minDeadline;
+    // A single length is an assumption without evidence.
+    if (isStream(active) && active.likelyOutput.size() > 1) {
+        const std::uint64_t events = active.likelyOutput.front() / active.service->engine->tokensPerEvent;
+        needed += timeOf(events, state.endpoints.shortestEventInterval(active.service->name) / fastEngineDivisor);
+    }
+    return active.deadline - now >= needed;
+}
+
 bool endsBeforeStop(const GatewayState& state, const ActiveRequest& active, Instant now)
 {
     return !state.stop || state.endsBeforeStop(now + expectedRemainingTime(state, active));
--- a/src/core/gateway/StreamForecast.h
+++ b/src/core/gateway/StreamForecast.h
@@ -20,6 +20,12 @@
  */
 bool mayStartInStop(const GatewayState& state, const ActiveRequest& active, Instant now);
 
+/**
+ * @return false if a request that is sent now would not end by its deadline even at the fastest engine, and with an
+ * output that all but one in thirty exceed.
+ */
+bool canEndInTime(const GatewayState& state, const ActiveRequest& active, Instant now);
+
 /** @return the time until a stream in progress is expected to end, at the pace of its engine. */
 Duration expectedRemainingTime(const GatewayState& state, const ActiveRequest& active);
 
