--- a/src/core/gateway/StreamForecast.cpp
+++ b/src/core/gateway/StreamForecast.cpp
@@ -19,10 +19,7 @@
 
 std::uint64_t expectedRemainingTokens(const ActiveRequest& active)
 {
-    const std::uint64_t expected = active.tokens - std::min(active.tokens, active.request.promptTokens);
-    const std::uint64_t produced = active.lastEventId * active.service->engine->tokensPerEvent;
-    // The remainder of a run beyond its expected length is unknown; assume half of what it produced so far.
-    return expected > produced ? expected - produced : produced / 2;
+    return expectedRemainder(active.likelyOutput, active.lastEventId * active.service->engine->tokensPerEvent);
 }
 
 std::uint64_t heldTokens(const ActiveRequest& active)
@@ -48,6 +45,19 @@
         + timeOf(active.maxEvents, state.endpoints.longestEventInterval(service));
 }
 
+bool canEndInTime(const GatewayState& state, const ActiveRequest& active, Instant now)
+{
+    /** Measured intervals are averages; an engine with few runs is faster. */
+    constexpr int fastEngineDivisor = 2;
+    Duration needed = state.limits.minDeadline;
+    // A single length is an assumption without evidence.
+    if (isStream(active) && active.likelyOutput.size() > 1) {
+        const std::uint64_t events = active.likelyOutput.front() / active.service->engine->tokensPerEvent;
+        needed += timeOf(events, state.endpoints.shortestEventInterval(active.service->name) / fastEngineDivisor);
+    }
+    return active.deadline - now >= needed;
+}
+
 bool endsBeforeStop(const GatewayState& state, const ActiveRequest& active, Instant now)
 {
     return !state.stop || state.endsBeforeStop(now + expectedRemainingTime(state, active));
--- a/src/ports/Telemetry.h
+++ b/src/ports/Telemetry.h
@@ -43,8 +43,9 @@
     Cancelled,
     RateLimited,
     CallerShed,
+    OutputLengthError,
 };
-constexpr std::size_t metricCount = 15;
+constexpr std::size_t metricCount = 16;
 
 /** One observed value of a metric; 1 for counters. */
 struct Observation {
