--- a/src/core/gateway/GossipComposer.cpp
+++ b/src/core/gateway/GossipComposer.cpp
@@ -20,9 +20,10 @@
     /** Encoded size of a roll-out without its counts. */
     constexpr std::size_t rolloutBytes = 56;
     constexpr std::size_t rolloutCountBytes = 24;
-    /** Interval at which the counts of a roll-out are repeated, at least and for each receiver. */
+    /** Interval at which the counts of a roll-out are repeated: for each receiver, and its bounds. */
+    constexpr Milliseconds rolloutIntervalPerReceiver(20);
     constexpr Milliseconds minRolloutInterval(400);
-    constexpr Milliseconds rolloutIntervalPerReceiver(12);
+    constexpr Milliseconds maxRolloutInterval(3600);
     constexpr std::size_t conditionBytes = 8;
     /** Interval at which gateways tell each other their demand for endpoints with a rate limit. */
     constexpr Milliseconds demandInterval(500);
@@ -56,7 +57,8 @@
 
 Milliseconds rolloutGossipInterval(std::size_t receiverCount)
 {
-    return std::max(minRolloutInterval, rolloutIntervalPerReceiver * static_cast<Milliseconds::rep>(receiverCount));
+    return std::clamp(rolloutIntervalPerReceiver * static_cast<Milliseconds::rep>(receiverCount), minRolloutInterval,
+        maxRolloutInterval);
 }
 
 void GossipComposer::refill(Instant now)
