Tell crashes at once although no usage changed

Cause: since short calls and ends of runs are told only along with other news, a call that broke its endpoint had ended again before it was told, so that no usage differed from the last message and the new suspect waited for other news. Change: a suspect with a new number of crashes, and an endpoint that newly refuses connections, are news by themselves.

--- a/src/core/gateway/GossipComposer.cpp
+++ b/src/core/gateway/GossipComposer.cpp
@@ -101,6 +101,18 @@
     });
 }
 
+bool GossipComposer::hasNewCrashes(const GossipContent& content) const
+{
+    const auto& suspects = content.suspects.suspects;
+    const auto& refusals = content.refusedConnections;
+    return std::any_of(suspects.begin(), suspects.end(), [&](const auto& suspect) {
+        const auto last = this->lastSuspects.find(suspect.fingerprint);
+        return last == this->lastSuspects.end() || last->second != suspect.deaths;
+    }) || std::any_of(refusals.begin(), refusals.end(), [&](const RefusedConnection& refusal) {
+        return !this->lastRefusals.contains(refusal.endpoint);
+    });
+}
+
 bool GossipComposer::hasNewRollouts(const GossipContent& content, Instant now) const
 {
     if (content.rollouts.empty())
@@ -181,6 +193,12 @@
             this->lastRollouts[report.rollout] = { report.signal, report.isRecorded };
     }
     message.conditions = selectConditions(content.conditions, message.usages);
+    this->lastSuspects.clear();
+    for (const auto& suspect : content.suspects.suspects)
+        this->lastSuspects[suspect.fingerprint] = suspect.deaths;
+    this->lastRefusals.clear();
+    for (const RefusedConnection& refusal : content.refusedConnections)
+        this->lastRefusals.insert(refusal.endpoint);
     this->lastRateLimits.clear();
     for (const RateLimitReport& report : content.rateLimits)
         this->lastRateLimits[report.endpoint] = report.requestsPerSecond;
@@ -231,7 +249,7 @@
         return std::nullopt;
     auto changed = this->changedUsages(content.usages);
     const bool hasNewFindings = tellsRollouts || this->hasNewReport(content.recentEvidence)
-        || this->hasNewRateLimits(content.rateLimits, now);
+        || this->hasNewRateLimits(content.rateLimits, now) || this->hasNewCrashes(content);
     if (!hasNewFindings && !this->isDue(content, changed))
         return std::nullopt;
     GossipMessage partial = this->makeMessage(content, std::move(changed), content.recentEvidence, tellsRollouts);
--- a/src/core/gateway/GossipComposer.h
+++ b/src/core/gateway/GossipComposer.h
@@ -90,6 +90,9 @@
     /** @return true if the rate limits differ from those of the last message, or their demand is due to be repeated. */
     bool hasNewRateLimits(const std::vector<RateLimitReport>& reports, Instant now) const;
 
+    /** @return true if a request became suspect of a crash, or an endpoint refused connections, since the last message.
+     */
+    bool hasNewCrashes(const GossipContent& content) const;
     /** @return true if a roll-out got further since the last message with roll-outs, or their counts are due. */
     bool hasNewRollouts(const GossipContent& content, Instant now) const;
 
@@ -103,6 +106,10 @@
     std::set<std::uint64_t> lastReports;
     /** Rate limits in the last message, by endpoint hash; unset where the endpoint has none. */
     std::unordered_map<std::uint32_t, std::optional<double>> lastRateLimits;
+    /** Suspects of crashes in the last message, and the number of crashes of each. */
+    std::map<Fingerprint, std::uint32_t> lastSuspects;
+    /** Endpoints that refused connections according to the last message, by hash. */
+    std::set<std::uint32_t> lastRefusals;
     /** How far the roll-outs had got in the last message with roll-outs, and whether the store held them. */
     std::map<std::uint64_t, std::pair<RolloutSignal, bool>> lastRollouts;
     std::optional<Instant> rolloutsSentAt;
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -216,11 +216,11 @@
     Instant signalledAt;
 };
 
-using GatewayEvent = std::variant<RequestArrived, RequestAbandoned, ResponseLost, RequestUnreadable, CallerShed,
-    ResponseReceived, ExchangeEnded, EventsRelayed, MigrationResponseReceived, ConfigurationRead, EndpointsListed,
-    EndpointsChanged, OutOfServiceZonesRead, StoreReadSucceeded, StoreReadFailed, MembersListed, GossipReceived,
-    StoreReadingReceived, LimitsChanged, GatewayStopRequested, RolloutOrdersRead, RolloutsRead, RolloutStored,
-    RolloutStoreFailed>;
+using GatewayEvent
+    = std::variant<RequestArrived, RequestAbandoned, ResponseLost, RequestUnreadable, CallerShed, ResponseReceived,
+        ExchangeEnded, EventsRelayed, MigrationResponseReceived, ConfigurationRead, EndpointsListed, EndpointsChanged,
+        OutOfServiceZonesRead, StoreReadSucceeded, StoreReadFailed, MembersListed, GossipReceived, StoreReadingReceived,
+        LimitsChanged, GatewayStopRequested, RolloutOrdersRead, RolloutsRead, RolloutStored, RolloutStoreFailed>;
 
 /** Point at which an endpoint resumes a stream that another endpoint started. */
 struct ResumePoint {
