--- a/test/support/LoadModel.cpp
+++ b/test/support/LoadModel.cpp
@@ -125,14 +125,10 @@
 
         void changeNoise()
         {
-            const auto period = (this->now - start) / noisePeriod;
             if ((this->now - start) % noisePeriod >= step)
                 return;
-            for (std::size_t index = 0; index < this->endpoints.size(); ++index) {
-                // Instances change their state at different times.
-                if (period >= 0)
-                    this->endpoints[index].noise = this->uniform() < noiseShare ? noiseFactor : 1;
-            }
+            for (ModelEndpoint& endpoint : this->endpoints)
+                endpoint.noise = this->uniform() < noiseShare ? noiseFactor : 1;
         }
 
         Duration meanWork() const { return this->parameters.isEngine ? promptTime : callTime; }
@@ -148,9 +144,12 @@
             const double shape = isBurst ? 1.6 : 0.8;
             const double expected = capacity * this->parameters.utilization * shape * (step / Duration(1))
                 / static_cast<double>(this->meanWork().count());
-            double left = std::exp(-expected);
-            for (double product = this->uniform(); product > left; product *= this->uniform())
+            const double left = std::exp(-expected);
+            double product = this->uniform();
+            while (product > left) {
                 this->send(this->randomness.next() % this->gateways.size());
+                product *= this->uniform();
+            }
         }
 
         GatewayEndpoint* choose(ModelGateway& gateway)
