Capture no structured binding in the records' lookup

Cause: clang refuses a lambda that refers to a structured binding, so lint failed on RolloutTracker.cpp. Change: the loop names its entry.

--- a/src/core/gateway/RolloutTracker.cpp
+++ b/src/core/gateway/RolloutTracker.cpp
@@ -135,9 +135,10 @@
 void RolloutTracker::rolloutsRead(const RolloutsRead& event, Instant now, GatewayActions& actions)
 {
     this->storeClock = { event.storeTime, now };
-    for (auto& [service, rollout] : this->rollouts) {
+    for (auto& entry : this->rollouts) {
+        Rollout& rollout = entry.second;
         const auto found = std::find_if(event.rollouts.begin(), event.rollouts.end(),
-            [&](const StoredRollout& stored) { return stored.record.service == service; });
+            [&](const StoredRollout& stored) { return stored.record.service == entry.first; });
         const StoredRollout* stored = found == event.rollouts.end() ? nullptr : &*found;
         rollout.nextWriteAt = now;
         if (rollout.phase == RolloutPhase::Loading)
