Order waiting requests by a comparison that the linter takes

Cause: clang-tidy takes the zero in a defaulted three-way comparison for a null pointer, and did not see that a group has a team. Change: operator< over the same fields in the same order; the first request is an optional.

--- a/src/core/gateway/WaitingRequests.cpp
+++ b/src/core/gateway/WaitingRequests.cpp
@@ -104,17 +104,17 @@
         return std::nullopt;
     Group& group = found->second;
     PriorityQueue& queue = group.priorities.at(priorityInTurn(group));
-    const TeamQueue* first = nullptr;
+    std::optional<RequestId> first;
     std::tuple<double, bool, Rank> firstRank;
     for (auto& [team, waiting] : queue.teams) {
         this->separateLate(waiting, now);
         const std::tuple rank { startTag(group, team), waiting.inTime.empty(), waiting.front() };
         if (first && !(rank < firstRank))
             continue;
-        first = &waiting;
+        first = waiting.front().id;
         firstRank = rank;
     }
-    return first->front().id;
+    return first;
 }
 
 std::vector<RequestId> WaitingRequests::expired(Instant now) const
--- a/src/core/gateway/WaitingRequests.h
+++ b/src/core/gateway/WaitingRequests.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <vector>
 
 namespace teaselfold {
@@ -15,7 +16,10 @@
     /** Endpoints that have been tried. */
     std::set<EndpointId> excluded;
 
-    auto operator<=>(const WaitingGroup&) const = default;
+    bool operator<(const WaitingGroup& other) const
+    {
+        return std::tie(this->service, this->excluded) < std::tie(other.service, other.excluded);
+    }
 };
 
 /** A request that waits for an endpoint. */
@@ -69,7 +73,10 @@
         Instant time;
         RequestId id;
 
-        auto operator<=>(const Rank&) const = default;
+        bool operator<(const Rank& other) const
+        {
+            return std::tie(this->isNew, this->time, this->id) < std::tie(other.isNew, other.time, other.id);
+        }
     };
     struct TeamQueue {
         std::set<Rank> inTime;
