Stop a run whose connection broke before it goes on elsewhere

Cause: only streams that the gateway itself gave up were stopped first. A connection that the engine ended or reset counted as the end of its run. The record of the case shows no call to the first engine between exchange_broken and resumed, which rules out a stop that came too late and a replica used beside a move.

Change: a broken connection leaves an UnstoppedRun too. The stream goes on once its engine has stopped the run, does not know it, or refuses connections; before the first event, "does not know it" does not count. A run that was being stopped when its connection broke is asked again if that call failed. Engines that move no runs are asked as well, but only a refused connection counts.

Tests that broke a connection to mean the end of an engine now say so: the engine refuses the call (GatewayScenario::loseEngine), or answers that it knows no such run. Their other expectations are unchanged.

--- a/src/core/gateway/ActiveRequest.h
+++ b/src/core/gateway/ActiveRequest.h
@@ -89,13 +89,15 @@
     std::optional<Instant> nextTryAt;
 };
 
-/** A run whose stream the gateway gave up, while its engine may still work on it. */
+/** A run whose connection was lost, while its engine may still work on it. */
 struct UnstoppedRun {
     ExchangeId exchange;
     EndpointId endpoint;
     Address address;
     ZoneId zone;
     bool hasBegun { false };
+    /** How its connection was lost. */
+    ExchangeEnd end { ExchangeEnd::Broken };
     /** The engine was asked to stop the run. */
     bool wasAsked { false };
 };
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -271,8 +271,8 @@
         this->crashes.streamClosed(*active, *exchange, now, actions);
     if (event.end == ExchangeEnd::Complete)
         return this->completion.complete(*active, now, actions);
-    if (event.end == ExchangeEnd::Spoiled)
-        StreamMigrator::streamSpoiled(*active, event.exchange, *exchange);
+    if (event.end == ExchangeEnd::Spoiled || event.end == ExchangeEnd::Broken)
+        StreamMigrator::connectionLost(*active, event.exchange, *exchange, event.end);
     if (event.end == ExchangeEnd::Closed || StreamMigrator::mayBeStopped(*active))
         return this->streamClosed(*active, event.end, now, actions);
     if (event.end == ExchangeEnd::NotConnected)
@@ -328,8 +328,13 @@
 
 bool ExchangeDispatcher::tryFailover(ActiveRequest& active, Instant now, GatewayActions& actions)
 {
-    if (active.unstoppedRun)
-        return StreamMigrator::isAwaitingAnswer(active) || this->migrator.stopSpoiledRun(active, now, actions);
+    if (active.unstoppedRun) {
+        if (StreamMigrator::isAwaitingAnswer(active) || this->migrator.stopRun(active, now, actions))
+            return true;
+        const EndpointId holder = active.replicaEngine.value_or(active.unstoppedRun->endpoint);
+        actions.emplace_back(this->notResumedLogEvent(active, holder, "its run may not have ended", now));
+        return false;
+    }
     if (auto run = StreamMigrator::takeStoppedRun(active)) {
         active.stoppedRun = std::move(run);
         return this->resumeStoppedRun(active, now, actions);
@@ -392,16 +397,23 @@
     return false;
 }
 
+LogEvent ExchangeDispatcher::notResumedLogEvent(
+    const ActiveRequest& active, const EndpointId& endpoint, const std::string& reason, Instant now) const
+{
+    auto line = Internal::requestLogEvent("not_resumed", active, now);
+    line.fields.push_back({ "endpoint", endpoint.get() });
+    line.fields.push_back({ "endpoint_state", std::string(this->state.endpoints.stateName(endpoint, now)) });
+    line.fields.push_back({ "reason", reason });
+    return line;
+}
+
 bool ExchangeDispatcher::resume(ActiveRequest& active, const EndpointId& endpoint, const ResumePoint& point,
     const std::string& refusal, Instant now, GatewayActions& actions)
 {
     const bool isSuspect = !this->crashes.mayResume(active, now);
     if (!refusal.empty() || isSuspect) {
-        auto line = Internal::requestLogEvent("not_resumed", active, now);
-        line.fields.push_back({ "endpoint", endpoint.get() });
-        line.fields.push_back({ "endpoint_state", std::string(this->state.endpoints.stateName(endpoint, now)) });
-        line.fields.push_back({ "reason", refusal.empty() ? "suspected of crashes" : refusal });
-        actions.emplace_back(std::move(line));
+        actions.emplace_back(
+            this->notResumedLogEvent(active, endpoint, refusal.empty() ? "suspected of crashes" : refusal, now));
         return false;
     }
     this->startExchange(active, *this->state.endpoints.find(endpoint), point, now, actions);
--- a/src/core/gateway/StreamMigrator.cpp
+++ b/src/core/gateway/StreamMigrator.cpp
@@ -205,8 +205,7 @@
     const bool copied = event.outcome == MigrationOutcome::Copied;
     if (migration.phase == MigrationPhase::Finishing)
         migration.isStopped = copied || event.outcome == MigrationOutcome::NoRoom;
-    if (migration.isStopped || event.outcome == MigrationOutcome::NoSuchRun
-        || event.outcome == MigrationOutcome::Unreachable)
+    if (active.unstoppedRun && (migration.isStopped || hasEnded(active, event.outcome)))
         active.unstoppedRun.reset();
     if (copied) {
         migration.copy = event.handle;
@@ -303,15 +302,24 @@
         active.migration->streamEnd = end;
 }
 
-void StreamMigrator::streamSpoiled(ActiveRequest& active, ExchangeId id, const Exchange& exchange)
+void StreamMigrator::connectionLost(ActiveRequest& active, ExchangeId id, const Exchange& exchange, ExchangeEnd end)
 {
     // A stopped run goes on from its copy, which can be used once, and nowhere else once an engine may have used it.
     if (!active.stoppedRun && !(active.migration && active.migration->isStopped))
         active.unstoppedRun = UnstoppedRun { id, exchange.endpoint, exchange.address, exchange.zone,
-            exchange.lastEventAt.has_value(), false };
+            exchange.lastEventAt.has_value(), end, false };
 }
 
-const GatewayEndpoint* StreamMigrator::targetOfSpoiledRun(const ActiveRequest& active, Instant now) const
+bool StreamMigrator::hasEnded(const ActiveRequest& active, MigrationOutcome outcome)
+{
+    if (outcome == MigrationOutcome::Unreachable)
+        return true;
+    // An engine knows no run that waits for its first event, and may begin it later.
+    return outcome == MigrationOutcome::NoSuchRun && active.unstoppedRun->hasBegun
+        && active.service->engine->canMigrate;
+}
+
+const GatewayEndpoint* StreamMigrator::targetOfUnstoppedRun(const ActiveRequest& active, Instant now) const
 {
     const UnstoppedRun& run = *active.unstoppedRun;
     if (active.replicaEngine && this->state.endpoints.acceptsRequests(*active.replicaEngine))
@@ -319,16 +327,27 @@
     return chooseCopyTarget(this->state, active, { run.zone, { run.endpoint }, {} }, now);
 }
 
-bool StreamMigrator::stopSpoiledRun(ActiveRequest& active, Instant now, GatewayActions& actions)
+bool StreamMigrator::canStop(const ActiveRequest& active, Instant now) const
 {
-    UnstoppedRun& run = *active.unstoppedRun;
-    // An engine knows no run that waits for its first event, and may begin it later.
-    const bool canStop = run.hasBegun && active.service->engine && active.service->engine->canMigrate;
-    if (run.wasAsked || !canStop || !this->state.endpoints.rateLimits().allows(run.endpoint, 0, now))
+    const UnstoppedRun& run = *active.unstoppedRun;
+    const auto& engine = active.service->engine;
+    if (run.wasAsked || !engine || !this->crashes.mayResume(active, now)
+        || !this->state.endpoints.rateLimits().allows(run.endpoint, 0, now))
+        return false;
+    if (run.end == ExchangeEnd::Spoiled)
+        return engine->canMigrate && run.hasBegun;
+    // An engine that moves no runs stops none, but a refused connection shows that it has ended.
+    return engine->canMigrate || active.replicaEngine;
+}
+
+bool StreamMigrator::stopRun(ActiveRequest& active, Instant now, GatewayActions& actions)
+{
+    if (!this->canStop(active, now))
         return false;
+    UnstoppedRun& run = *active.unstoppedRun;
     run.wasAsked = true;
     if (!active.migration) {
-        const GatewayEndpoint* target = this->targetOfSpoiledRun(active, now);
+        const GatewayEndpoint* target = this->targetOfUnstoppedRun(active, now);
         if (!target)
             return false;
         active.migration.emplace();
@@ -341,7 +360,7 @@
     migration.exchange = run.exchange;
     migration.source = run.endpoint;
     migration.sourceAddress = run.address;
-    migration.streamEnd = ExchangeEnd::Spoiled;
+    migration.streamEnd = run.end;
     this->state.endpoints.addCopy(migration.target, migration.tokens);
     this->requestByExchange[run.exchange] = active.request.id;
     this->sendCopyCall(active, now, actions);
--- a/src/core/gateway/StreamMigrator.h
+++ b/src/core/gateway/StreamMigrator.h
@@ -37,10 +37,13 @@
     void exchangeBroke(const Exchange& exchange, const ServiceId& service, Instant now);
     /** Keeps the copies from which a run may go on whose engine ended. */
     void keepCopies(ActiveRequest& active);
-    /** Handles a stream that the gateway gave up, so that its run has to be stopped before it goes on elsewhere. */
-    static void streamSpoiled(ActiveRequest& active, ExchangeId id, const Exchange& exchange);
-    /** Asks the engine of a stream that the gateway gave up to stop the run. @return false if it cannot be asked. */
-    bool stopSpoiledRun(ActiveRequest& active, Instant now, GatewayActions& actions);
+    /**
+     * Handles a stream whose connection broke or was given up. Its engine may still work on the run, which therefore
+     * has to be stopped before it goes on elsewhere.
+     */
+    static void connectionLost(ActiveRequest& active, ExchangeId id, const Exchange& exchange, ExchangeEnd end);
+    /** Asks the engine of a lost connection to stop the run. @return false if it cannot be asked. */
+    bool stopRun(ActiveRequest& active, Instant now, GatewayActions& actions);
     /** @return true if the engine may have stopped the run for a migration, so that its stream ends early. */
     static bool mayBeStopped(const ActiveRequest& active);
     /** @return true if the stream ended with its connection, and its engine has stated that it did not stop the run. */
@@ -90,8 +93,12 @@
     /** Sends the copy call of the migration's phase. */
     void sendCopyCall(ActiveRequest& active, Instant now, GatewayActions& actions);
     bool isWorthMigrating(const ActiveRequest& active, Instant now) const;
-    /** @return the engine that gets the rest of a run whose stream was spoiled; null if there is none. */
-    const GatewayEndpoint* targetOfSpoiledRun(const ActiveRequest& active, Instant now) const;
+    /** @return the engine that gets the rest of a run whose connection was lost; null if there is none. */
+    const GatewayEndpoint* targetOfUnstoppedRun(const ActiveRequest& active, Instant now) const;
+    /** @return false if the run's engine cannot be asked to stop it, or the run could not go on afterwards. */
+    bool canStop(const ActiveRequest& active, Instant now) const;
+    /** @return true if the response to a call that stops the run shows that its engine no longer works on it. */
+    static bool hasEnded(const ActiveRequest& active, MigrationOutcome outcome);
     /** @return true if the stream could resume at the target if its run were stopped now. */
     bool canResumeAtTarget(const ActiveRequest& active, Instant now) const;
     /** Gives up the target for a run that goes on at its source, and looks for another one. A copy is kept until then.
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -129,7 +129,7 @@
     Closed,
     /** No connection could be established, so nothing was sent. */
     NotConnected,
-    /** The endpoint ended or reset the connection. */
+    /** The endpoint ended or reset the connection. It may still work on the request. */
     Broken,
     /** The gateway closed the connection, since it got no valid response. The endpoint may still work on the request.
      */
--- a/test/process/lib/prepared_platform.py
+++ b/test/process/lib/prepared_platform.py
@@ -223,6 +223,8 @@
 
     def answer(self):
         body = self.body()
+        if self.path == "/v1/kv-move":  # no run outlives its connection here
+            return self.reply(404)
         if self.headers["X-Teaselfold-Target-Instance"] != self.owner.name:
             return self.reply(421, headers=[("X-Teaselfold-Instance-Id", self.owner.name)])
         self.owner.ran.append((self.command, self.path, body, dict(self.headers)))
--- a/test/support/EngineFleet.cpp
+++ b/test/support/EngineFleet.cpp
@@ -149,6 +149,8 @@
     for (const GatewayAction& action : actions) {
         if (const auto* started = std::get_if<StartExchange>(&action))
             this->startRun(node, started->parameters);
+        else if (const auto* call = std::get_if<StartMigration>(&action))
+            this->answerStopCall(node, *call);
         else if (const auto* gossip = std::get_if<SendGossip>(&action))
             this->sendDatagrams(*gossip);
         else if (const auto* refused = std::get_if<RefuseRequest>(&action))
@@ -176,6 +178,18 @@
         { node, parameters.exchange, request, parameters.endpoint, this->time + prefill, lastEvent, events });
 }
 
+void EngineFleet::answerStopCall(std::size_t node, const StartMigration& call)
+{
+    if (!call.stopsSource)
+        return;
+    const auto source = std::find_if(this->engines.begin(), this->engines.end(),
+        [&](const auto& entry) { return entry.second.record.address == call.source; });
+    const bool isDown = source->second.backAt > this->time;
+    this->handle(node,
+        MigrationResponseReceived {
+            call.exchange, isDown ? MigrationOutcome::Unreachable : MigrationOutcome::NoSuchRun, {} });
+}
+
 void EngineFleet::sendDatagrams(const SendGossip& gossip)
 {
     const GossipMessage message = decodeGossip(encodeGossip(gossip.gossip)).value();
--- a/test/support/EngineFleet.h
+++ b/test/support/EngineFleet.h
@@ -139,6 +139,8 @@
     void sendRequest(std::size_t node, Fingerprint fingerprint, const std::vector<PromptPartId>& parts);
     /** @return a gateway that is not suspended. */
     std::size_t randomGateway();
+    /** Answers a call that stops a run whose connection broke: no engine runs it any more. */
+    void answerStopCall(std::size_t node, const StartMigration& call);
     void sendDatagrams(const SendGossip& gossip);
     void step();
     void advanceRun(std::size_t run);
--- a/test/support/GatewayScenario.cpp
+++ b/test/support/GatewayScenario.cpp
@@ -182,6 +182,13 @@
 
 void GatewayScenario::endExchange(ExchangeEnd end) { this->handle(ExchangeEnded { this->parameters->exchange, end }); }
 
+void GatewayScenario::loseEngine()
+{
+    const ExchangeId exchange = this->parameters->exchange;
+    this->handle(ExchangeEnded { exchange, ExchangeEnd::Broken });
+    this->handle(MigrationResponseReceived { exchange, MigrationOutcome::Unreachable, {} });
+}
+
 void GatewayScenario::record(GatewayActions newActions)
 {
     for (GatewayAction& action : newActions) {
--- a/test/support/GatewayScenario.h
+++ b/test/support/GatewayScenario.h
@@ -43,6 +43,8 @@
     void respond(ResponseSummary summary);
     /** Ends the last started exchange. */
     void endExchange(ExchangeEnd end);
+    /** Ends the engine of the last started exchange: the connection breaks, and the engine refuses further ones. */
+    void loseEngine();
 
     /** @return the last recorded action of the type, if any. */
     template <typename Action> std::optional<Action> lastAction()
