End an exchange at an unrequested switch of protocols

What callers saw: an endpoint that answered 101 and then sent nothing cost its caller the whole deadline, after which the gateway answered 504.

Cause: every status below 200 counted as an interim response, after which the gateway waited for the final one. It asks for no other protocol, since it removes Upgrade, and after 101 no response of HTTP/1.1 follows.

Change: 101 ends the exchange as one whose connection the gateway gives up: the caller gets 502 at once, or an idempotent request goes on elsewhere.

--- a/src/adapters/traffic/EndpointConnections.cpp
+++ b/src/adapters/traffic/EndpointConnections.cpp
@@ -1,5 +1,7 @@
 #include "adapters/traffic/EndpointConnections.h"
 
+#include "ports/HttpStatus.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -23,7 +25,7 @@
     constexpr Milliseconds keepAliveMargin(500);
     /** Longest time for copying a run's KV cache; a terminating engine is gone by then. */
     constexpr Milliseconds migrationTimeout(3000);
-    constexpr std::uint16_t firstFinalStatus = 200;
+    constexpr std::uint16_t switchingProtocols = 101;
     constexpr std::uint16_t firstRedirectionStatus = 300;
 
     /** @return the time for which an idle connection may be pooled; zero when it must not be reused. */
@@ -169,8 +171,10 @@
     }
     auto& parsed = *std::get_if<ParsedHead<ResponseHead>>(&read);
     channel.inbound.erase(0, parsed.bytes);
-    if (parsed.head.status < firstFinalStatus) {
-        const bool isAllowed = ++channel.discardedHeads <= maxDiscardedHeads;
+    if (!isFinalHttpStatus(parsed.head.status)) {
+        // No request asks for another protocol, and what follows is in one.
+        const bool isAllowed
+            = parsed.head.status != switchingProtocols && ++channel.discardedHeads <= maxDiscardedHeads;
         if (!isAllowed)
             this->fail(connection, ExchangeEnd::Spoiled);
         return isAllowed;
