Take only promised refusals of an engine for refusals

An engine that answered a start with 500, 502, 504, 204 or a redirection counted as one that refused it: the generation was reported as not run and started at another engine, although the first one may have run it.

Cause: every status but 200 became EngineRefused, "none of it was executed", while the engine's interface promises that for a refusal only. Found while the paths of odd statuses were read.

Change: 4xx and 503 refuse a start. Any other status loses the stream, so that the agent asks the engine for the generation before it goes on.

--- a/src/adapters/engine/EngineClient.cpp
+++ b/src/adapters/engine/EngineClient.cpp
@@ -33,6 +33,15 @@
     /** Time for the commands that are queued at a stop; a cancel that the engine misses costs it only a vain run. */
     constexpr Milliseconds queuedCommandsTime(300);
 
+    /** @return true if the status promises that a start was not executed; another error may follow a run. */
+    bool isRefusal(int status)
+    {
+        constexpr int firstClientError = 400;
+        constexpr int firstServerError = 500;
+        constexpr int serviceUnavailable = 503;
+        return (status >= firstClientError && status < firstServerError) || status == serviceUnavailable;
+    }
+
     std::string streamPath(GenerationId generation)
     {
         return completionsPath + "/" + Internal::requestIdOf(generation);
@@ -183,7 +192,7 @@
         this->receiveLines(job, stream);
         return;
     }
-    if (std::holds_alternative<EngineStart>(job.command))
+    if (std::holds_alternative<EngineStart>(job.command) && isRefusal(status))
         this->emitIfCurrent(job, EngineRefused { job.generation, "status " + std::to_string(status) });
     else if (status == statusNotFound)
         this->emitIfCurrent(job, EngineGenerationNotFound { job.generation });
