Give up the largest responses when all together buffer too much

Incomplete events of streams, up to 1 MB each, were counted nowhere.

Cause: bounds stood on single answers, and the sum of them was an account of callers only.

Change: ResponseBudget (core, no network) bounds what is buffered of endpoints' responses to half of the callers' memory. Beyond it the largest one is given up, logged as response_shed and counted; a single response is always read. What a given-up response took is given back to its caller's account.

--- a/src/adapters/metrics/MetricStore.cpp
+++ b/src/adapters/metrics/MetricStore.cpp
@@ -48,6 +48,8 @@
             "Requests refused because every endpoint had reached the rate that it takes." },
         MetricRow { Metric::CallerShed, "callers_shed_total", MetricKind::Counter,
             "Callers' connections closed and bodies refused to save memory or connections, by reason." },
+        MetricRow { Metric::ResponseShed, "responses_shed_total", MetricKind::Counter,
+            "Responses of endpoints given up since all together took too much memory." },
         MetricRow { Metric::OutputLengthError, "output_length_error_tokens", MetricKind::LengthHistogram,
             "Tokens by which finished streams differ from the length expected on their arrival." },
     };
--- a/src/adapters/traffic/EndpointConnections.cpp
+++ b/src/adapters/traffic/EndpointConnections.cpp
@@ -146,18 +146,32 @@
         return this->discard(connection);
     channel.inbound.append(bytes);
     while (this->processInbound(connection, channel)) { }
-    this->reportBuffered(connection);
+    this->recordBuffered(connection);
+    this->keepWithinMemory();
 }
 
-void EndpointConnections::reportBuffered(ConnectionId connection)
+void EndpointConnections::recordBuffered(ConnectionId connection)
 {
     const auto found = this->channels.find(connection);
-    if (found == this->channels.end() || found->second.phase != Phase::Busy || found->second.migration)
+    if (found == this->channels.end() || found->second.phase != Phase::Busy)
         return;
-    const Channel& channel = found->second;
-    const std::size_t bytes = channel.inbound.size() + channel.body.size();
-    if (bytes >= noticeableBufferBytes)
+    Channel& channel = found->second;
+    const std::size_t bytes
+        = channel.inbound.size() + channel.body.size() + (channel.events ? channel.events->pendingBytes() : 0);
+    this->budget.record(connection, bytes);
+    const bool isNoticeable = bytes >= noticeableBufferBytes;
+    if (!channel.migration && (isNoticeable || channel.isCharged))
         this->callers.setBufferedResponse(channel.parameters.request, bytes);
+    channel.isCharged = isNoticeable;
+}
+
+void EndpointConnections::keepWithinMemory()
+{
+    while (const auto connection = this->budget.excess()) {
+        const std::size_t heldBytes = this->budget.heldBytes();
+        this->context.events.emplace_back(ResponseShed { this->channels.at(*connection).endpoint, heldBytes });
+        this->fail(*connection, ExchangeEnd::Spoiled);
+    }
 }
 
 bool EndpointConnections::readHead(ConnectionId connection, Channel& channel)
@@ -339,6 +353,7 @@
         && pool.size() < maxIdlePerEndpoint;
     if (!keep)
         return this->discard(connection);
+    this->budget.closed(connection);
     Channel pooled;
     pooled.phase = Phase::Idle;
     pooled.endpoint = channel.endpoint;
@@ -362,6 +377,9 @@
         return;
     const Channel& channel = found->second;
     this->idleConnections[channel.endpoint].erase(connection);
+    this->budget.closed(connection);
+    if (channel.isCharged)
+        this->callers.setBufferedResponse(channel.parameters.request, 0);
     const auto exchange = this->connectionsByExchange.find(channel.parameters.exchange);
     if (exchange != this->connectionsByExchange.end() && exchange->second == connection)
         this->connectionsByExchange.erase(exchange);
--- a/src/adapters/traffic/EndpointConnections.h
+++ b/src/adapters/traffic/EndpointConnections.h
@@ -3,6 +3,7 @@
 #include "adapters/traffic/BodyDecoder.h"
 #include "adapters/traffic/CallerConnections.h"
 #include "adapters/traffic/EventStreamFilter.h"
+#include "core/gateway/ResponseBudget.h"
 
 #include <map>
 #include <set>
@@ -12,10 +13,13 @@
 /** Manages pooled connections to endpoints: sends requests and reads the responses, one at a time per connection. */
 class EndpointConnections {
 public:
-    EndpointConnections(TrafficContext& context, CallerConnections& callers, Milliseconds connectTimeout)
+    /** @param responseMemory bytes that all responses together may buffer before callers can have them. */
+    EndpointConnections(
+        TrafficContext& context, CallerConnections& callers, Milliseconds connectTimeout, std::size_t responseMemory)
         : context(context)
         , callers(callers)
         , connectTimeout(connectTimeout)
+        , budget(responseMemory)
     {
     }
 
@@ -70,6 +74,8 @@
         bool isRelaying { false };
         bool isReusable { true };
         std::optional<EventStreamFilter> events;
+        /** The response counts as memory held for its caller. */
+        bool isCharged { false };
     };
 
     ConnectionId acquireConnection(const EndpointId& endpoint, const Address& address);
@@ -81,8 +87,10 @@
     void handleResponseHead(ConnectionId connection, Channel& channel);
     /** @return true when a stale response was discarded, so that the next one can be read. */
     bool handleResponseEnd(ConnectionId connection, Channel& channel);
-    /** Reports the memory that the response takes before it is relayed. */
-    void reportBuffered(ConnectionId connection);
+    /** Records the memory that the response takes before it is relayed, and charges its caller with it. */
+    void recordBuffered(ConnectionId connection);
+    /** Gives up the responses that buffer most while all together buffer too much. */
+    void keepWithinMemory();
     void forwardEvents(ConnectionId connection, Channel& channel);
     /** Fails migrations without a timely response; their outcome at the engine stays unknown. */
     void failExpiredMigrations();
@@ -97,6 +105,7 @@
     TrafficContext& context;
     CallerConnections& callers;
     Milliseconds connectTimeout;
+    ResponseBudget budget;
     std::map<ConnectionId, Channel> channels;
     std::map<ExchangeId, ConnectionId> connectionsByExchange;
     std::map<EndpointId, std::set<ConnectionId>> idleConnections;
--- a/src/adapters/traffic/EventStreamFilter.h
+++ b/src/adapters/traffic/EventStreamFilter.h
@@ -28,6 +28,8 @@
     bool hasEvents() const { return this->returnedData; }
     /** @return true when an incomplete event is buffered. */
     bool hasPartialEvent() const { return !this->pending.empty(); }
+    /** @return the size of the incomplete event that is buffered. */
+    std::size_t pendingBytes() const { return this->pending.size(); }
 
 private:
     /** Limit on an incomplete event together with the comments and repeated events before it. */
--- a/src/adapters/traffic/TrafficServer.cpp
+++ b/src/adapters/traffic/TrafficServer.cpp
@@ -7,6 +7,8 @@
 namespace {
 
     constexpr std::size_t inboxCapacity = 1024;
+    /** Responses that callers cannot have yet take at most this part of the callers' memory. */
+    constexpr std::size_t responsesPart = 2;
     constexpr std::size_t callerListener = 1;
 
     SocketLoopOptions loopOptions(const TrafficOptions& traffic)
@@ -42,7 +44,8 @@
     , loop(loopOptions(this->options))
     , context { this->loop, this->dependencies.codec, this->events, this->now }
     , callers(this->context, this->options.callerLimits)
-    , endpoints(this->context, this->callers, this->options.connectTimeout)
+    , endpoints(this->context, this->callers, this->options.connectTimeout,
+          this->options.callerLimits.memoryBytes / responsesPart)
     , status(this->context,
           { [this] { return this->dependencies.gateway.isReady(this->now); }, this->dependencies.metrics })
 {
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -34,7 +34,7 @@
     {
         static const HandlerTable<Gateway, void, GatewayEvent, Instant, GatewayActions&> table(&Gateway::requestArrived,
             &Gateway::requestAbandoned, &Gateway::responseLost, &Gateway::requestUnreadable, &Gateway::callerShed,
-            &Gateway::responseReceived, &Gateway::exchangeEnded, &Gateway::eventsRelayed,
+            &Gateway::responseShed, &Gateway::responseReceived, &Gateway::exchangeEnded, &Gateway::eventsRelayed,
             &Gateway::migrationResponseReceived, &Gateway::configurationRead, &Gateway::endpointsListed,
             &Gateway::endpointsChanged, &Gateway::outOfServiceZonesRead, &Gateway::storeReadSucceeded,
             &Gateway::storeReadFailed, &Gateway::membersListed, &Gateway::gossipReceived,
@@ -164,6 +164,13 @@
     actions.emplace_back(Observation { Metric::CallerShed, {}, PriorityClass::Standard, 1, event.reason });
 }
 
+void Gateway::responseShed(const ResponseShed& event, Instant, GatewayActions& actions)
+{
+    actions.emplace_back(LogEvent {
+        "response_shed", { { "endpoint", event.endpoint.get() }, { "held_bytes", std::to_string(event.heldBytes) } } });
+    actions.emplace_back(Observation { Metric::ResponseShed, {}, PriorityClass::Standard, 1, {} });
+}
+
 void Gateway::responseReceived(const ResponseReceived& event, Instant now, GatewayActions& actions)
 {
     this->exchanges.responseReceived(event, now, actions);
--- a/src/core/gateway/Gateway.h
+++ b/src/core/gateway/Gateway.h
@@ -53,6 +53,7 @@
     void responseLost(const ResponseLost& event, Instant now, GatewayActions& actions);
     void requestUnreadable(const RequestUnreadable& event, Instant now, GatewayActions& actions);
     void callerShed(const CallerShed& event, Instant now, GatewayActions& actions);
+    void responseShed(const ResponseShed& event, Instant now, GatewayActions& actions);
     void responseReceived(const ResponseReceived& event, Instant now, GatewayActions& actions);
     void exchangeEnded(const ExchangeEnded& event, Instant now, GatewayActions& actions);
     void eventsRelayed(const EventsRelayed& event, Instant now, GatewayActions& actions);
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -79,6 +79,13 @@
     std::size_t unsentBytes { 0 };
 };
 
+/** A response was given up because all responses together buffered more than the process can spare. */
+struct ResponseShed {
+    EndpointId endpoint;
+    /** Bytes that were buffered of all responses. */
+    std::size_t heldBytes { 0 };
+};
+
 /** Load that an endpoint reports along with a response. */
 struct ReportedLoad {
     std::uint32_t running { 0 };
@@ -216,11 +223,11 @@
     Instant signalledAt;
 };
 
-using GatewayEvent
-    = std::variant<RequestArrived, RequestAbandoned, ResponseLost, RequestUnreadable, CallerShed, ResponseReceived,
-        ExchangeEnded, EventsRelayed, MigrationResponseReceived, ConfigurationRead, EndpointsListed, EndpointsChanged,
-        OutOfServiceZonesRead, StoreReadSucceeded, StoreReadFailed, MembersListed, GossipReceived, StoreReadingReceived,
-        LimitsChanged, GatewayStopRequested, RolloutOrdersRead, RolloutsRead, RolloutStored, RolloutStoreFailed>;
+using GatewayEvent = std::variant<RequestArrived, RequestAbandoned, ResponseLost, RequestUnreadable, CallerShed,
+    ResponseShed, ResponseReceived, ExchangeEnded, EventsRelayed, MigrationResponseReceived, ConfigurationRead,
+    EndpointsListed, EndpointsChanged, OutOfServiceZonesRead, StoreReadSucceeded, StoreReadFailed, MembersListed,
+    GossipReceived, StoreReadingReceived, LimitsChanged, GatewayStopRequested, RolloutOrdersRead, RolloutsRead,
+    RolloutStored, RolloutStoreFailed>;
 
 /** Point at which an endpoint resumes a stream that another endpoint started. */
 struct ResumePoint {
--- a/src/ports/Telemetry.h
+++ b/src/ports/Telemetry.h
@@ -43,9 +43,10 @@
     Cancelled,
     RateLimited,
     CallerShed,
+    ResponseShed,
     OutputLengthError,
 };
-constexpr std::size_t metricCount = 16;
+constexpr std::size_t metricCount = 17;
 
 /** One observed value of a metric; 1 for counters. */
 struct Observation {
--- a/test/support/TrafficHarness.cpp
+++ b/test/support/TrafficHarness.cpp
@@ -7,6 +7,8 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 
+#include <algorithm>
+
 namespace teaselfold {
 
 namespace {
@@ -67,6 +69,13 @@
     return value;
 }
 
+std::size_t TrafficHarness::loggedCount(const std::string& event) const
+{
+    const auto events = this->telemetry.recorded();
+    return static_cast<std::size_t>(
+        std::count_if(events.begin(), events.end(), [&](const LogEvent& logged) { return logged.name == event; }));
+}
+
 void TrafficHarness::changeEndpoint(const EndpointRecord& endpoint)
 {
     this->server->ring().push(EndpointsChanged { { endpoint }, {} });
--- a/test/support/TrafficHarness.h
+++ b/test/support/TrafficHarness.h
@@ -42,6 +42,8 @@
     /** @return everything up to the end of the connection. */
     static std::string readUntilClosed(Poco::Net::StreamSocket& socket);
 
+    /** @return the number of log events of the name. */
+    std::size_t loggedCount(const std::string& event) const;
     /** @return the field of the last log event of the name; empty if there is none. */
     std::string loggedField(const std::string& event, const std::string& key) const;
 
