Bound the answer to a call that moves a run by what it holds

An engine in trouble could answer a call that moves or stops a run with 8 MB, the bound of a response body, and each lost stream makes such a call. Such an answer holds a handle and a number.

Change: more than 64 KB is no answer; the call fails at once.

Evidence: "A long answer to a call that stops a run is no answer" in EndlessBytesAreCutOff failed before (an answer of 200 KB was taken).

--- a/src/adapters/traffic/EndpointConnections.cpp
+++ b/src/adapters/traffic/EndpointConnections.cpp
@@ -12,6 +12,8 @@
     constexpr std::size_t maxHeadBytes = 65536;
     /** Largest response buffered in full before it is relayed. */
     constexpr std::size_t maxBufferedBodyBytes = std::size_t { 8 } * 1024 * 1024;
+    /** Largest response to a call that moves a run; it holds a handle and a number. */
+    constexpr std::size_t maxMigrationBodyBytes = 65536;
     /** Bytes queued for a stream's caller above which reading from the engine pauses. */
     constexpr std::size_t maxQueuedStreamBytes = 262144;
     /** Limit on interim responses and responses to earlier requests before the response to a request. */
@@ -238,7 +240,8 @@
         return !channel.inbound.empty() && this->readHead(connection, channel);
     const std::size_t used = channel.decoder->feed(channel.inbound, channel.body);
     channel.inbound.erase(0, used);
-    if (channel.decoder->isMalformed() || channel.body.size() > maxBufferedBodyBytes) {
+    const std::size_t maxBodyBytes = channel.migration ? maxMigrationBodyBytes : maxBufferedBodyBytes;
+    if (channel.decoder->isMalformed() || channel.body.size() > maxBodyBytes) {
         this->fail(connection, ExchangeEnd::Spoiled);
         return false;
     }
--- a/test/error/EndlessBytesAreCutOff.cpp
+++ b/test/error/EndlessBytesAreCutOff.cpp
@@ -96,6 +96,34 @@
     }
 }
 
+// Guards against answers to calls that move runs, of which each lost stream makes one: they hold a handle, and were
+// read up to the largest body.
+TEST_CASE("A long answer to a call that stops a run is no answer")
+{
+    RawServer engine([](RawServer::Connection& connection) {
+        const auto head = connection.readHead();
+        if (!head)
+            return;
+        if (head->starts_with("POST /v1/kv-move")) {
+            const std::string body = R"({"session":"h1","created":1,"padding":")" + std::string(200000, 'x') + R"("})";
+            connection.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+            connection.wait(Milliseconds(200));
+            return;
+        }
+        connection.send(signedHead
+            + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: t1\n\n\r\n");
+        connection.wait(Milliseconds(100));
+    });
+    TrafficHarness harness(engine.address());
+    EndpointRecord other = GatewayScenario::engineEndpoint("e2");
+    other.address = engine.address();
+    harness.changeEndpoint(other);
+    auto socket = harness.connect();
+    TrafficHarness::sendRequest(socket, "/draft/1", "a1");
+    CHECK_FALSE(TrafficHarness::readChunkedResponse(socket).ends_with("\r\n0\r\n\r\n"));
+    CHECK(harness.loggedField("move_answered", "outcome") == "failed");
+}
+
 TEST_CASE("A store that sends bytes without end makes the call fail")
 {
     for (const EndlessBytes& bytes : endlessAnswers()) {
