Decode response bodies with one decoder, and reuse no connection with bytes left

What callers saw: a service's answer whose chunks are malformed reached the entry's caller as a success with a body cut short; of two lengths, the first was believed; and bytes behind a store's answer were taken for the answer to the next call (a gateway would have read a foreign version of the configuration).

Cause: POCO ends a chunked body at the first byte that is no chunk without an error, and keeps what follows a body in its buffer for the next response.

Change: receiveBody reads the bytes as they were sent and decodes them with BodyDecoder, which the gateway uses for endpoints; BodyDecoder and HttpHeads move to adapters/net for it. BoundedSession replaces the pairs of session and socket. Bytes behind a body end the connection, also when they come between two calls of the store.

--- a/apps/teaselfoldctl/AdminClient.cpp
+++ b/apps/teaselfoldctl/AdminClient.cpp
@@ -4,7 +4,6 @@
 #include "adapters/net/BoundedResponse.h"
 
 #include <Poco/JSON/Parser.h>
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 
@@ -81,7 +80,7 @@
     try {
         BoundedSocket socket;
         socket.beginExchange({ Instant::max(), maxReplyBytes });
-        Poco::Net::HTTPClientSession session(socket);
+        BoundedSession session(socket);
         session.setHost(entry.host);
         session.setPort(entry.port);
         session.setTimeout(Poco::Timespan(connectTimeout.count(), 0), Poco::Timespan(replyTimeout.count(), 0),
@@ -93,12 +92,12 @@
         session.sendRequest(message) << request.body;
         Poco::Net::HTTPResponse response;
         Reply reply;
-        std::istream& body = receiveHead(session, socket, response);
+        receiveHead(session, response);
         const auto append = [&](std::string_view bytes) {
             reply.body.append(bytes);
             return true;
         };
-        if (!receiveBody(body, socket, response, append))
+        if (!receiveBody(session, response, append))
             return std::nullopt;
         reply.status = static_cast<std::uint16_t>(response.getStatus());
         reply.json = parseObject(reply.body);
--- a/src/adapters/engine/EngineClient.cpp
+++ b/src/adapters/engine/EngineClient.cpp
@@ -16,7 +16,6 @@
 
 namespace {
 
-    using Poco::Net::HTTPClientSession;
     using Poco::Net::HTTPRequest;
     using Poco::Net::HTTPResponse;
 
@@ -140,9 +139,9 @@
     const BoundedSocket socket;
     if (!this->registry.attach(job.generation, job.number, socket))
         return;
-    const auto connection = Internal::openConnection(
+    const auto session = Internal::openConnection(
         socket, this->options.address, this->options.timeout, this->options.timeout, Instant::max());
-    if (!connection) {
+    if (!session) {
         // Without a connection nothing was sent, so the engine did not run the start.
         if (isStart)
             this->emitIfCurrent(job, EngineRefused { job.generation, "no connection" });
@@ -151,8 +150,8 @@
         return;
     }
     try {
-        this->sendRequest(job, connection->session);
-        this->receiveResponse(job, *connection);
+        this->sendRequest(job, *session);
+        this->receiveResponse(job, *session);
     } catch (const Poco::Exception&) {
         this->emitIfCurrent(job, EngineStreamLost { job.generation });
     }
@@ -163,7 +162,7 @@
         this->cancelAtEngineIfAborted(job.generation);
 }
 
-void EngineClient::sendRequest(const StreamJob& job, HTTPClientSession& session) const
+void EngineClient::sendRequest(const StreamJob& job, BoundedSession& session) const
 {
     const auto* start = std::get_if<EngineStart>(&job.command);
     std::string path = completionsPath;
@@ -183,10 +182,10 @@
     out.flush();
 }
 
-void EngineClient::receiveResponse(const StreamJob& job, Internal::EngineSession& connection)
+void EngineClient::receiveResponse(const StreamJob& job, BoundedSession& session)
 {
     HTTPResponse response;
-    std::istream& stream = receiveHead(connection.session, connection.socket, response);
+    std::istream& stream = receiveHead(session, response);
     const int status = response.getStatus();
     if (status == statusOk) {
         this->receiveLines(job, stream);
--- a/src/adapters/engine/EngineClient.h
+++ b/src/adapters/engine/EngineClient.h
@@ -63,8 +63,8 @@
     void runControlCommands();
     void runPolls();
     void readStream(const StreamJob& job);
-    void sendRequest(const StreamJob& job, Poco::Net::HTTPClientSession& session) const;
-    void receiveResponse(const StreamJob& job, Internal::EngineSession& connection);
+    void sendRequest(const StreamJob& job, BoundedSession& session) const;
+    void receiveResponse(const StreamJob& job, BoundedSession& session);
     void receiveLines(const StreamJob& job, std::istream& stream);
     /** Sends an event to the sink, or drops it if the job's stream was aborted or replaced. */
     void emitIfCurrent(const StreamJob& job, const EngineEvent& event);
--- a/src/adapters/engine/HttpConnection.cpp
+++ b/src/adapters/engine/HttpConnection.cpp
@@ -26,8 +26,8 @@
     return Poco::Timespan(std::chrono::duration_cast<Microseconds>(time).count());
 }
 
-std::unique_ptr<EngineSession> openConnection(BoundedSocket socket, const Address& address, Milliseconds connectTimeout,
-    Milliseconds receiveTimeout, Instant deadline)
+std::unique_ptr<BoundedSession> openConnection(BoundedSocket socket, const Address& address,
+    Milliseconds connectTimeout, Milliseconds receiveTimeout, Instant deadline)
 {
     try {
         socket.connect(Poco::Net::SocketAddress(address.host, address.port), toTimespan(connectTimeout));
@@ -35,10 +35,10 @@
         socket.setSendTimeout(toTimespan(receiveTimeout));
         socket.setReceiveTimeout(toTimespan(receiveTimeout));
         socket.beginExchange({ deadline, maxResponseBytes });
-        auto connection = std::make_unique<EngineSession>(socket);
-        connection->session.setTimeout(toTimespan(receiveTimeout));
-        connection->session.setKeepAlive(false);
-        return connection;
+        auto session = std::make_unique<BoundedSession>(socket);
+        session->setTimeout(toTimespan(receiveTimeout));
+        session->setKeepAlive(false);
+        return session;
     } catch (const Poco::Exception&) {
         return nullptr;
     }
@@ -47,9 +47,9 @@
 HttpExchangeResult exchange(const BoundedSocket& socket, const Address& address, Milliseconds timeout,
     const std::string& method, const std::string& path, const std::string& body)
 {
-    const auto connection
+    const auto session
         = openConnection(socket, address, timeout, timeout, std::chrono::steady_clock::now() + timeout + timeout);
-    if (!connection)
+    if (!session)
         return {};
     try {
         HTTPRequest request(method, path, HTTPRequest::HTTP_1_1);
@@ -57,15 +57,15 @@
         if (!body.empty())
             request.setContentType("application/json");
         request.setContentLength(static_cast<std::streamsize>(body.size()));
-        connection->session.sendRequest(request) << body;
+        session->sendRequest(request) << body;
         HTTPResponse response;
-        std::istream& stream = receiveHead(connection->session, connection->socket, response);
+        receiveHead(*session, response);
         HttpExchangeResult result { true, static_cast<std::uint16_t>(response.getStatus()), {} };
         const auto append = [&](std::string_view bytes) {
             result.body.append(bytes);
             return true;
         };
-        return receiveBody(stream, connection->socket, response, append) ? result : HttpExchangeResult {};
+        return receiveBody(*session, response, append) ? result : HttpExchangeResult {};
     } catch (const Poco::Exception&) {
         return {};
     }
--- a/src/adapters/engine/HttpConnection.h
+++ b/src/adapters/engine/HttpConnection.h
@@ -1,11 +1,9 @@
 #pragma once
 
-#include "adapters/net/BoundedSocket.h"
+#include "adapters/net/BoundedSession.h"
 #include "ports/Fleet.h"
 #include "ports/Time.h"
 
-#include <Poco/Net/HTTPClientSession.h>
-
 #include <memory>
 #include <string>
 
@@ -14,19 +12,6 @@
 /** @return the duration as a POCO time span. */
 Poco::Timespan toTimespan(Milliseconds time);
 
-/** A connection for one request. */
-struct EngineSession {
-    explicit EngineSession(const BoundedSocket& socket)
-        : socket(socket)
-        , session(socket)
-    {
-    }
-
-    /** The socket of the session, which shares its budget. */
-    BoundedSocket socket;
-    Poco::Net::HTTPClientSession session;
-};
-
 /**
  * Opens a connection for one request.
  * @param socket an unconnected socket, by which the request can be cancelled.
@@ -35,8 +20,8 @@
  * @param deadline limit of the whole response; the bytes of a response are limited in any case.
  * @return the session; null if the connection could not be established, and then nothing was sent.
  */
-std::unique_ptr<EngineSession> openConnection(BoundedSocket socket, const Address& address, Milliseconds connectTimeout,
-    Milliseconds receiveTimeout, Instant deadline);
+std::unique_ptr<BoundedSession> openConnection(BoundedSocket socket, const Address& address,
+    Milliseconds connectTimeout, Milliseconds receiveTimeout, Instant deadline);
 
 /** The outcome of one HTTP exchange. */
 struct HttpExchangeResult {
--- a/src/adapters/engine/PlainServiceClient.cpp
+++ b/src/adapters/engine/PlainServiceClient.cpp
@@ -34,7 +34,7 @@
         return std::find(excludedHeaders.begin(), excludedHeaders.end(), lower) != excludedHeaders.end();
     }
 
-    void sendCall(Poco::Net::HTTPClientSession& session, const Address& address, const ServiceWork& work)
+    void sendCall(BoundedSession& session, const Address& address, const ServiceWork& work)
     {
         HTTPRequest request(work.method, work.path, HTTPRequest::HTTP_1_1);
         for (const Header& header : work.headers) {
@@ -49,17 +49,17 @@
         out.flush();
     }
 
-    ServiceEvent readResponse(Internal::EngineSession& connection, const ServiceForward& forward, Instant deadline)
+    ServiceEvent readResponse(BoundedSession& session, const ServiceForward& forward, Instant deadline)
     {
         HTTPResponse response;
-        std::istream& stream = receiveHead(connection.session, connection.socket, response);
+        receiveHead(session, response);
         ServiceResponded answer { forward.call, static_cast<std::uint16_t>(response.getStatus()), {}, {} };
         const bool hasBody = forward.work.method != HTTPRequest::HTTP_HEAD;
         const auto append = [&](std::string_view bytes) {
             answer.body.append(bytes);
             return answer.body.size() <= maxResponseBytes && std::chrono::steady_clock::now() < deadline;
         };
-        if (hasBody && !receiveBody(stream, connection.socket, response, append))
+        if (hasBody && !receiveBody(session, response, append))
             return ServiceCallFailed { forward.call, Executed::Unknown };
         for (const auto& [name, value] : response) {
             // POCO decodes the encoded words of RFC 2047, which may contain line ends.
@@ -102,13 +102,13 @@
 ServiceEvent PlainServiceClient::execute(const ServiceForward& forward) const
 {
     const Instant deadline = std::chrono::steady_clock::now() + forward.budget;
-    const auto connection = Internal::openConnection(
+    const auto session = Internal::openConnection(
         BoundedSocket(), this->address, std::min(connectTimeout, forward.budget), forward.budget, deadline);
-    if (!connection)
+    if (!session)
         return ServiceCallFailed { forward.call, Executed::No };
     try {
-        sendCall(connection->session, this->address, forward.work);
-        return readResponse(*connection, forward, deadline);
+        sendCall(*session, this->address, forward.work);
+        return readResponse(*session, forward, deadline);
     } catch (const Poco::Exception&) {
         return ServiceCallFailed { forward.call, Executed::Unknown };
     }
--- a/src/adapters/traffic/BodyDecoder.cpp
+++ b/src/adapters/net/BodyDecoder.cpp
@@ -1,4 +1,4 @@
-#include "adapters/traffic/BodyDecoder.h"
+#include "adapters/net/BodyDecoder.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/adapters/traffic/BodyDecoder.h
+++ b/src/adapters/net/BodyDecoder.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "adapters/traffic/HttpHeads.h"
+#include "adapters/net/HttpHeads.h"
 
 #include <string>
 #include <string_view>
--- a/src/adapters/net/BoundedResponse.cpp
+++ b/src/adapters/net/BoundedResponse.cpp
@@ -1,9 +1,12 @@
 #include "adapters/net/BoundedResponse.h"
 
+#include "adapters/net/BodyDecoder.h"
 #include "ports/HttpStatus.h"
 
 #include <Poco/Net/NetException.h>
 
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace teaselfold {
@@ -21,15 +24,25 @@
         return isKnownVersion && isHttpStatus(response.getStatus());
     }
 
+    /** @return the framing of the body; nothing for conflicting or unknown framing. */
+    std::optional<BodyFraming> framingOf(const Poco::Net::HTTPResponse& response)
+    {
+        ResponseHead head { static_cast<std::uint16_t>(response.getStatus()), response.getReason(), {} };
+        for (const auto& [name, value] : response)
+            head.fields.push_back({ name, value });
+        const auto framing = responseFraming(head);
+        const auto* known = std::get_if<BodyFraming>(&framing);
+        return known ? std::optional(*known) : std::nullopt;
+    }
+
 }
 
-std::istream& receiveHead(
-    Poco::Net::HTTPClientSession& session, const BoundedSocket& socket, Poco::Net::HTTPResponse& response)
+std::istream& receiveHead(BoundedSession& session, Poco::Net::HTTPResponse& response)
 {
     for (int interim = 0; interim <= maxInterimResponses; ++interim) {
         std::istream& stream = session.receiveResponse(response);
         // The end of the connection was read while the head was, so the head's own end was not there.
-        if (socket.hasEnded())
+        if (session.hasEnded())
             throw Poco::Net::MessageException("connection ended within a head");
         if (!isStatusLine(response))
             throw Poco::Net::MessageException("not a status line of HTTP/1");
@@ -42,27 +55,31 @@
     throw Poco::Net::MessageException("too many interim responses");
 }
 
-bool receiveBody(std::istream& stream, const BoundedSocket& socket, const Poco::Net::HTTPResponse& response,
+bool receiveBody(BoundedSession& session, const Poco::Net::HTTPResponse& response,
     const std::function<bool(std::string_view)>& append)
 {
-    constexpr std::size_t chunkBytes = 65536;
-    std::vector<char> chunk(chunkBytes);
-    std::size_t received = 0;
-    while (stream.read(chunk.data(), static_cast<std::streamsize>(chunk.size())) || stream.gcount() > 0) {
-        const auto count = static_cast<std::size_t>(stream.gcount());
-        received += count;
-        if (!append({ chunk.data(), count }))
+    constexpr std::size_t partBytes = 65536;
+    const auto framing = framingOf(response);
+    if (!framing)
+        return false;
+    BodyDecoder decoder(*framing);
+    std::vector<char> received(partBytes);
+    std::string part;
+    while (!decoder.isComplete()) {
+        const std::size_t count = session.receiveBytes(received.data(), received.size());
+        if (count == 0)
+            decoder.connectionClosed();
+        const std::size_t used = decoder.feed({ received.data(), count }, part);
+        if (decoder.isMalformed() || (!part.empty() && !append(part)))
             return false;
+        part.clear();
+        if (count == 0)
+            return decoder.isComplete();
+        // Bytes beyond the body answer no request, so the connection is not used again.
+        if (used < count)
+            session.reset();
     }
-    if (stream.bad())
-        return false;
-    const bool isBodiless = response.getStatus() == Poco::Net::HTTPResponse::HTTP_NO_CONTENT
-        || response.getStatus() == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
-    if (isBodiless)
-        return true;
-    if (response.getChunkedTransferEncoding())
-        return !socket.hasEnded();
-    return !response.hasContentLength() || received == static_cast<std::size_t>(response.getContentLength64());
+    return true;
 }
 
 }
--- a/src/adapters/traffic/HttpHeads.cpp
+++ b/src/adapters/net/HttpHeads.cpp
@@ -1,4 +1,4 @@
-#include "adapters/traffic/HttpHeads.h"
+#include "adapters/net/HttpHeads.h"
 
 #include "ports/HeaderText.h"
 #include "ports/HttpStatus.h"
--- a/src/adapters/platform/PlatformSession.cpp
+++ b/src/adapters/platform/PlatformSession.cpp
@@ -183,13 +183,13 @@
 PlatformSession::Response PlatformSession::receiveResponse()
 {
     HTTPResponse header;
-    std::istream& stream = receiveHead(*this->session, this->socket, header);
+    receiveHead(*this->session, header);
     Response response { header.getStatus(), header.get("ETag", ""), "" };
     const auto append = [&](std::string_view bytes) {
         response.body.append(bytes);
         return true;
     };
-    if (!receiveBody(stream, this->socket, header, append))
+    if (!receiveBody(*this->session, header, append))
         throw Poco::DataFormatException("response truncated");
     this->lastUsed = std::chrono::steady_clock::now();
     if (!header.getKeepAlive())
@@ -207,7 +207,7 @@
         this->socket.setNoDelay(true);
         this->socket.setSendTimeout(toTimespan(this->timeout));
         this->socket.setReceiveTimeout(toTimespan(this->timeout));
-        this->session = std::make_unique<Poco::Net::HTTPClientSession>(this->socket);
+        this->session = std::make_unique<BoundedSession>(this->socket);
         this->session->setTimeout(toTimespan(this->timeout));
         this->session->setKeepAlive(true);
         this->lastUsed = std::chrono::steady_clock::now();
--- a/src/adapters/platform/PlatformSession.h
+++ b/src/adapters/platform/PlatformSession.h
@@ -1,11 +1,9 @@
 #pragma once
 
-#include "adapters/net/BoundedSocket.h"
+#include "adapters/net/BoundedSession.h"
 #include "ports/Fleet.h"
 #include "ports/PlatformMessages.h"
 
-#include <Poco/Net/HTTPClientSession.h>
-
 #include <memory>
 #include <variant>
 
@@ -61,7 +59,7 @@
     Milliseconds timeout;
     /** The socket of the session, which shares its budget. */
     BoundedSocket socket;
-    std::unique_ptr<Poco::Net::HTTPClientSession> session;
+    std::unique_ptr<BoundedSession> session;
     Instant lastUsed;
 };
 
--- a/src/adapters/traffic/CallerState.h
+++ b/src/adapters/traffic/CallerState.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "adapters/traffic/BodyDecoder.h"
+#include "adapters/net/BodyDecoder.h"
 #include "core/gateway/CallerBudget.h"
 
 #include <memory>
--- a/src/adapters/traffic/EndpointConnections.h
+++ b/src/adapters/traffic/EndpointConnections.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "adapters/traffic/BodyDecoder.h"
+#include "adapters/net/BodyDecoder.h"
 #include "adapters/traffic/CallerConnections.h"
 #include "adapters/traffic/EventStreamFilter.h"
 #include "core/gateway/ResponseBudget.h"
--- a/src/adapters/traffic/StatusConnections.cpp
+++ b/src/adapters/traffic/StatusConnections.cpp
@@ -1,6 +1,6 @@
 #include "adapters/traffic/StatusConnections.h"
 
-#include "adapters/traffic/HttpHeads.h"
+#include "adapters/net/HttpHeads.h"
 #include "adapters/traffic/LocalResponses.h"
 
 namespace teaselfold {
--- a/test/error/EncodedHeaderValuesStayEncoded.cpp
+++ b/test/error/EncodedHeaderValuesStayEncoded.cpp
@@ -1,4 +1,4 @@
-#include "adapters/traffic/HttpHeads.h"
+#include "adapters/net/HttpHeads.h"
 #include "support/CallerServerHarness.h"
 #include "support/RawServer.h"
 #include "support/ServiceCalls.h"
--- a/test/error/EngineStreamsStopAtOnce.cpp
+++ b/test/error/EngineStreamsStopAtOnce.cpp
@@ -32,13 +32,14 @@
 {
     RawServer engine([](RawServer::Connection& connection) { connection.readHead(); });
     Internal::StreamRegistry registry;
-    const auto connection
-        = Internal::openConnection(BoundedSocket(), engine.address(), engineTimeout, engineTimeout, Instant::max());
-    REQUIRE(connection);
+    const BoundedSocket socket;
+    const auto session
+        = Internal::openConnection(socket, engine.address(), engineTimeout, engineTimeout, Instant::max());
+    REQUIRE(session);
     const GenerationId generation(7);
-    REQUIRE(registry.attach(generation, registry.open(generation), connection->socket));
+    REQUIRE(registry.attach(generation, registry.open(generation), socket));
     registry.abort(generation);
-    CHECK(connection->socket.impl()->initialized());
+    CHECK(socket.impl()->initialized());
 }
 
 // Guards against cancelled work that keeps its place until the connection attempt times out.
--- a/test/fuzz/TrafficDecoders.cpp
+++ b/test/fuzz/TrafficDecoders.cpp
@@ -1,7 +1,7 @@
 // Fuzzes the decoders of bytes from callers, endpoints, the platform's store and other gateways. Stream decoders get
 // the input in two parts.
+#include "adapters/net/BodyDecoder.h"
 #include "adapters/peers/GossipCodec.h"
-#include "adapters/traffic/BodyDecoder.h"
 #include "adapters/traffic/EventStreamFilter.h"
 #include "platform/ConfigurationReader.h"
 #include "platform/PlatformTrafficCodec.h"
