Bound what an agent keeps of its engine, its service and the platform

An engine, service or platform in trouble that sends bytes without end could make an agent keep 64 MB for each call and each of 64 streams, 16 MB for each of 72 calls to a service, and tokens without number; an agent's machine has 192 MB.

Cause: one bound for every kind of answer, sized for the largest one, and none for all of them together.

Change: 1 MB for a call to an engine, 4 KB for each token that a request asks for in a stream, 8 MB for a call to the platform. A generation with more tokens than its request asks for fails and is cancelled. The answers of a plain service in progress share 32 MB; beyond it, one that holds more than its part fails.

Evidence: EndlessBytesAreCutOff, new cases for an agent's calls, its streams, the platform and 24 calls to one service: all four failed before (up to 67 MB of one answer were read; none of the 24 calls was cut off). AgentHandlesEngineFailure, "a generation with more tokens than its request asks for": failed before.

--- a/src/adapters/engine/EngineClient.cpp
+++ b/src/adapters/engine/EngineClient.cpp
@@ -9,6 +9,7 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 
+#include <algorithm>
 #include <array>
 #include <istream>
 
@@ -32,6 +33,17 @@
     /** Time for the commands that are queued at a stop; a cancel that the engine misses costs it only a vain run. */
     constexpr Milliseconds queuedCommandsTime(300);
 
+    /** @return the bytes that a stream may have, which grow with the tokens that its request asks for. */
+    std::size_t maxStreamBytes(const std::variant<EngineStart, EngineResume>& command)
+    {
+        constexpr std::size_t overheadBytes = 65536;
+        constexpr std::size_t maxTokenBytes = 4096;
+        constexpr std::size_t maxBytes = std::size_t { 64 } * 1024 * 1024;
+        const auto* start = std::get_if<EngineStart>(&command);
+        const std::size_t tokens = start ? start->work.maxTokens : std::get<EngineResume>(command).maxTokens;
+        return tokens == 0 ? maxBytes : std::min(overheadBytes + tokens * maxTokenBytes, maxBytes);
+    }
+
     /** @return true if the status promises that a start was not executed; another error may follow a run. */
     bool isRefusal(int status)
     {
@@ -139,8 +151,8 @@
     const BoundedSocket socket;
     if (!this->registry.attach(job.generation, job.number, socket))
         return;
-    const auto session = Internal::openConnection(
-        socket, this->options.address, this->options.timeout, this->options.timeout, Instant::max());
+    const auto session = Internal::openConnection(socket, this->options.address, this->options.timeout,
+        this->options.timeout, { Instant::max(), maxStreamBytes(job.command) });
     if (!session) {
         // Without a connection nothing was sent, so the engine did not run the start.
         if (isStart)
--- a/src/adapters/engine/HttpConnection.cpp
+++ b/src/adapters/engine/HttpConnection.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-    /** Limit of one response, which may be a stream of tens of thousands of tokens. */
-    constexpr std::size_t maxResponseBytes = std::size_t { 64 } * 1024 * 1024;
+    /** Limit of a response that is no stream. */
+    constexpr std::size_t maxResponseBytes = std::size_t { 1024 } * 1024;
 
 }
 
@@ -27,14 +27,14 @@
 }
 
 std::unique_ptr<BoundedSession> openConnection(BoundedSocket socket, const Address& address,
-    Milliseconds connectTimeout, Milliseconds receiveTimeout, Instant deadline)
+    Milliseconds connectTimeout, Milliseconds receiveTimeout, const ExchangeBudget& budget)
 {
     try {
         socket.connect(Poco::Net::SocketAddress(address.host, address.port), toTimespan(connectTimeout));
         socket.setNoDelay(true);
         socket.setSendTimeout(toTimespan(receiveTimeout));
         socket.setReceiveTimeout(toTimespan(receiveTimeout));
-        socket.beginExchange({ deadline, maxResponseBytes });
+        socket.beginExchange(budget);
         auto session = std::make_unique<BoundedSession>(socket);
         session->setTimeout(toTimespan(receiveTimeout));
         session->setKeepAlive(false);
@@ -47,8 +47,8 @@
 HttpExchangeResult exchange(const BoundedSocket& socket, const Address& address, Milliseconds timeout,
     const std::string& method, const std::string& path, const std::string& body)
 {
-    const auto session
-        = openConnection(socket, address, timeout, timeout, std::chrono::steady_clock::now() + timeout + timeout);
+    const auto session = openConnection(
+        socket, address, timeout, timeout, { std::chrono::steady_clock::now() + timeout + timeout, maxResponseBytes });
     if (!session)
         return {};
     try {
--- a/src/adapters/engine/HttpConnection.h
+++ b/src/adapters/engine/HttpConnection.h
@@ -17,11 +17,11 @@
  * @param socket an unconnected socket, by which the request can be cancelled.
  * @param connectTimeout limit of the connection attempt.
  * @param receiveTimeout limit of each send and receive on the connection.
- * @param deadline limit of the whole response; the bytes of a response are limited in any case.
+ * @param budget limit of the time and the bytes of the whole response.
  * @return the session; null if the connection could not be established, and then nothing was sent.
  */
 std::unique_ptr<BoundedSession> openConnection(BoundedSocket socket, const Address& address,
-    Milliseconds connectTimeout, Milliseconds receiveTimeout, Instant deadline);
+    Milliseconds connectTimeout, Milliseconds receiveTimeout, const ExchangeBudget& budget);
 
 /** The outcome of one HTTP exchange. */
 struct HttpExchangeResult {
@@ -32,7 +32,7 @@
 };
 
 /**
- * Sends a request on a new connection and reads the response.
+ * Sends a request on a new connection and reads the response, which has at most 1 MB.
  * @param socket an unconnected socket, by which the request can be cancelled.
  * @param timeout limit of the connection attempt, and of the exchange after it as a whole.
  */
--- a/src/adapters/engine/PlainServiceClient.cpp
+++ b/src/adapters/engine/PlainServiceClient.cpp
@@ -23,6 +23,10 @@
 
     constexpr Milliseconds connectTimeout { 1000 };
     constexpr std::size_t maxResponseBytes = std::size_t { 16 } * 1024 * 1024;
+    /** Heads, chunks and trailers beside the body of a response. */
+    constexpr std::size_t maxOverheadBytes = std::size_t { 1024 } * 1024;
+    /** Bytes that the responses in progress may hold together. */
+    constexpr std::size_t maxHeldBytes = std::size_t { 32 } * 1024 * 1024;
 
     /** Headers that are not forwarded: hop-by-hop headers (RFC 9110, section 7.6.1) and those set by the client. */
     constexpr std::array excludedHeaders { "connection", "keep-alive", "proxy-connection", "proxy-authenticate",
@@ -49,33 +53,59 @@
         out.flush();
     }
 
-    ServiceEvent readResponse(BoundedSession& session, const ServiceForward& forward, Instant deadline)
-    {
-        HTTPResponse response;
-        receiveHead(session, response);
-        ServiceResponded answer { forward.call, static_cast<std::uint16_t>(response.getStatus()), {}, {} };
-        const bool hasBody = forward.work.method != HTTPRequest::HTTP_HEAD;
-        const auto append = [&](std::string_view bytes) {
-            answer.body.append(bytes);
-            return answer.body.size() <= maxResponseBytes && std::chrono::steady_clock::now() < deadline;
-        };
-        if (hasBody && !receiveBody(session, response, append))
-            return ServiceCallFailed { forward.call, Executed::Unknown };
-        for (const auto& [name, value] : response) {
-            // POCO decodes the encoded words of RFC 2047, which may contain line ends.
-            if (!isHeaderValue(value))
-                return ServiceCallFailed { forward.call, Executed::Unknown };
-            if (!isExcludedHeader(name))
-                answer.headers.push_back({ name, value });
+    /** Counts the bytes of one response among those that all responses in progress hold. */
+    class HeldResponse {
+    public:
+        explicit HeldResponse(std::atomic<std::size_t>& total)
+            : total(total)
+        {
         }
-        return answer;
-    }
+        ~HeldResponse() { this->total -= this->bytes; }
+        HeldResponse(const HeldResponse&) = delete;
+        HeldResponse& operator=(const HeldResponse&) = delete;
+
+        /** @param fairShare bytes that a response may always hold. @return false if all hold too much. */
+        bool add(std::size_t count, std::size_t fairShare)
+        {
+            this->bytes += count;
+            return (this->total += count) <= maxHeldBytes || this->bytes <= fairShare;
+        }
+
+    private:
+        std::atomic<std::size_t>& total;
+        std::size_t bytes { 0 };
+    };
 
 }
 
+ServiceEvent PlainServiceClient::readResponse(BoundedSession& session, const ServiceForward& forward, Instant deadline)
+{
+    HTTPResponse response;
+    receiveHead(session, response);
+    ServiceResponded answer { forward.call, static_cast<std::uint16_t>(response.getStatus()), {}, {} };
+    const bool hasBody = forward.work.method != HTTPRequest::HTTP_HEAD;
+    HeldResponse held(this->heldBytes);
+    const auto append = [&](std::string_view bytes) {
+        answer.body.append(bytes);
+        return answer.body.size() <= maxResponseBytes && held.add(bytes.size(), maxHeldBytes / this->workerCount)
+            && std::chrono::steady_clock::now() < deadline;
+    };
+    if (hasBody && !receiveBody(session, response, append))
+        return ServiceCallFailed { forward.call, Executed::Unknown };
+    for (const auto& [name, value] : response) {
+        // POCO decodes the encoded words of RFC 2047, which may contain line ends.
+        if (!isHeaderValue(value))
+            return ServiceCallFailed { forward.call, Executed::Unknown };
+        if (!isExcludedHeader(name))
+            answer.headers.push_back({ name, value });
+    }
+    return answer;
+}
+
 PlainServiceClient::PlainServiceClient(Address address, std::size_t workerCount, Sink sink)
     : address(std::move(address))
     , sink(std::move(sink))
+    , workerCount(workerCount)
     , calls(workerCount)
 {
     for (std::size_t index = 0; index < workerCount; ++index)
@@ -99,16 +129,16 @@
         this->sink(this->execute(*forward));
 }
 
-ServiceEvent PlainServiceClient::execute(const ServiceForward& forward) const
+ServiceEvent PlainServiceClient::execute(const ServiceForward& forward)
 {
     const Instant deadline = std::chrono::steady_clock::now() + forward.budget;
-    const auto session = Internal::openConnection(
-        BoundedSocket(), this->address, std::min(connectTimeout, forward.budget), forward.budget, deadline);
+    const auto session = Internal::openConnection(BoundedSocket(), this->address,
+        std::min(connectTimeout, forward.budget), forward.budget, { deadline, maxResponseBytes + maxOverheadBytes });
     if (!session)
         return ServiceCallFailed { forward.call, Executed::No };
     try {
         sendCall(*session, this->address, forward.work);
-        return readResponse(*session, forward, deadline);
+        return this->readResponse(*session, forward, deadline);
     } catch (const Poco::Exception&) {
         return ServiceCallFailed { forward.call, Executed::Unknown };
     }
--- a/src/adapters/engine/PlainServiceClient.h
+++ b/src/adapters/engine/PlainServiceClient.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "adapters/net/BoundedSession.h"
 #include "ports/AgentInterfaces.h"
 #include "runtime/Ring.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <thread>
@@ -24,10 +26,15 @@
 
 private:
     void run();
-    ServiceEvent execute(const ServiceForward& forward) const;
+    ServiceEvent execute(const ServiceForward& forward);
+    /** Reads the response. One that holds more than its share of what all may hold fails when that is used up. */
+    ServiceEvent readResponse(BoundedSession& session, const ServiceForward& forward, Instant deadline);
 
     Address address;
     Sink sink;
+    std::size_t workerCount;
+    /** Bytes of the responses in progress. */
+    std::atomic<std::size_t> heldBytes { 0 };
     Ring<ServiceForward> calls;
     std::vector<std::thread> workers;
 };
--- a/src/adapters/platform/PlatformSession.cpp
+++ b/src/adapters/platform/PlatformSession.cpp
@@ -23,7 +23,7 @@
 
     /** Longest idle time after which a connection is reused; the platform may close one that was idle for longer. */
     constexpr Seconds maxIdleTime(5);
-    constexpr std::size_t maxResponseBytes = std::size_t { 64 } * 1024 * 1024;
+    constexpr std::size_t maxResponseBytes = std::size_t { 8 } * 1024 * 1024;
 
     std::string percentEncoded(const std::string& text)
     {
--- a/src/core/agent/EngineSupervisor.cpp
+++ b/src/core/agent/EngineSupervisor.cpp
@@ -113,6 +113,9 @@
     const auto held = static_cast<std::uint32_t>(generation.tokens.size());
     const auto first = event.texts.begin() + (held - event.firstIndex);
     const auto count = static_cast<std::uint32_t>(event.texts.end() - first);
+    if (generation.work.maxTokens > 0 && held + count > generation.work.maxTokens)
+        return this->abort(
+            generation, engineFailure(generation, "the engine sends more tokens than were asked for"), context);
     this->observeGap(generation, count, context);
     if (held == 0 && !generation.orphanedSince)
         context.actions.push_back(ToEntry { generation.entry, GenerationStarted { generation.id } });
@@ -145,7 +148,7 @@
     generation.resumeAt.reset();
     generation.lastActivity = context.now;
     const auto next = static_cast<std::uint32_t>(generation.tokens.size());
-    context.actions.push_back(ToEngine { EngineResume { generation.id, next } });
+    context.actions.push_back(ToEngine { EngineResume { generation.id, next, generation.work.maxTokens } });
 }
 
 void EngineSupervisor::onFinished(const EngineFinished& event, EngineContext& context)
--- a/src/ports/EngineMessages.h
+++ b/src/ports/EngineMessages.h
@@ -17,6 +17,8 @@
 struct EngineResume {
     GenerationId generation;
     std::uint32_t nextIndex { 0 };
+    /** Tokens that the whole generation may have; zero if its request states none. */
+    std::uint32_t maxTokens { 0 };
     bool operator==(const EngineResume&) const = default;
 };
 
--- a/test/error/AgentHandlesEngineFailure.cpp
+++ b/test/error/AgentHandlesEngineFailure.cpp
@@ -33,6 +33,23 @@
     CHECK(scenario.commands<EngineStart>().size() == 1);
 }
 
+// Guards against an agent that runs out of memory by tokens which an engine sends without end.
+TEST_CASE("a generation with more tokens than its request asks for fails and is cancelled")
+{
+    AgentScenario scenario("drafter-1");
+    CompletionWork work;
+    work.team = TeamId("huye");
+    work.prompt = "draft";
+    work.maxTokens = 8;
+    scenario.fromEntry(SubmitGeneration { GenerationId(1), work, Seconds(60) });
+    scenario.tokens(1, 0, 8);
+    CHECK(scenario.sent<GenerationFailed>().empty());
+    scenario.tokens(1, 8, 1);
+    REQUIRE(scenario.sent<GenerationFailed>().size() == 1);
+    CHECK(scenario.sent<GenerationFailed>()[0].failure.run == Executed::Yes);
+    CHECK(scenario.commands<EngineCancel>().size() == 1);
+}
+
 TEST_CASE("an engine restart fails running generations, makes the endpoint cold and never runs the work again")
 {
     AgentScenario scenario("drafter-1");
--- a/test/error/EndlessBytesAreCutOff.cpp
+++ b/test/error/EndlessBytesAreCutOff.cpp
@@ -1,6 +1,10 @@
+#include "adapters/engine/HttpConnection.h"
+#include "adapters/engine/PlainServiceClient.h"
 #include "adapters/net/BodyDecoder.h"
+#include "adapters/platform/PlatformSession.h"
 #include "adapters/traffic/EventStreamFilter.h"
 #include "platform/StoreClient.h"
+#include "support/EngineCalls.h"
 #include "support/RawServer.h"
 #include "support/TrafficHarness.h"
 
@@ -136,6 +140,100 @@
     }
 }
 
+// Guards against an agent that keeps what its engine sends without end: each of its calls and streams kept 64 MB.
+TEST_CASE("An engine that sends bytes without end is cut off in each of an agent's calls")
+{
+    for (const EndlessBytes& bytes : endlessAnswers()) {
+        CAPTURE(bytes.name);
+        RawServer engine([&](RawServer::Connection& connection) { answerWithoutEnd(connection, bytes); });
+        const auto result
+            = Internal::exchange(BoundedSocket(), engine.address(), Milliseconds(10000), "GET", "/load", "");
+        CHECK_FALSE(result.received);
+        CHECK(engine.sentBytes() < maxTakenBytes * 2);
+    }
+}
+
+TEST_CASE("A stream that an engine goes on with without end is cut off by what its request asked for")
+{
+    auto cases = endlessAnswers();
+    cases.push_back({ "one line", chunkedHead, "10\r\n0123456789abcdef\r\n" });
+    cases.push_back({ "tokens", signedHead + "\r\n", "data: {\"index\":0,\"choices\":[{\"text\":\"t\"}]}\n\n" });
+    for (const EndlessBytes& bytes : cases) {
+        CAPTURE(bytes.name);
+        RawServer engine([&](RawServer::Connection& connection) {
+            const auto head = connection.readHead();
+            if (head && head->starts_with("POST /v1/completions") && connection.readBody(*head)
+                && connection.send(bytes.beginning))
+                connection.sendWithoutEnd(bytes.repeated, offeredBytes);
+        });
+        CHECK(std::holds_alternative<EngineStreamLost>(lastEventOfStart(engine.address())));
+        CHECK(engine.sentBytes() < maxTakenBytes * 2);
+    }
+}
+
+TEST_CASE("A platform that sends bytes without end makes the call fail")
+{
+    for (const EndlessBytes& bytes : endlessAnswers()) {
+        CAPTURE(bytes.name);
+        RawServer platform([&](RawServer::Connection& connection) { answerWithoutEnd(connection, bytes); });
+        Internal::PlatformSession session(platform.address(), Milliseconds(10000));
+        const auto result = session.execute(ObjectRead { "fleet" });
+        CHECK(std::holds_alternative<PlatformUnavailable>(result));
+        CHECK(platform.sentBytes() < maxTakenBytes * 2);
+    }
+}
+
+// Guards against an agent that runs out of memory by the answers of many calls to one service in trouble.
+TEST_CASE("Endless answers to many calls together are bounded, and another call is answered")
+{
+    constexpr std::size_t calls = 24;
+    constexpr std::size_t endlessBytes = std::size_t { 12 } * 1024 * 1024;
+    RawServer service([&](RawServer::Connection& connection) {
+        const auto head = connection.readHead();
+        if (!head || !connection.readBody(*head))
+            return;
+        if (head->starts_with("POST /ordinary")) {
+            connection.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            return;
+        }
+        connection.send(signedHead + "Content-Length: 1000000000\r\n\r\n");
+        connection.sendWithoutEnd(std::string(4096, 'x'), endlessBytes);
+        connection.wait(Seconds(20));
+    });
+    Ring<ServiceEvent> events(calls + 1);
+    const auto client = PlainServiceClientBuilder()
+                            .withAddress(service.address())
+                            .withWorkers(calls + 1)
+                            .withSink([&](const ServiceEvent& event) { events.push(event); })
+                            .build();
+    ServiceForward call;
+    call.budget = Seconds(15);
+    call.work.method = "POST";
+    call.work.path = "/endless";
+    for (std::size_t number = 0; number < calls; ++number) {
+        call.call = GenerationId(number + 1);
+        REQUIRE(client->submit(call));
+    }
+    const Instant limit = std::chrono::steady_clock::now() + Seconds(10);
+    std::size_t failed = 0;
+    while (events.popUntil(limit))
+        ++failed;
+    // What four of them take together, besides what is in transit.
+    CHECK(failed >= calls - 4);
+    call.call = GenerationId(calls + 1);
+    call.work.path = "/ordinary";
+    REQUIRE(client->submit(call));
+    bool isAnswered = false;
+    while (const auto event = events.popUntil(std::chrono::steady_clock::now() + Seconds(10))) {
+        const auto* answer = std::get_if<ServiceResponded>(&*event);
+        isAnswered = answer && answer->body == "ok";
+        if (isAnswered)
+            break;
+    }
+    CHECK(isAnswered);
+    client->stop();
+}
+
 TEST_CASE("A store whose answer trickles in fails the call when its total time is over")
 {
     // Ten minutes of bytes, each of which comes long before the timeout of a single read.
--- a/test/error/EngineStreamsStopAtOnce.cpp
+++ b/test/error/EngineStreamsStopAtOnce.cpp
@@ -34,7 +34,7 @@
     Internal::StreamRegistry registry;
     const BoundedSocket socket;
     const auto session
-        = Internal::openConnection(socket, engine.address(), engineTimeout, engineTimeout, Instant::max());
+        = Internal::openConnection(socket, engine.address(), engineTimeout, engineTimeout, { Instant::max(), 1000 });
     REQUIRE(session);
     const GenerationId generation(7);
     REQUIRE(registry.attach(generation, registry.open(generation), socket));
--- a/test/support/EngineCalls.h
+++ b/test/support/EngineCalls.h
@@ -10,4 +10,10 @@
  */
 EngineEvent startAtEngine(const Address& engine);
 
+/**
+ * Starts one generation of 100 tokens at an engine.
+ * @return the last event of its stream; fails the test when the stream does not end within 30 seconds.
+ */
+EngineEvent lastEventOfStart(const Address& engine);
+
 }
