Take a refusal without a handle for no stop of a run

A run whose engine answered 503 to the call that stops it counted as stopped and went on elsewhere.

The tests of lost connections expected a stop after a 503 without a handle.

--- a/src/core/gateway/StreamMigrator.cpp
+++ b/src/core/gateway/StreamMigrator.cpp
@@ -204,7 +204,7 @@
     actions.emplace_back(std::move(line));
     const bool copied = event.outcome == MigrationOutcome::Copied;
     if (migration.phase == MigrationPhase::Finishing)
-        migration.isStopped = copied || event.outcome == MigrationOutcome::NoRoom;
+        migration.isStopped = copied || (event.outcome == MigrationOutcome::NoRoom && !event.handle.get().empty());
     if (active.unstoppedRun && (migration.isStopped || hasEnded(active, event.outcome)))
         active.unstoppedRun.reset();
     if (copied) {
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -162,7 +162,10 @@
     /** The source engine does not run the request. */
     NoSuchRun,
     InProgress,
-    /** The target engine has too little free memory. */
+    /**
+     * The target engine has too little free memory. An engine that stopped the run gives the handle of what it keeps;
+     * without one, it may have refused the call.
+     */
     NoRoom,
     Failed,
     /** No connection to the source engine could be established. */
--- a/test/error/BrokenStreamsAreStoppedFirst.cpp
+++ b/test/error/BrokenStreamsAreStoppedFirst.cpp
@@ -25,6 +25,7 @@
 
 struct Answer {
     MigrationOutcome outcome;
+    std::string handle;
     /** The run no longer goes on at its engine, if it had begun. */
     bool isEnded;
     /** The same if no event of it was seen, so that the engine may begin it later. */
@@ -32,12 +33,13 @@
 };
 
 const Answer answers[] = {
-    { MigrationOutcome::Copied, true, true },
-    { MigrationOutcome::NoRoom, true, true },
-    { MigrationOutcome::NoSuchRun, true, false },
-    { MigrationOutcome::Unreachable, true, true },
-    { MigrationOutcome::InProgress, false, false },
-    { MigrationOutcome::Failed, false, false },
+    { MigrationOutcome::Copied, "copy", true, true },
+    { MigrationOutcome::NoRoom, "kept", true, true },
+    { MigrationOutcome::NoRoom, "", false, false },
+    { MigrationOutcome::NoSuchRun, "", true, false },
+    { MigrationOutcome::Unreachable, "", true, true },
+    { MigrationOutcome::InProgress, "", false, false },
+    { MigrationOutcome::Failed, "", false, false },
 };
 
 }
@@ -59,8 +61,8 @@
             CHECK(call->stopsSource);
             CHECK(call->source == source.address);
             CHECK_FALSE(scenario.lastAction<StartExchange>());
-            const KvCacheHandle handle(answer.outcome == MigrationOutcome::Copied ? "copy" : "");
-            scenario.handle(MigrationResponseReceived { source.exchange, answer.outcome, handle });
+            scenario.handle(
+                MigrationResponseReceived { source.exchange, answer.outcome, KvCacheHandle(answer.handle) });
             const auto resumed = scenario.lastAction<StartExchange>();
             CHECK(resumed.has_value() == (events > 0 ? answer.isEnded : answer.isEndedUnbegun));
             const bool isOver = scenario.lastAction<AbortResponse>() || scenario.lastAction<RefuseRequest>();
--- a/test/error/SpoiledStreamsAreStoppedFirst.cpp
+++ b/test/error/SpoiledStreamsAreStoppedFirst.cpp
@@ -23,16 +23,18 @@
 
 struct Answer {
     MigrationOutcome outcome;
+    std::string handle;
     bool isEnded;
 };
 
 const Answer answers[] = {
-    { MigrationOutcome::Copied, true },
-    { MigrationOutcome::NoRoom, true },
-    { MigrationOutcome::NoSuchRun, true },
-    { MigrationOutcome::Unreachable, true },
-    { MigrationOutcome::InProgress, false },
-    { MigrationOutcome::Failed, false },
+    { MigrationOutcome::Copied, "copy", true },
+    { MigrationOutcome::NoRoom, "kept", true },
+    { MigrationOutcome::NoRoom, "", false },
+    { MigrationOutcome::NoSuchRun, "", true },
+    { MigrationOutcome::Unreachable, "", true },
+    { MigrationOutcome::InProgress, "", false },
+    { MigrationOutcome::Failed, "", false },
 };
 
 }
@@ -53,8 +55,7 @@
         CHECK(call->target != source.address);
         CHECK_FALSE(scenario.lastAction<StartExchange>());
         CHECK_FALSE(scenario.lastAction<AbortResponse>());
-        const KvCacheHandle handle(answer.outcome == MigrationOutcome::Copied ? "copy" : "");
-        scenario.handle(MigrationResponseReceived { source.exchange, answer.outcome, handle });
+        scenario.handle(MigrationResponseReceived { source.exchange, answer.outcome, KvCacheHandle(answer.handle) });
         const auto resumed = scenario.lastAction<StartExchange>();
         CHECK(resumed.has_value() == answer.isEnded);
         CHECK(scenario.lastAction<AbortResponse>().has_value() != answer.isEnded);
