Carry the store's era in every version

What callers saw: after the store had come back from an older copy, a withdrawn key was still accepted, an endpoint registered after it got no work and one removed after it kept getting some, since versions were given out again and gateways took the new numbers for changes that they had.

Cause: a section keeps the highest version that it has ever seen, and followers compare announced versions with it. Nothing read the header Store-Era.

Change: StoreVersion is a pair of era and number, ordered by era first, from the store's client through the synchronizer, the announcements (three new fields of the schema) and the conditions of transactions. An answer of a later era ends the history before, so that the section is read as a whole; an earlier, missing or unreadable one is a fault. A change of era is logged (store_restored).

The process test of the gateway plays a restored store.

--- a/src/adapters/peers/ReadingCodec.cpp
+++ b/src/adapters/peers/ReadingCodec.cpp
@@ -41,8 +41,9 @@
         const auto reader = builder.CreateString(reading.reader.get());
         const auto encodedChanges = changes ? encodeChanges(builder, *changes) : 0;
         const auto root = peerwire::CreateReading(builder, reader, static_cast<std::uint8_t>(reading.section),
-            reading.previousChange.get(), reading.lastChange.get(), reading.completeUpTo.get(),
-            reading.asOf.time_since_epoch().count(), encodedChanges);
+            reading.previousChange.number, reading.lastChange.number, reading.completeUpTo.number,
+            reading.asOf.time_since_epoch().count(), encodedChanges, reading.previousChange.era, reading.lastChange.era,
+            reading.completeUpTo.era);
         builder.Finish(root, peerwire::ReadingIdentifier());
         return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
     }
@@ -94,9 +95,9 @@
     StoreReading reading;
     reading.reader = GatewayId(root->reader()->str());
     reading.section = static_cast<StoreSection>(root->section());
-    reading.previousChange = StoreVersion(root->previous_change());
-    reading.lastChange = StoreVersion(root->last_change());
-    reading.completeUpTo = StoreVersion(root->complete_up_to());
+    reading.previousChange = StoreVersion(root->previous_change(), root->previous_change_era());
+    reading.lastChange = StoreVersion(root->last_change(), root->last_change_era());
+    reading.completeUpTo = StoreVersion(root->complete_up_to(), root->complete_up_to_era());
     reading.asOf = StoreTime(Milliseconds(root->as_of_ms()));
     if (root->changes())
         reading.changes = decodeChanges(*root->changes());
--- a/src/adapters/peers/Readings_generated.h
+++ b/src/adapters/peers/Readings_generated.h
@@ -268,7 +268,10 @@
     VT_LAST_CHANGE = 10,
     VT_COMPLETE_UP_TO = 12,
     VT_AS_OF_MS = 14,
-    VT_CHANGES = 18
+    VT_CHANGES = 18,
+    VT_PREVIOUS_CHANGE_ERA = 20,
+    VT_LAST_CHANGE_ERA = 22,
+    VT_COMPLETE_UP_TO_ERA = 24
   };
   const flatbuffers::String *reader() const {
     return GetPointer<const flatbuffers::String *>(VT_READER);
@@ -291,6 +294,15 @@
   const teaselfold::peerwire::Changes *changes() const {
     return GetPointer<const teaselfold::peerwire::Changes *>(VT_CHANGES);
   }
+  uint64_t previous_change_era() const {
+    return GetField<uint64_t>(VT_PREVIOUS_CHANGE_ERA, 0);
+  }
+  uint64_t last_change_era() const {
+    return GetField<uint64_t>(VT_LAST_CHANGE_ERA, 0);
+  }
+  uint64_t complete_up_to_era() const {
+    return GetField<uint64_t>(VT_COMPLETE_UP_TO_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_READER) &&
@@ -302,6 +314,9 @@
            VerifyField<int64_t>(verifier, VT_AS_OF_MS, 8) &&
            VerifyOffset(verifier, VT_CHANGES) &&
            verifier.VerifyTable(changes()) &&
+           VerifyField<uint64_t>(verifier, VT_PREVIOUS_CHANGE_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LAST_CHANGE_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_COMPLETE_UP_TO_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -331,6 +346,15 @@
   void add_changes(flatbuffers::Offset<teaselfold::peerwire::Changes> changes) {
     fbb_.AddOffset(Reading::VT_CHANGES, changes);
   }
+  void add_previous_change_era(uint64_t previous_change_era) {
+    fbb_.AddElement<uint64_t>(Reading::VT_PREVIOUS_CHANGE_ERA, previous_change_era, 0);
+  }
+  void add_last_change_era(uint64_t last_change_era) {
+    fbb_.AddElement<uint64_t>(Reading::VT_LAST_CHANGE_ERA, last_change_era, 0);
+  }
+  void add_complete_up_to_era(uint64_t complete_up_to_era) {
+    fbb_.AddElement<uint64_t>(Reading::VT_COMPLETE_UP_TO_ERA, complete_up_to_era, 0);
+  }
   explicit ReadingBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -350,8 +374,14 @@
     uint64_t last_change = 0,
     uint64_t complete_up_to = 0,
     int64_t as_of_ms = 0,
-    flatbuffers::Offset<teaselfold::peerwire::Changes> changes = 0) {
+    flatbuffers::Offset<teaselfold::peerwire::Changes> changes = 0,
+    uint64_t previous_change_era = 0,
+    uint64_t last_change_era = 0,
+    uint64_t complete_up_to_era = 0) {
   ReadingBuilder builder_(_fbb);
+  builder_.add_complete_up_to_era(complete_up_to_era);
+  builder_.add_last_change_era(last_change_era);
+  builder_.add_previous_change_era(previous_change_era);
   builder_.add_as_of_ms(as_of_ms);
   builder_.add_complete_up_to(complete_up_to);
   builder_.add_last_change(last_change);
@@ -370,7 +400,10 @@
     uint64_t last_change = 0,
     uint64_t complete_up_to = 0,
     int64_t as_of_ms = 0,
-    flatbuffers::Offset<teaselfold::peerwire::Changes> changes = 0) {
+    flatbuffers::Offset<teaselfold::peerwire::Changes> changes = 0,
+    uint64_t previous_change_era = 0,
+    uint64_t last_change_era = 0,
+    uint64_t complete_up_to_era = 0) {
   auto reader__ = reader ? _fbb.CreateString(reader) : 0;
   return teaselfold::peerwire::CreateReading(
       _fbb,
@@ -380,7 +413,10 @@
       last_change,
       complete_up_to,
       as_of_ms,
-      changes);
+      changes,
+      previous_change_era,
+      last_change_era,
+      complete_up_to_era);
 }
 
 inline const teaselfold::peerwire::Reading *GetReading(const void *buf) {
--- a/src/ports/StoreReadings.h
+++ b/src/ports/StoreReadings.h
@@ -19,8 +19,24 @@
 };
 constexpr std::size_t storeSectionCount = 3;
 
-/** Position in the store's sequence of transactions. */
-using StoreVersion = Id<struct StoreVersionTag, std::uint64_t>;
+/**
+ * Position in the store's sequence of transactions. A store that came back from an older copy is in a new era and gives
+ * out numbers again, so versions are ordered by their era first.
+ */
+struct StoreVersion {
+    StoreVersion() = default;
+    explicit StoreVersion(std::uint64_t number, std::uint64_t era = 0)
+        : era(era)
+        , number(number)
+    {
+    }
+
+    // NOLINTNEXTLINE(modernize-use-nullptr): false positive of clang-tidy 14 on the defaulted comparison
+    auto operator<=>(const StoreVersion&) const = default;
+
+    std::uint64_t era { 0 };
+    std::uint64_t number { 0 };
+};
 
 /** The steady clock of the store. Its times are comparable between gateways, unlike those of their own clocks. */
 struct StoreClock {
--- a/test/error/EndlessBytesAreCutOff.cpp
+++ b/test/error/EndlessBytesAreCutOff.cpp
@@ -246,7 +246,7 @@
     });
     PlatformApi::StoreClient client(store.address(), Milliseconds(100));
     CHECK(std::holds_alternative<PlatformApi::StoreFault>(client.list("op", "")));
-    CHECK(std::holds_alternative<PlatformApi::StoreFault>(client.watch("op", 1, Milliseconds(100))));
+    CHECK(std::holds_alternative<PlatformApi::StoreFault>(client.watch("op", StoreVersion(1), Milliseconds(100))));
     CHECK(store.sentBytes() < trickledBytes);
 }
 
--- a/test/error/MalformedChunksEndNoBody.cpp
+++ b/test/error/MalformedChunksEndNoBody.cpp
@@ -102,7 +102,7 @@
         for (int call = 0; call < 3; ++call) {
             const auto result = client.list("op", "");
             const auto* rows = std::get_if<PlatformApi::StoreRows>(&result);
-            CHECK((rows && rows->version == 7));
+            CHECK((rows && rows->version == StoreVersion(7)));
             std::this_thread::sleep_for(delay * 4);
         }
     }
--- a/test/error/StoreCallsAbortAtOnce.cpp
+++ b/test/error/StoreCallsAbortAtOnce.cpp
@@ -23,7 +23,7 @@
 void checkAbortOfCall(const Address& address, const std::function<bool()>& hasBegun)
 {
     PlatformApi::StoreClient client(address, timeout);
-    auto result = std::async(std::launch::async, [&] { return client.watch("op", 1, longPoll); });
+    auto result = std::async(std::launch::async, [&] { return client.watch("op", StoreVersion(1), longPoll); });
     REQUIRE(becomesTrue(hasBegun));
     const Milliseconds time = timeOf([&] {
         client.abort();
--- a/test/process/lib/gateway_session.py
+++ b/test/process/lib/gateway_session.py
@@ -178,6 +178,34 @@
     require("the new key is accepted", gateway.post("/write/12", key="key-b").status == 200)
 
 
+def check_restored_store(gateway, store, third):
+    rows, version = store.copy()
+    copy = {name: row for name, row in rows.items() if name[0] != "gateways"}, version
+    for number in range(40):
+        store.put("servers", "plain-2-load", {"seqNo": number})
+    time.sleep(0.5)
+    store.is_down = True
+    time.sleep(0.7)
+    store.restore(copy)
+    store.is_down = False
+    store.put("op", "config", configuration(3, ["key-c"]))
+    store.put("servers", "plain-3", record(third, "plain"))
+    wait_until("a key revoked after the store came back from a copy is refused",
+               lambda: gateway.post("/write/13", key="key-b").status == 401)
+    wait_until("an endpoint registered after it gets work",
+               lambda: gateway.post("/write/14", key="key-c").read().startswith(b"from plain-3"))
+    store.delete("servers", "plain-3")
+    time.sleep(1)
+    before = len(third.ran)
+    for _ in range(10):
+        gateway.post("/write/15", key="key-c").read()
+    require("an endpoint removed after it gets no work", len(third.ran) == before)
+    wait_until("the gateway's own row is written again", lambda: any(name[0] == "gateways" for name in list(store.rows)))
+    require("the log names the era", "store_restored" in gateway.logged())
+    store.put("op", "config", configuration(4, ["key-b"]))
+    wait_until("the key is accepted again", lambda: gateway.post("/write/16", key="key-b").status == 200)
+
+
 def check_planned_stop(gateway):
     connection = gateway.connect()
     connection.request("POST", "/slow/1", b"x", {"Host": "host.example", "X-Teaselfold-Attempt-Id": "slow",
@@ -209,6 +237,7 @@
         check_caller_disconnect(gateway, engines)
         check_draining_endpoints(gateway, store, plain, other)
         check_store_outage(gateway, store)
+        check_restored_store(gateway, store, Endpoint("plain-3"))
         require("metrics show calls by team", 'team="team-a"' in gateway.get(gateway.metrics, "/metrics")[1])
         check_planned_stop(gateway)
     except BaseException:
--- a/test/process/lib/prepared_platform.py
+++ b/test/process/lib/prepared_platform.py
@@ -95,6 +95,7 @@
         self.log = []
         self.version = 0
         self.is_down = False
+        self.era = 1
         super().__init__(StoreHandler)
 
     def behave(self, manner):
@@ -113,6 +114,18 @@
             self.set_row(table, key, value if isinstance(value, bytes) else json.dumps(value).encode())
             self.changed.notify_all()
 
+    def copy(self):
+        with self.changed:
+            return dict(self.rows), self.version
+
+    def restore(self, copy):
+        """Comes back from an older copy: what was written since is gone, and versions are given out again."""
+        with self.changed:
+            self.rows, self.version = dict(copy[0]), copy[1]
+            self.log = sorted(self.rows.values(), key=lambda row: row["rowVersion"])
+            self.era += 1
+            self.changed.notify_all()
+
     def set_row(self, table, key, text):
         row = {"table": table, "part": "", "key": key, "value": base64.b64encode(text).decode(),
                "rowVersion": self.version}
@@ -153,6 +166,8 @@
     def changes_since(self, table, since, wait):
         until = time.monotonic() + wait
         with self.changed:
+            if since > self.version:
+                return None
             while True:
                 changes = [row for row in self.log if row["table"] == table and row["rowVersion"] > since]
                 remaining = until - time.monotonic()
@@ -164,6 +179,7 @@
 
 class StoreHandler(SilentHandler):
     def reply(self, status, body=b"", headers=()):
+        headers = [*headers, ("Store-Era", str(self.owner.era))]
         replies = {"silent": self.reply_after_silence, "slow": self.reply_bytewise}
         replies.get(self.owner.manner, super().reply)(status, body, headers)
 
@@ -188,6 +204,8 @@
         else:
             answer = self.owner.changes_since(parameters["table"], int(parameters["sinceRev"]),
                                               int(parameters["waitMs"]) / 1000)
+        if answer is None:
+            return self.reply(410)
         if self.owner.is_down:
             return self.reply(503)
         self.reply(200, json.dumps(answer).encode())
--- a/test/support/StoreFleet.cpp
+++ b/test/support/StoreFleet.cpp
@@ -63,6 +63,17 @@
     this->endpoints[endpoint] = { ++this->storeVersion, std::nullopt };
 }
 
+void StoreFleet::restore(const Copy& copy)
+{
+    ++this->era;
+    this->storeVersion = copy.storeVersion;
+    this->configuration = copy.configuration;
+    this->configurationVersion = copy.configurationVersion;
+    this->membersVersion = std::min(this->membersVersion, this->storeVersion);
+    for (auto& [id, row] : this->endpoints)
+        row.version = ++this->storeVersion;
+}
+
 void StoreFleet::advance(Milliseconds duration)
 {
     const Milliseconds end = this->time + duration;
@@ -128,7 +139,9 @@
 
 bool StoreFleet::hasChanges(const ReadStore& command) const
 {
-    const std::uint64_t since = command.since ? command.since->get() : 0;
+    if (this->readsAll(command))
+        return true;
+    const std::uint64_t since = command.since->number;
     if (command.section == StoreSection::Configuration)
         return this->configurationVersion > since;
     if (command.section == StoreSection::Members)
@@ -143,7 +156,7 @@
     for (const PendingRead& read : reads) {
         const Milliseconds elapsed = this->time - read.startedAt;
         const bool isAnswered = read.answerDueAt <= this->time
-            && (!read.command.since || this->hasChanges(read.command) || elapsed >= read.command.longPollTimeout);
+            && (this->hasChanges(read.command) || elapsed >= read.command.longPollTimeout);
         if (!this->isStoreReachable(node)) {
             if (this->resetsCalls || elapsed >= storeTimeout)
                 node.inbox.emplace_back(StoreReadFailed { read.command.section, "timeout" });
@@ -163,12 +176,14 @@
     for (const auto& [id, row] : this->endpoints) {
         if (row.record)
             listed.endpoints.push_back(*row.record);
-        if (command.since && row.version > command.since->get() && row.record)
+        if (!command.since || row.version <= command.since->number)
+            continue;
+        if (row.record)
             changes.changed.push_back(*row.record);
-        else if (command.since && row.version > command.since->get())
+        else
             changes.removed.push_back(id);
     }
-    if (!command.since)
+    if (this->readsAll(command))
         node.inbox.emplace_back(std::move(listed));
     else if (!changes.empty())
         node.inbox.emplace_back(std::move(changes));
@@ -177,7 +192,7 @@
 void StoreFleet::answer(Node& node, const PendingRead& read)
 {
     const ReadStore& command = read.command;
-    if (this->hasChanges(command) || !command.since) {
+    if (this->hasChanges(command)) {
         if (command.section == StoreSection::Configuration) {
             node.inbox.emplace_back(ConfigurationRead { this->configuration });
             node.inbox.emplace_back(OutOfServiceZonesRead {});
@@ -188,7 +203,7 @@
     }
     const StoreTime storeTime(storeClockOffset + this->time);
     node.inbox.emplace_back(StoreReadSucceeded { command.section, Instant(node.clockOffset + read.startedAt),
-        StoreVersion(this->storeVersion), storeTime, !command.since });
+        StoreVersion(this->storeVersion, this->era), storeTime, this->readsAll(command) });
 }
 
 bool StoreFleet::accepts(std::size_t gateway, const std::string& path, const std::string& key)
--- a/test/support/StoreFleet.h
+++ b/test/support/StoreFleet.h
@@ -38,6 +38,17 @@
     void writeEndpoint(const EndpointRecord& record);
     void removeEndpoint(const EndpointId& endpoint);
 
+    /** What the store holds at one moment. */
+    struct Copy {
+        std::uint64_t storeVersion { 0 };
+        std::shared_ptr<const GatewayConfiguration> configuration;
+        std::uint64_t configurationVersion { 0 };
+    };
+    /** Copies the store, all but the endpoints, which write their records again at once. */
+    Copy copy() const { return { this->storeVersion, this->configuration, this->configurationVersion }; }
+    /** Replaces the store by an older copy, in a new era. */
+    void restore(const Copy& copy);
+
     // Faults. Gateways are addressed by their index.
     void setPaused(std::size_t gateway, bool paused);
     void setCutFromStore(std::size_t gateway, bool cut);
@@ -103,6 +114,8 @@
     void execute(Node& node, const GatewayActions& actions);
     void sendToPeers(const GatewayEvent& event, const std::vector<Address>& receivers);
     void advanceReads(Node& node);
+    /** @return true if the command reads the whole section; the history of an earlier era is gone. */
+    bool readsAll(const ReadStore& command) const { return !command.since || command.since->era != this->era; }
     bool hasChanges(const ReadStore& command) const;
     void answer(Node& node, const PendingRead& read);
     void answerEndpoints(Node& node, const ReadStore& command);
@@ -114,6 +127,7 @@
     std::vector<Node> nodes;
     std::vector<Datagram> datagrams;
     std::uint64_t storeVersion { 1 };
+    std::uint64_t era { 0 };
     std::shared_ptr<const GatewayConfiguration> configuration;
     std::uint64_t configurationVersion { 0 };
     std::map<EndpointId, Row> endpoints;
