Believe an older copy of the store only where it allows less

What callers saw after the store had come back from a copy: requests at an endpoint that had left and stood in the copy, at one that drains and is ready there, and in a zone whose evacuation the copy lacks; an endpoint that registered in the lost seconds got nothing until it registered again.

Cause: the content of the copy replaced what was known, although operators and endpoints had not yet written again what it lacks.

Change: the reader announces that the next content is that of a copy (StoreRestored). For the time in which writers come back, an endpoint that the copy lacks is kept as after an outage, one that only the copy has is held back, one that is known to drain goes on draining, and zones stay out of service. What is written again counts at once. Removals of held records are announced to the gateways that follow, which may hold them as well.

--- a/src/core/gateway/EndpointDirectory.cpp
+++ b/src/core/gateway/EndpointDirectory.cpp
@@ -116,6 +116,19 @@
     return this->applyChanges(changes, graceUntil, now);
 }
 
+std::vector<EndpointRecord> EndpointDirectory::takeUnconfirmed(std::vector<EndpointRecord>& records) const
+{
+    const auto firstUnknown = std::stable_partition(records.begin(), records.end(),
+        [&](const EndpointRecord& record) { return this->endpoints.contains(record.id); });
+    std::vector<EndpointRecord> unknown(firstUnknown, records.end());
+    records.erase(firstUnknown, records.end());
+    for (EndpointRecord& record : records) {
+        const EndpointRecord& known = this->endpoints.at(record.id).record;
+        record.isDraining = record.isDraining || (known.isDraining && known.startedAt == record.startedAt);
+    }
+    return unknown;
+}
+
 DirectoryChange EndpointDirectory::applyChanges(
     const EndpointsChanged& changes, std::optional<Instant> graceUntil, Instant now)
 {
--- a/src/core/gateway/EndpointDirectory.h
+++ b/src/core/gateway/EndpointDirectory.h
@@ -109,6 +109,11 @@
      * @param graceUntil time until which endpoints without a record are kept; unset to remove them at once.
      */
     DirectoryChange applyChanges(const EndpointsChanged& changes, std::optional<Instant> graceUntil, Instant now);
+    /**
+     * Takes the records of endpoints that are not known from a list, and keeps those draining that are known to drain.
+     * @return the records that were taken.
+     */
+    std::vector<EndpointRecord> takeUnconfirmed(std::vector<EndpointRecord>& records) const;
     /** Removes endpoints whose grace period is over. @return the removed endpoints. */
     std::vector<EndpointId> expire(Instant now);
     void setZonesOutOfService(std::set<ZoneId> zones) { this->zonesOutOfService = std::move(zones); }
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -36,8 +36,8 @@
             &Gateway::requestAbandoned, &Gateway::responseLost, &Gateway::requestUnreadable, &Gateway::callerShed,
             &Gateway::responseShed, &Gateway::responseReceived, &Gateway::exchangeEnded, &Gateway::eventsRelayed,
             &Gateway::migrationResponseReceived, &Gateway::configurationRead, &Gateway::endpointsListed,
-            &Gateway::endpointsChanged, &Gateway::outOfServiceZonesRead, &Gateway::storeReadSucceeded,
-            &Gateway::storeReadFailed, &Gateway::membersListed, &Gateway::gossipReceived,
+            &Gateway::endpointsChanged, &Gateway::outOfServiceZonesRead, &Gateway::storeRestored,
+            &Gateway::storeReadSucceeded, &Gateway::storeReadFailed, &Gateway::membersListed, &Gateway::gossipReceived,
             &Gateway::storeReadingReceived, &Gateway::limitsChanged, &Gateway::stopRequested,
             &Gateway::rolloutOrdersRead, &Gateway::rolloutsRead, &Gateway::rolloutStored, &Gateway::rolloutStoreFailed);
         return table;
@@ -71,6 +71,10 @@
     GatewayActions actions;
     this->noticeSuspension(now, actions);
     this->drainEndpoints(this->state.endpoints.expire(now), now, actions);
+    if (const auto zones = this->state.restoration.expireZones(now))
+        this->state.endpoints.setZonesOutOfService(*zones);
+    if (auto records = this->state.restoration.expireRecords(now); !records.empty())
+        this->applyEndpointChanges({ std::move(records), {} }, now, actions);
     this->state.quarantine.expire(now);
     this->state.crashDetector.expire(now);
     this->state.promptParts.expire(now);
@@ -214,44 +218,68 @@
 
 void Gateway::endpointsListed(const EndpointsListed& event, Instant now, GatewayActions& actions)
 {
-    const auto graceUntil = this->state.freshness.reregistrationGraceEnd(StoreSection::Endpoints, now);
+    auto graceUntil = this->state.freshness.reregistrationGraceEnd(StoreSection::Endpoints, now);
     this->store.contentChanged(StoreSection::Endpoints);
-    const DirectoryChange change = this->state.endpoints.replaceAll(event.endpoints, graceUntil, now);
+    std::vector<EndpointRecord> records = event.endpoints;
+    if (this->state.restoration.isBeingRead(StoreSection::Endpoints)) {
+        graceUntil = graceUntil.value_or(now + this->state.limits.reregistrationGrace);
+        this->state.restoration.hold(this->state.endpoints.takeUnconfirmed(records), *graceUntil);
+    }
+    const DirectoryChange change = this->state.endpoints.replaceAll(records, graceUntil, now);
     this->drainEndpoints(change.leaving, now, actions);
     logKeptEndpoints(change.kept, graceUntil.value_or(now) - now, actions);
 }
 
 void Gateway::endpointsChanged(const EndpointsChanged& event, Instant now, GatewayActions& actions)
 {
-    this->store.endpointsChanged(this->state.endpoints.differences(event, now));
+    EndpointsChanged differences = this->state.endpoints.differences(event, now);
+    // A gateway that is told of this change may hold the record back as well.
+    for (const EndpointId& id : event.removed) {
+        if (this->state.restoration.holds(id))
+            differences.removed.push_back(id);
+    }
+    this->store.endpointsChanged(std::move(differences));
     this->applyEndpointChanges(event, now, actions);
 }
 
 void Gateway::applyEndpointChanges(const EndpointsChanged& changes, Instant now, GatewayActions& actions)
 {
+    this->state.restoration.written(changes);
     const auto graceUntil = this->state.freshness.reregistrationGraceEnd(StoreSection::Endpoints, now);
     const DirectoryChange change = this->state.endpoints.applyChanges(changes, graceUntil, now);
     this->drainEndpoints(change.leaving, now, actions);
     logKeptEndpoints(change.kept, graceUntil.value_or(now) - now, actions);
 }
 
-void Gateway::outOfServiceZonesRead(const OutOfServiceZonesRead& event, Instant, GatewayActions& actions)
+void Gateway::outOfServiceZonesRead(const OutOfServiceZonesRead& event, Instant now, GatewayActions& actions)
 {
     LogEvent line { "zones_out", {} };
     for (const ZoneId& zone : event.zones)
         line.fields.push_back({ "zone", zone.get() });
-    this->state.endpoints.setZonesOutOfService(event.zones);
+    this->state.endpoints.setZonesOutOfService(
+        this->state.restoration.zonesRead(event.zones, now + this->state.limits.reregistrationGrace));
     this->store.contentChanged(StoreSection::Configuration);
     actions.emplace_back(std::move(line));
 }
 
+void Gateway::storeRestored(const StoreRestored& event, Instant, GatewayActions& actions)
+{
+    this->state.restoration.begin(event.section);
+    actions.emplace_back(LogEvent { "store_restored",
+        { { "part", std::string(Internal::sectionName(event.section)) }, { "era", std::to_string(event.version.era) },
+            { "version", std::to_string(event.version.number) }, { "era_before", std::to_string(event.before.era) },
+            { "version_before", std::to_string(event.before.number) } } });
+}
+
 void Gateway::storeReadSucceeded(const StoreReadSucceeded& event, Instant now, GatewayActions& actions)
 {
+    this->state.restoration.end(event.section);
     this->store.readSucceeded(event, now, actions);
 }
 
 void Gateway::storeReadFailed(const StoreReadFailed& event, Instant now, GatewayActions& actions)
 {
+    this->state.restoration.end(event.section);
     this->store.readFailed(event, now, actions);
     const auto age = this->state.freshness.age(event.section, now);
     actions.emplace_back(LogEvent { "store_failed",
--- a/src/core/gateway/Gateway.h
+++ b/src/core/gateway/Gateway.h
@@ -62,6 +62,7 @@
     void endpointsListed(const EndpointsListed& event, Instant now, GatewayActions& actions);
     void endpointsChanged(const EndpointsChanged& event, Instant now, GatewayActions& actions);
     void outOfServiceZonesRead(const OutOfServiceZonesRead& event, Instant now, GatewayActions& actions);
+    void storeRestored(const StoreRestored& event, Instant now, GatewayActions& actions);
     void storeReadSucceeded(const StoreReadSucceeded& event, Instant now, GatewayActions& actions);
     void storeReadFailed(const StoreReadFailed& event, Instant now, GatewayActions& actions);
     void membersListed(const MembersListed& event, Instant now, GatewayActions& actions);
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -15,6 +15,7 @@
 #include "core/gateway/RolloutTraffic.h"
 #include "core/gateway/RouteTable.h"
 #include "core/gateway/StoreFreshness.h"
+#include "core/gateway/StoreRestoration.h"
 #include "core/gateway/StreamObjectives.h"
 #include "core/gateway/UnframedEnds.h"
 #include "core/gateway/WaitingRequests.h"
@@ -91,6 +92,7 @@
     CrashDetector crashDetector;
     PromptPartQuarantine promptParts;
     UnframedEnds unframedEnds;
+    StoreRestoration restoration;
     CopyRefusals copyRefusals;
     DepartureTimes departureTimes;
     RouterLimits sharedLimits;
--- a/src/core/gateway/StoreSynchronizer.cpp
+++ b/src/core/gateway/StoreSynchronizer.cpp
@@ -49,17 +49,6 @@
         return static_cast<Milliseconds::rep>(std::min(rank, maxDistinctRank));
     }
 
-    /** Logs that the store came back from an older copy. @param known the last version of the section before. */
-    void logEra(const StoreReadSucceeded& event, const std::optional<StoreVersion>& known, GatewayActions& actions)
-    {
-        if (!known || known->era == event.version.era)
-            return;
-        actions.emplace_back(LogEvent { "store_restored",
-            { { "part", std::string(Internal::sectionName(event.section)) },
-                { "era", std::to_string(event.version.era) }, { "version", std::to_string(event.version.number) },
-                { "era_before", std::to_string(known->era) }, { "version_before", std::to_string(known->number) } } });
-    }
-
     /** @param previous the delay after the previous failed read; zero after a successful one. */
     Milliseconds nextRetryDelay(Milliseconds previous, std::size_t rank)
     {
@@ -108,7 +97,6 @@
     }
     state.changedInRead = false;
     state.changesInRead = {};
-    logEra(event, state.completeUpTo, actions);
     state.completeUpTo = std::max(state.completeUpTo.value_or(StoreVersion()), event.version);
     // A read that began after an announcement contains whatever was announced.
     if (event.readStartedAt >= state.announcedAt)
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -228,9 +228,9 @@
 
 using GatewayEvent = std::variant<RequestArrived, RequestAbandoned, ResponseLost, RequestUnreadable, CallerShed,
     ResponseShed, ResponseReceived, ExchangeEnded, EventsRelayed, MigrationResponseReceived, ConfigurationRead,
-    EndpointsListed, EndpointsChanged, OutOfServiceZonesRead, StoreReadSucceeded, StoreReadFailed, MembersListed,
-    GossipReceived, StoreReadingReceived, LimitsChanged, GatewayStopRequested, RolloutOrdersRead, RolloutsRead,
-    RolloutStored, RolloutStoreFailed>;
+    EndpointsListed, EndpointsChanged, OutOfServiceZonesRead, StoreRestored, StoreReadSucceeded, StoreReadFailed,
+    MembersListed, GossipReceived, StoreReadingReceived, LimitsChanged, GatewayStopRequested, RolloutOrdersRead,
+    RolloutsRead, RolloutStored, RolloutStoreFailed>;
 
 /** Point at which an endpoint resumes a stream that another endpoint started. */
 struct ResumePoint {
--- a/src/ports/StoreReadings.h
+++ b/src/ports/StoreReadings.h
@@ -70,6 +70,17 @@
     bool isSnapshot { false };
 };
 
+/**
+ * The store came back from an older copy. The content of the section that follows is that of the copy, without what
+ * operators and endpoints have not yet written again.
+ */
+struct StoreRestored {
+    StoreSection section { StoreSection::Configuration };
+    /** Last version of the section that was known before. */
+    StoreVersion before {};
+    StoreVersion version {};
+};
+
 /** A read of the store failed. */
 struct StoreReadFailed {
     StoreSection section { StoreSection::Configuration };
--- a/test/error/StoreVersionsOfAnEarlierEra.cpp
+++ b/test/error/StoreVersionsOfAnEarlierEra.cpp
@@ -116,6 +116,78 @@
     }
 }
 
+// Guards against work for an endpoint or a zone that had left, and against sound endpoints that are dropped, because
+// the copy is some seconds old.
+TEST_CASE("A copy brings nothing back that had left, and takes away nothing that may be written again")
+{
+    for (const bool isLong : { false, true }) {
+        CAPTURE(isLong);
+        StoreFleet fleet({ { "north", "north", "south" }, 1, {} });
+        for (const char* name : { "p1", "removed", "drained" })
+            fleet.writeEndpoint(GatewayScenario::plainEndpoint(name));
+        fleet.writeEndpoint(GatewayScenario::plainEndpoint("evacuated", "south"));
+        fleet.advance(Milliseconds(3000));
+        const StoreFleet::Copy copy = fleet.copy();
+        fleet.removeEndpoint(EndpointId("removed"));
+        EndpointRecord drained = GatewayScenario::plainEndpoint("drained");
+        drained.isDraining = true;
+        fleet.writeEndpoint(drained);
+        for (const char* name : { "registered", "vanished" })
+            fleet.writeEndpoint(GatewayScenario::plainEndpoint(name));
+        fleet.setZoneOut("south", true);
+        fleet.advance(Milliseconds(1500));
+        fleet.setStoreDown(true);
+        fleet.advance(Milliseconds(isLong ? 2500 : 300));
+        fleet.restore(copy);
+        fleet.setStoreDown(false);
+        const auto checkAll = [&](const char* endpoint, bool isUsable) {
+            for (std::size_t gateway = 0; gateway < fleet.size(); ++gateway) {
+                CAPTURE(std::string(endpoint));
+                CAPTURE(gateway);
+                CHECK(fleet.knowsAsUsable(gateway, EndpointId(endpoint)) == isUsable);
+            }
+        };
+        for (int step = 0; step < 15; ++step) {
+            fleet.advance(Milliseconds(100));
+            checkAll("p1", true);
+            checkAll("registered", true);
+            checkAll("removed", false);
+            checkAll("drained", false);
+            checkAll("evacuated", false);
+        }
+        fleet.writeEndpoint(GatewayScenario::plainEndpoint("registered"));
+        fleet.removeEndpoint(EndpointId("removed"));
+        fleet.writeEndpoint(drained);
+        fleet.setZoneOut("south", true);
+        fleet.advance(Milliseconds(5000));
+        checkAll("registered", true);
+        checkAll("vanished", false);
+        checkAll("removed", false);
+        checkAll("drained", false);
+        checkAll("evacuated", false);
+        fleet.setZoneOut("south", false);
+        fleet.advance(Milliseconds(1000));
+        checkAll("evacuated", true);
+    }
+}
+
+// Guards against an evacuation without end: it was ended while the store was away, and nobody writes it again.
+TEST_CASE("A zone that the copy lacks returns when operators had time to write it again")
+{
+    StoreFleet fleet({ { "north" }, 1, {} });
+    fleet.writeEndpoint(GatewayScenario::plainEndpoint("p1"));
+    fleet.advance(Milliseconds(3000));
+    const StoreFleet::Copy copy = fleet.copy();
+    fleet.setZoneOut("north", true);
+    fleet.advance(Milliseconds(1000));
+    REQUIRE_FALSE(fleet.knowsAsUsable(0, EndpointId("p1")));
+    fleet.restore(copy);
+    fleet.advance(Milliseconds(1000));
+    CHECK_FALSE(fleet.knowsAsUsable(0, EndpointId("p1")));
+    fleet.advance(Milliseconds(4000));
+    CHECK(fleet.knowsAsUsable(0, EndpointId("p1")));
+}
+
 // Guards against calls without end: each read of a version that the store no longer has ends in 410 and a snapshot.
 TEST_CASE("The store gets few more calls after it came back from an older copy")
 {
--- a/test/support/StoreFleet.cpp
+++ b/test/support/StoreFleet.cpp
@@ -63,6 +63,15 @@
     this->endpoints[endpoint] = { ++this->storeVersion, std::nullopt };
 }
 
+void StoreFleet::setZoneOut(const std::string& zone, bool out)
+{
+    this->configurationVersion = ++this->storeVersion;
+    if (out)
+        this->zones.insert(ZoneId(zone));
+    else
+        this->zones.erase(ZoneId(zone));
+}
+
 void StoreFleet::restore(const Copy& copy)
 {
     ++this->era;
@@ -70,8 +79,8 @@
     this->configuration = copy.configuration;
     this->configurationVersion = copy.configurationVersion;
     this->membersVersion = std::min(this->membersVersion, this->storeVersion);
-    for (auto& [id, row] : this->endpoints)
-        row.version = ++this->storeVersion;
+    this->endpoints = copy.endpoints;
+    this->zones = copy.zones;
 }
 
 void StoreFleet::advance(Milliseconds duration)
@@ -192,10 +201,13 @@
 void StoreFleet::answer(Node& node, const PendingRead& read)
 {
     const ReadStore& command = read.command;
+    if (command.since && this->readsAll(command))
+        node.inbox.emplace_back(
+            StoreRestored { command.section, *command.since, StoreVersion(this->storeVersion, this->era) });
     if (this->hasChanges(command)) {
         if (command.section == StoreSection::Configuration) {
             node.inbox.emplace_back(ConfigurationRead { this->configuration });
-            node.inbox.emplace_back(OutOfServiceZonesRead {});
+            node.inbox.emplace_back(OutOfServiceZonesRead { this->zones });
         } else if (command.section == StoreSection::Members)
             node.inbox.emplace_back(MembersListed { this->members });
         else
--- a/test/support/StoreFleet.h
+++ b/test/support/StoreFleet.h
@@ -19,6 +19,11 @@
  * that is down, and lost or delayed datagrams.
  */
 class StoreFleet {
+    struct Row {
+        std::uint64_t version { 0 };
+        std::optional<EndpointRecord> record;
+    };
+
 public:
     struct Options {
         /** Zone of each gateway. */
@@ -37,15 +42,20 @@
     void writeConfiguration(GatewayConfiguration configuration);
     void writeEndpoint(const EndpointRecord& record);
     void removeEndpoint(const EndpointId& endpoint);
+    void setZoneOut(const std::string& zone, bool out);
 
     /** What the store holds at one moment. */
     struct Copy {
         std::uint64_t storeVersion { 0 };
         std::shared_ptr<const GatewayConfiguration> configuration;
         std::uint64_t configurationVersion { 0 };
+        std::map<EndpointId, Row> endpoints;
+        std::set<ZoneId> zones;
     };
-    /** Copies the store, all but the endpoints, which write their records again at once. */
-    Copy copy() const { return { this->storeVersion, this->configuration, this->configurationVersion }; }
+    Copy copy() const
+    {
+        return { this->storeVersion, this->configuration, this->configurationVersion, this->endpoints, this->zones };
+    }
     /** Replaces the store by an older copy, in a new era. */
     void restore(const Copy& copy);
 
@@ -96,11 +106,6 @@
         std::size_t calls { 0 };
     };
 
-    struct Row {
-        std::uint64_t version { 0 };
-        std::optional<EndpointRecord> record;
-    };
-
     struct Datagram {
         Milliseconds dueAt { 0 };
         std::size_t receiver { 0 };
@@ -131,6 +136,7 @@
     std::shared_ptr<const GatewayConfiguration> configuration;
     std::uint64_t configurationVersion { 0 };
     std::map<EndpointId, Row> endpoints;
+    std::set<ZoneId> zones;
     std::vector<GatewayMember> members;
     std::uint64_t membersVersion { 1 };
     bool storeDown { false };
