--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -22,7 +22,7 @@
 BOUNDS = {"contactMs": 3000, "drainMs": 2000, "graceS": 8, "strictRevoke": True, "revokeMs": 5000,
           "retryBudgetRatio": 0.2, "budgetWindowS": 10, "retryHeadroom": 52, "coldFactor": 1.5, "coldHeadroom": 5}
 LIMITS = {"cpuQuota": 1, "cores": 1, "memoryMb": 110, "maxFds": 4100}
-CONFIGURATION_LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeoutMs": 5000,
+CONFIGURATION_LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
                         "idleTimeoutMs": 15000}
 HOST = "host.example"
 KEY = "key-of-team-a"
