--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import re
+import signal
 import socket
 import subprocess
 import sys
@@ -154,9 +155,14 @@
     return int(time.time() * 1000)
 
 
+def interrupted(*_):
+    raise CannotRun("interrupted")
+
+
 def play(folder, case):
     """Runs a case: a function of the record that returns whether the rule held and ends what it started."""
     record = Record(folder)
+    signal.signal(signal.SIGTERM, interrupted)
     record.note("with the disruption" if TROUBLE else "without the disruption (TROUBLE=0)")
     try:
         held = case(record)
