--- a/review/lib-3/engines.py
+++ b/review/lib-3/engines.py
@@ -44,9 +44,9 @@
 
 
 class Engine(Worker):
-    def __init__(self, record, store, name, service, memory, handler=None, events=100, interval_s=0.05):
+    def __init__(self, record, store, name, service, memory, handler=None, interval_s=0.05):
         # What engines hold of runs at other engines: (address, handle) to the run's id.
-        self.memory, self.events, self.interval_s = memory, events, interval_s
+        self.memory, self.interval_s = memory, interval_s
         self.runs = {}
         self.order = []
         super().__init__(record, store, name, service, handler=handler or EngineHandler, slots=24)
@@ -67,7 +67,8 @@
                 return self.send_answer(503, headers=[("X-Teaselfold-Not-Executed", "1")])
         first = int(self.headers.get("Last-Event-Id", 0)) + 1
         self.owner.began(attempt, "from event %d%s" % (first, ", Kv-From " + source if source else ""))
-        run = Run(self.owner, attempt, first, self.owner.events, self.owner.interval_s)
+        last = int(self.headers["X-Teaselfold-Token-Usage"].split(",")[1]) // 4
+        run = Run(self.owner, attempt, first, last, self.owner.interval_s)
         self.owner.runs[attempt] = run
         self.owner.order.append(run)
         replica = self.headers.get("X-Teaselfold-Kv-Replica")
