Probe an endpoint whose connection broke, to tell a crash from a lost answer

Cause: the end of a connection counted as a crash only if some other request was refused a connection by the same endpoint within 3 s. Whether a crash was noticed depended on requests that happened to come. The same dependence blamed sound requests: one whose answer was cut by an endpoint that went on was blamed for a crash up to 3 s later. Ruled out: the quarantine itself (it holds 300 s, and was never told of a death), gossip (one gateway alone shows the same), the fingerprint.

Change: each end of a run that may be due to a crash waits in CrashDetector until its endpoint shows which it was: a refused connection or another incarnation is a crash, an accepted connection or an answer to a later request is none. 100 ms after the end the gateway opens a connection to the endpoint itself, and again each second while that shows nothing. Unframed streams that end early took the same way in a class of their own (UnframedEnds), also by requests that happened to come; both are one now. An endpoint that leaves is no suspect for framed answers either.

--- a/src/adapters/net/SocketLoop.cpp
+++ b/src/adapters/net/SocketLoop.cpp
@@ -150,7 +150,7 @@
             closeTimedOut.push_back(id);
     }
     for (const ConnectionId id : connectTimedOut)
-        this->fail(id, "not_connected");
+        this->fail(id, this->find(id)->connectFailure);
     for (const ConnectionId id : closeTimedOut)
         this->fail(id, "finished");
 }
@@ -202,9 +202,11 @@
         this->connectionsBySocket[connection.socket] = id;
         connection.connectDeadline = std::chrono::steady_clock::now() + timeout;
         this->updatePollMode(connection);
-    } catch (const Poco::Exception&) {
+    } catch (const Poco::Exception& error) {
         // The expired deadline makes the next tick report the failure.
         connection.connectDeadline = Instant::min();
+        if (error.code() == POCO_ECONNREFUSED)
+            connection.connectFailure = ConnectionClosure::refused;
     }
     return id;
 }
@@ -212,8 +214,8 @@
 void SocketLoop::finishConnect(ConnectionId id)
 {
     const Connection* connection = this->find(id);
-    if (connection->socket.impl()->socketError() != 0)
-        return this->fail(id, "not_connected");
+    if (const int error = connection->socket.impl()->socketError(); error != 0)
+        return this->fail(id, error == POCO_ECONNREFUSED ? ConnectionClosure::refused : "not_connected");
     try {
         this->establish(id);
     } catch (const Poco::Exception&) {
@@ -261,7 +263,7 @@
         return this->fail(id, "read_failed");
     }
     if (count == 0)
-        return this->fail(id, "closed_by_peer");
+        return this->fail(id, ConnectionClosure::closedByPeer);
     if (count < 0)
         return;
     this->bytesReceived.fetch_add(static_cast<std::uint64_t>(count), std::memory_order_relaxed);
--- a/src/adapters/net/SocketLoop.h
+++ b/src/adapters/net/SocketLoop.h
@@ -25,6 +25,11 @@
 
 /** How a connection ended. */
 struct ConnectionClosure {
+    /** The peer shut down its sending side. */
+    static constexpr std::string_view closedByPeer = "closed_by_peer";
+    /** No process listens at the address. */
+    static constexpr std::string_view refused = "connection_refused";
+
     std::string_view reason;
     /** Number of bytes that were queued but not written. */
     std::size_t unsentBytes { 0 };
@@ -141,6 +146,8 @@
         /** Events registered with the poll set; 0 when the socket is not in it. */
         int pollMode { 0 };
         Instant connectDeadline;
+        /** Reason to give if the connection is not established by the deadline. */
+        std::string_view connectFailure { "not_connected" };
         Instant closeDeadline;
     };
 
--- a/src/adapters/traffic/EndpointConnections.cpp
+++ b/src/adapters/traffic/EndpointConnections.cpp
@@ -100,11 +100,30 @@
     channel.startedAt = this->context.now;
 }
 
+void EndpointConnections::probe(const ProbeEndpoint& probe)
+{
+    const ConnectionId connection = this->context.loop.connect(probe.address, this->connectTimeout);
+    Channel& channel = this->channels[connection];
+    channel.endpoint = probe.endpoint;
+    channel.address = probe.address;
+    channel.isProbe = true;
+    channel.isReusable = false;
+    channel.startedAt = this->context.now;
+}
+
+void EndpointConnections::endProbe(ConnectionId connection, ProbeOutcome outcome)
+{
+    this->context.events.emplace_back(EndpointProbed { this->channels.at(connection).endpoint, outcome });
+    this->discard(connection);
+}
+
 void EndpointConnections::connected(ConnectionId connection)
 {
     const auto found = this->channels.find(connection);
     if (found == this->channels.end())
         return;
+    if (found->second.isProbe)
+        return this->endProbe(connection, ProbeOutcome::Accepted);
     // After a suspension of this machine, the decision behind this exchange may be based on outdated state.
     if (this->context.now - found->second.startedAt > this->connectTimeout)
         return this->fail(connection, ExchangeEnd::NotConnected);
@@ -406,12 +425,17 @@
     this->discard(connection);
 }
 
-void EndpointConnections::closed(ConnectionId connection, bool isOrderly)
+void EndpointConnections::closed(ConnectionId connection, const ConnectionClosure& closure)
 {
     const auto found = this->channels.find(connection);
     if (found == this->channels.end())
         return;
     Channel& channel = found->second;
+    if (channel.isProbe) {
+        const bool isRefused = closure.reason == ConnectionClosure::refused;
+        return this->endProbe(connection, isRefused ? ProbeOutcome::Refused : ProbeOutcome::Unreachable);
+    }
+    const bool isOrderly = closure.reason == ConnectionClosure::closedByPeer;
     if (channel.phase == Phase::Connecting)
         return this->fail(connection, ExchangeEnd::NotConnected);
     if (channel.phase == Phase::Busy && isOrderly && channel.decoder && !channel.isStaleResponse) {
--- a/src/adapters/traffic/EndpointConnections.h
+++ b/src/adapters/traffic/EndpointConnections.h
@@ -31,11 +31,12 @@
     void relayResponse(ExchangeId exchange);
     /** Asks an engine to migrate a running request. The outcome is reported as an event. */
     void startMigration(const StartMigration& migration);
+    /** Opens a connection to an endpoint and closes it again. The outcome is reported as an event. */
+    void probe(const ProbeEndpoint& probe);
 
     void connected(ConnectionId connection);
     void received(ConnectionId connection, std::string_view bytes);
-    /** @param isOrderly true when the peer shut down its sending side, false after a reset or another error. */
-    void closed(ConnectionId connection, bool isOrderly);
+    void closed(ConnectionId connection, const ConnectionClosure& closure);
     bool owns(ConnectionId connection) const { return this->channels.contains(connection); }
     /** Resumes reading a stream that was paused because its caller was slow. */
     void callerDrained(ConnectionId caller);
@@ -49,7 +50,7 @@
         Idle,
     };
 
-    /** A connection to an endpoint, and the exchange or migration that uses it. */
+    /** A connection to an endpoint, and the exchange, migration or probe that uses it. */
     struct Channel {
         Phase phase { Phase::Connecting };
         EndpointId endpoint;
@@ -57,6 +58,8 @@
         /** The current or most recent exchange. */
         ExchangeParameters parameters;
         std::optional<StartMigration> migration;
+        /** The connection only shows whether the endpoint accepts it. */
+        bool isProbe { false };
         std::string callerRequestId;
         /** The connection carried earlier requests, to which further responses may come. */
         bool isReused { false };
@@ -96,6 +99,8 @@
     void failExpiredMigrations();
     /** Returns a connection to the pool, or closes it when it cannot be reused. */
     void release(ConnectionId connection, Channel& channel);
+    /** Reports how a probe ended and closes its connection. */
+    void endProbe(ConnectionId connection, ProbeOutcome outcome);
     /** Reports the exchange or migration as failed and closes the connection. */
     void fail(ConnectionId connection, ExchangeEnd end);
     /** Closes a connection without an event. */
--- a/src/adapters/traffic/TrafficServer.cpp
+++ b/src/adapters/traffic/TrafficServer.cpp
@@ -30,8 +30,9 @@
         static const HandlerTable<TrafficServer, void, GatewayAction> table(&TrafficServer::startExchange,
             &TrafficServer::cancelExchange, &TrafficServer::relayResponse, &TrafficServer::refuseRequest,
             &TrafficServer::completeResponse, &TrafficServer::abortResponse, &TrafficServer::startMigration,
-            &TrafficServer::sendGossip, &TrafficServer::sendReading, &TrafficServer::readStore,
-            &TrafficServer::readRollouts, &TrafficServer::writeRollout, &TrafficServer::log, &TrafficServer::observe);
+            &TrafficServer::probeEndpoint, &TrafficServer::sendGossip, &TrafficServer::sendReading,
+            &TrafficServer::readStore, &TrafficServer::readRollouts, &TrafficServer::writeRollout, &TrafficServer::log,
+            &TrafficServer::observe);
         return table;
     }
 };
@@ -103,7 +104,7 @@
     else if (this->status.owns(connection))
         this->status.closed(connection);
     else
-        this->endpoints.closed(connection, closure.reason == "closed_by_peer");
+        this->endpoints.closed(connection, closure);
     this->processEvents();
 }
 
@@ -195,6 +196,8 @@
 
 void TrafficServer::startMigration(const StartMigration& action) { this->endpoints.startMigration(action); }
 
+void TrafficServer::probeEndpoint(const ProbeEndpoint& action) { this->endpoints.probe(action); }
+
 void TrafficServer::sendGossip(const SendGossip& action) { this->dependencies.peers.send(action); }
 
 void TrafficServer::sendReading(const SendReading& action) { this->dependencies.peers.send(action); }
--- a/src/adapters/traffic/TrafficServer.h
+++ b/src/adapters/traffic/TrafficServer.h
@@ -78,6 +78,7 @@
     void completeResponse(const CompleteResponse& action);
     void abortResponse(const AbortResponse& action);
     void startMigration(const StartMigration& action);
+    void probeEndpoint(const ProbeEndpoint& action);
     void sendGossip(const SendGossip& action);
     void sendReading(const SendReading& action);
     void readStore(const ReadStore& action);
--- a/src/core/gateway/ActiveRequest.h
+++ b/src/core/gateway/ActiveRequest.h
@@ -180,6 +180,8 @@
     bool isPastStart { false };
     /** The exchange's answer was counted for the roll-out of its service, or does not count. */
     bool isJudged { false };
+    /** Start of the endpoint's incarnation to which the request was sent. */
+    WallTime endpointStartedAt {};
 };
 
 inline bool isStream(const ActiveRequest& active) { return active.route->kind == RequestKind::Stream; }
--- a/src/core/gateway/CrashAttribution.cpp
+++ b/src/core/gateway/CrashAttribution.cpp
@@ -3,6 +3,10 @@
 #include "core/gateway/EndpointHash.h"
 #include "core/gateway/GatewayLog.h"
 
+#include <array>
+#include <map>
+#include <string_view>
+
 namespace teaselfold {
 
 namespace {
@@ -12,11 +16,10 @@
     /** A run that broke at the start at this many engines is not resumed at another one. */
     constexpr std::uint32_t maxBrokenStarts = 2;
 
-    void logCrash(const EndpointId& endpoint, std::size_t suspects, GatewayActions& actions)
+    std::string_view outcomeName(ProbeOutcome outcome)
     {
-        if (suspects > 0)
-            actions.emplace_back(LogEvent {
-                "endpoint_crashed", { { "endpoint", endpoint.get() }, { "suspects", std::to_string(suspects) } } });
+        constexpr std::array<std::string_view, 3> names { "accepted", "refused", "unreachable" };
+        return names[static_cast<std::size_t>(outcome)];
     }
 
 }
@@ -30,8 +33,7 @@
     ++active.brokenStarts;
     this->state.promptParts.recordBrokenStart(
         this->state.randomness.next(), endpointHashOf(exchange.endpoint), active.request.sharedPromptParts, now);
-    logCrash(exchange.endpoint,
-        this->state.crashDetector.recordBrokenConnection(exchange.endpoint, active.request.fingerprint, now), actions);
+    this->addEnd(active, exchange, false, now, actions);
 }
 
 void CrashAttribution::streamClosed(
@@ -40,45 +42,84 @@
     if (active.isPastStart)
         return this->runSucceeded(active, now);
     active.isEndUncertain = true;
-    const GatewayEndpoint* endpoint = this->state.endpoints.find(exchange.endpoint);
+    this->addEnd(active, exchange, true, now, actions);
+}
+
+void CrashAttribution::addEnd(
+    const ActiveRequest& active, const Exchange& exchange, bool mayBeComplete, Instant now, GatewayActions& actions)
+{
     // One that leaves refuses connections afterwards without a crash.
-    if (!endpoint || !this->state.endpoints.acceptsRequests(exchange.endpoint))
+    if (!this->state.endpoints.acceptsRequests(exchange.endpoint))
         return;
-    const Fingerprint fingerprint = active.request.fingerprint;
-    this->state.unframedEnds.add(
-        { exchange.endpoint, endpoint->record.startedAt, fingerprint, active.request.sharedPromptParts, now, false });
-    logCrash(exchange.endpoint, this->state.crashDetector.recordBrokenConnection(exchange.endpoint, fingerprint, now),
-        actions);
+    this->state.crashDetector.add({ exchange.endpoint, exchange.address, exchange.endpointStartedAt,
+        active.request.fingerprint, active.request.sharedPromptParts, now, mayBeComplete });
+    this->weighEnds(now, actions);
 }
 
-SeenSince CrashAttribution::seenSince(const UnframedEnd& end)
+bool CrashAttribution::isReplaced(const EarlyEnd& end)
 {
-    if (this->state.crashDetector.hasRefusedSince(end.endpoint, end.at))
-        return SeenSince::Crash;
     const GatewayEndpoint* endpoint = this->state.endpoints.find(end.endpoint);
-    if (!endpoint)
-        return SeenSince::Nothing;
-    return endpoint->record.startedAt == end.startedAt ? SeenSince::SameIncarnation : SeenSince::Crash;
+    return endpoint && endpoint->record.startedAt != end.startedAt;
 }
 
-void CrashAttribution::weighUnframedEnds(Instant now, GatewayActions& actions)
+void CrashAttribution::weighEnds(Instant now, GatewayActions& actions)
 {
     const auto verdicts
-        = this->state.unframedEnds.weigh([&](const UnframedEnd& end) { return this->seenSince(end); }, now);
-    for (const UnframedEnd& end : verdicts.crashed) {
+        = this->state.crashDetector.weigh([&](const EarlyEnd& end) { return this->isReplaced(end); }, now);
+    std::map<EndpointId, std::size_t> suspects;
+    for (const EarlyEnd& end : verdicts.crashed) {
+        ++suspects[end.endpoint];
+        this->state.quarantine.recordDeath(end.fingerprint, end.endpoint, end.at);
+        if (!end.mayBeComplete)
+            continue;
         actions.emplace_back(LogEvent { "unframed_stream_cut", { { "endpoint", end.endpoint.get() } } });
         this->state.promptParts.recordBrokenStart(
             this->state.randomness.next(), endpointHashOf(end.endpoint), end.promptParts, end.at);
     }
-    for (const UnframedEnd& end : verdicts.survived) {
+    for (const auto& [endpoint, count] : suspects)
+        actions.emplace_back(
+            LogEvent { "endpoint_crashed", { { "endpoint", endpoint.get() }, { "suspects", std::to_string(count) } } });
+    for (const EarlyEnd& end : verdicts.survived) {
+        if (!end.mayBeComplete)
+            continue;
         this->state.quarantine.recordSurvival(end.fingerprint, now);
         this->state.promptParts.recordSurvival(end.promptParts, end.at);
     }
 }
 
+void CrashAttribution::tick(Instant now, GatewayActions& actions)
+{
+    this->weighEnds(now, actions);
+    this->state.crashDetector.expire(now);
+    for (const ProbeEndpoint& probe : this->state.crashDetector.takeDueProbes(now))
+        actions.emplace_back(probe);
+}
+
+void CrashAttribution::endpointProbed(const EndpointProbed& event, Instant now, GatewayActions& actions)
+{
+    actions.emplace_back(LogEvent { "endpoint_probed",
+        { { "endpoint", event.endpoint.get() }, { "outcome", std::string(outcomeName(event.outcome)) } } });
+    this->state.crashDetector.recordProbe(event.endpoint, event.outcome, now);
+    this->weighEnds(now, actions);
+}
+
+void CrashAttribution::endpointAnswered(const Exchange& exchange, Instant now, GatewayActions& actions)
+{
+    this->state.crashDetector.recordAnswer(exchange.endpoint, exchange.startedAt);
+    this->weighEnds(now, actions);
+}
+
+void CrashAttribution::merge(
+    const std::vector<RefusedConnection>& refusedConnections, Instant now, GatewayActions& actions)
+{
+    this->state.crashDetector.merge(refusedConnections, now);
+    this->weighEnds(now, actions);
+}
+
 void CrashAttribution::connectionRefused(const EndpointId& endpoint, Instant now, GatewayActions& actions)
 {
-    logCrash(endpoint, this->state.crashDetector.recordRefusedConnection(endpoint, now), actions);
+    this->state.crashDetector.recordRefusedConnection(endpoint, now);
+    this->weighEnds(now, actions);
 }
 
 void CrashAttribution::runAdvanced(ActiveRequest& active, Exchange& exchange, Instant now)
--- a/src/core/gateway/CrashAttribution.h
+++ b/src/core/gateway/CrashAttribution.h
@@ -25,10 +25,14 @@
     void runBroke(ActiveRequest& active, const Exchange& exchange, Instant now, GatewayActions& actions);
     /** Handles an unframed stream that its endpoint closed after a whole event. It is complete, or cut by a crash. */
     void streamClosed(ActiveRequest& active, const Exchange& exchange, Instant now, GatewayActions& actions);
-    /** Handles the unframed streams of which it is certain now how they ended. */
-    void weighUnframedEnds(Instant now, GatewayActions& actions);
+    /** Probes endpoints of which it is not certain whether they crashed. */
+    void tick(Instant now, GatewayActions& actions);
+    /** Handles the result of a probe. */
+    void endpointProbed(const EndpointProbed& event, Instant now, GatewayActions& actions);
     /** Handles a response of an endpoint. */
-    void endpointAnswered(const EndpointId& endpoint) { this->state.unframedEnds.recordAnswer(endpoint); }
+    void endpointAnswered(const Exchange& exchange, Instant now, GatewayActions& actions);
+    /** Handles connections that endpoints refused to another gateway. */
+    void merge(const std::vector<RefusedConnection>& refusedConnections, Instant now, GatewayActions& actions);
     /** Handles a connection that an endpoint refused. */
     void connectionRefused(const EndpointId& endpoint, Instant now, GatewayActions& actions);
     /** Handles an event of a run, which may be the one that shows that it got past its start. */
@@ -44,8 +48,13 @@
     bool mayResume(const ActiveRequest& active, Instant now) const;
 
 private:
-    /** @return what is known of an endpoint since the end of a stream. */
-    SeenSince seenSince(const UnframedEnd& end);
+    /** Handles the end of a run that may be due to a crash. */
+    void addEnd(const ActiveRequest& active, const Exchange& exchange, bool mayBeComplete, Instant now,
+        GatewayActions& actions);
+    /** @return true if the endpoint runs as another incarnation than the one that a run was sent to. */
+    bool isReplaced(const EarlyEnd& end);
+    /** Handles the ends of runs of which it is certain now whether they are due to a crash. */
+    void weighEnds(Instant now, GatewayActions& actions);
 
     GatewayState& state;
 };
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -132,6 +132,7 @@
     this->state.endpoints.addPendingPrompt(endpoint.record.id, promptTokens);
     this->state.exchanges[id] = { active.request.id, endpoint.record.id, endpoint.record.address, endpoint.record.zone,
         active.tokens, promptTokens, active.replicaEngine, active.lastEventId, std::nullopt, now, std::nullopt };
+    this->state.exchanges[id].endpointStartedAt = endpoint.record.startedAt;
     this->state.rolloutTraffic.sent(active, this->state.exchanges[id], parameters.resume.has_value());
     if (active.replicaEngine)
         this->state.endpoints.addCopy(*active.replicaEngine, active.tokens);
@@ -196,6 +197,8 @@
     const bool isOwnStatement = (response.isSigned || response.notExecuted) && !response.isMisdirected;
     this->notices.received(exchange.endpoint,
         { response.isLeaving, response.restTime, isOwnStatement ? response.rateLimit : std::nullopt }, now, actions);
+    if (isOwnStatement)
+        this->crashes.endpointAnswered(exchange, now, actions);
     this->state.rolloutTraffic.answered(*active, found->second, response, now);
     active->mayHaveRun = active->mayHaveRun || !response.notExecuted;
     // A response that has started can only be continued by a stream.
@@ -205,7 +208,6 @@
     if (isRunResult && (response.status < firstServerError || !this->reserveRetry(*active, now))) {
         if (isSuccess(response)) {
             this->state.endpoints.recordSuccess(exchange.endpoint);
-            this->crashes.endpointAnswered(exchange.endpoint);
             if (!response.isStream)
                 this->crashes.runSucceeded(*active, now);
         }
@@ -493,7 +495,7 @@
     }
     for (const RequestId id : expired)
         this->completion.expire(*this->findRequest(id), now, actions);
-    this->crashes.weighUnframedEnds(now, actions);
+    this->crashes.tick(now, actions);
     this->resumeWaitingRuns(now, actions);
     this->dispatchWaiting(now, actions);
 }
--- a/src/core/gateway/Gateway.cpp
+++ b/src/core/gateway/Gateway.cpp
@@ -39,7 +39,8 @@
             &Gateway::endpointsChanged, &Gateway::outOfServiceZonesRead, &Gateway::storeRestored,
             &Gateway::storeReadSucceeded, &Gateway::storeReadFailed, &Gateway::membersListed, &Gateway::gossipReceived,
             &Gateway::storeReadingReceived, &Gateway::limitsChanged, &Gateway::stopRequested,
-            &Gateway::rolloutOrdersRead, &Gateway::rolloutsRead, &Gateway::rolloutStored, &Gateway::rolloutStoreFailed);
+            &Gateway::rolloutOrdersRead, &Gateway::rolloutsRead, &Gateway::rolloutStored, &Gateway::rolloutStoreFailed,
+            &Gateway::endpointProbed);
         return table;
     }
 };
@@ -49,6 +50,7 @@
     , admission(this->state)
     , migrator(this->state)
     , completion(this->state, this->migrator)
+    , crashes(this->state)
     , exchanges(this->state, this->migrator, this->completion)
     , gossip(this->state.limits, identity.instance, Incarnation(randomness.next()))
     , store(identity, this->state.peers, this->state.freshness)
@@ -76,7 +78,6 @@
     if (auto records = this->state.restoration.expireRecords(now); !records.empty())
         this->applyEndpointChanges({ std::move(records), {} }, now, actions);
     this->state.quarantine.expire(now);
-    this->state.crashDetector.expire(now);
     this->state.promptParts.expire(now);
     this->state.returnTurns.expire(now);
     this->state.endpoints.rateLimits().tick(now);
@@ -300,9 +301,7 @@
 {
     this->state.promptParts.merge(event.gossip.promptParts, now);
     // First, so that a crash that both gateways noticed counts once.
-    const std::size_t suspects = this->state.crashDetector.merge(event.gossip.refusedConnections, now);
-    if (suspects > 0)
-        actions.emplace_back(LogEvent { "endpoint_crashed", { { "suspects", std::to_string(suspects) } } });
+    this->crashes.merge(event.gossip.refusedConnections, now, actions);
     this->state.quarantine.merge(EndpointId(), event.gossip.suspects, now);
     const auto sender = this->state.peers.receive(event.gossip, now);
     this->state.rollouts.merge(event.gossip.incarnation, sender, event.gossip.rollouts, now, actions);
@@ -395,6 +394,11 @@
             LogEvent { "prompt_parts_quarantined", { { "prompt_parts", Internal::promptPartsText(parts) } } });
 }
 
+void Gateway::endpointProbed(const EndpointProbed& event, Instant now, GatewayActions& actions)
+{
+    this->crashes.endpointProbed(event, now, actions);
+}
+
 void Gateway::stopRequested(const GatewayStopRequested& event, Instant now, GatewayActions& actions)
 {
     if (this->state.stop)
--- a/src/core/gateway/Gateway.h
+++ b/src/core/gateway/Gateway.h
@@ -80,6 +80,7 @@
     void rolloutsRead(const RolloutsRead& event, Instant now, GatewayActions& actions);
     void rolloutStored(const RolloutStored& event, Instant now, GatewayActions& actions);
     void rolloutStoreFailed(const RolloutStoreFailed& event, Instant now, GatewayActions& actions);
+    void endpointProbed(const EndpointProbed& event, Instant now, GatewayActions& actions);
     /** Takes roll-outs further, and moves the streams of endpoints that are about to be stopped. */
     void advanceRollouts(Instant now, GatewayActions& actions);
     void applyEndpointChanges(const EndpointsChanged& changes, Instant now, GatewayActions& actions);
@@ -95,6 +96,7 @@
     GatewayAdmission admission;
     StreamMigrator migrator;
     RequestCompletion completion;
+    CrashAttribution crashes;
     ExchangeDispatcher exchanges;
     LoadSpread loadSpread { this->state };
     GossipComposer gossip;
--- a/src/core/gateway/GatewayState.h
+++ b/src/core/gateway/GatewayState.h
@@ -17,7 +17,6 @@
 #include "core/gateway/StoreFreshness.h"
 #include "core/gateway/StoreRestoration.h"
 #include "core/gateway/StreamObjectives.h"
-#include "core/gateway/UnframedEnds.h"
 #include "core/gateway/WaitingRequests.h"
 #include "ports/Randomness.h"
 
@@ -39,7 +38,6 @@
         , rollouts(this->limits, this->endpoints, this->peers, this->freshness, identity.instance)
         , rolloutTraffic(this->rollouts, this->endpoints)
         , quarantine(sharedLimits)
-        , crashDetector(this->quarantine)
         , promptParts(sharedLimits)
         , sharedLimits(sharedLimits)
     {
@@ -91,7 +89,6 @@
     Quarantine quarantine;
     CrashDetector crashDetector;
     PromptPartQuarantine promptParts;
-    UnframedEnds unframedEnds;
     StoreRestoration restoration;
     CopyRefusals copyRefusals;
     DepartureTimes departureTimes;
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -185,6 +185,22 @@
     std::optional<RateLimitStatement> rateLimit {};
 };
 
+/** How an endpoint reacted to a probe. */
+enum class ProbeOutcome : std::uint8_t {
+    /** It accepted the connection. */
+    Accepted,
+    /** It refused the connection, so no process listens at its address. */
+    Refused,
+    /** No connection came about in time, or there was no socket for one. */
+    Unreachable,
+};
+
+/** A probe of an endpoint ended. */
+struct EndpointProbed {
+    EndpointId endpoint;
+    ProbeOutcome outcome { ProbeOutcome::Unreachable };
+};
+
 /** The configuration was read. Ignored if it is not newer than the current one. */
 struct ConfigurationRead {
     std::shared_ptr<const GatewayConfiguration> configuration;
@@ -230,7 +246,7 @@
     ResponseShed, ResponseReceived, ExchangeEnded, EventsRelayed, MigrationResponseReceived, ConfigurationRead,
     EndpointsListed, EndpointsChanged, OutOfServiceZonesRead, StoreRestored, StoreReadSucceeded, StoreReadFailed,
     MembersListed, GossipReceived, StoreReadingReceived, LimitsChanged, GatewayStopRequested, RolloutOrdersRead,
-    RolloutsRead, RolloutStored, RolloutStoreFailed>;
+    RolloutsRead, RolloutStored, RolloutStoreFailed, EndpointProbed>;
 
 /** Point at which an endpoint resumes a stream that another endpoint started. */
 struct ResumePoint {
@@ -299,9 +315,15 @@
     bool stopsSource { false };
 };
 
-using GatewayAction
-    = std::variant<StartExchange, CancelExchange, RelayResponse, RefuseRequest, CompleteResponse, AbortResponse,
-        StartMigration, SendGossip, SendReading, ReadStore, ReadRollouts, WriteRollout, LogEvent, Observation>;
+/** Opens a connection to an endpoint and closes it again, to learn whether the endpoint still runs. */
+struct ProbeEndpoint {
+    EndpointId endpoint;
+    Address address;
+};
+
+using GatewayAction = std::variant<StartExchange, CancelExchange, RelayResponse, RefuseRequest, CompleteResponse,
+    AbortResponse, StartMigration, ProbeEndpoint, SendGossip, SendReading, ReadStore, ReadRollouts, WriteRollout,
+    LogEvent, Observation>;
 using GatewayActions = std::vector<GatewayAction>;
 
 }
--- a/test/support/EngineFleet.cpp
+++ b/test/support/EngineFleet.cpp
@@ -103,6 +103,11 @@
     this->sendRequest(this->randomGateway(), fingerprint, parts);
 }
 
+void EngineFleet::sendAgain(Fingerprint fingerprint, const std::vector<PromptPartId>& parts)
+{
+    this->sendRequest(this->randomGateway(), fingerprint, parts);
+}
+
 std::size_t EngineFleet::randomGateway()
 {
     std::size_t node = this->randomness.next() % this->nodes.size();
@@ -151,6 +156,8 @@
             this->startRun(node, started->parameters);
         else if (const auto* call = std::get_if<StartMigration>(&action))
             this->answerStopCall(node, *call);
+        else if (const auto* probe = std::get_if<ProbeEndpoint>(&action))
+            this->answerProbe(node, *probe);
         else if (const auto* gossip = std::get_if<SendGossip>(&action))
             this->sendDatagrams(*gossip);
         else if (const auto* refused = std::get_if<RefuseRequest>(&action))
@@ -190,6 +197,12 @@
             call.exchange, isDown ? MigrationOutcome::Unreachable : MigrationOutcome::NoSuchRun, {} });
 }
 
+void EngineFleet::answerProbe(std::size_t node, const ProbeEndpoint& probe)
+{
+    const bool isDown = this->engines.at(probe.endpoint).backAt > this->time;
+    this->handle(node, EndpointProbed { probe.endpoint, isDown ? ProbeOutcome::Refused : ProbeOutcome::Accepted });
+}
+
 void EngineFleet::sendDatagrams(const SendGossip& gossip)
 {
     const GossipMessage message = decodeGossip(encodeGossip(gossip.gossip)).value();
--- a/test/support/EngineFleet.h
+++ b/test/support/EngineFleet.h
@@ -53,6 +53,8 @@
     void sendTo(std::size_t gateway, const std::vector<PromptPartId>& parts);
     /** Sends a request with these shared prompt parts that crashes every endpoint at which it is about to begin. */
     void sendDeadly(Fingerprint fingerprint, const std::vector<PromptPartId>& parts);
+    /** Sends a sound request that may have been sent before. */
+    void sendAgain(Fingerprint fingerprint, const std::vector<PromptPartId>& parts);
     /** Makes every engine crash that is about to send the first event of a request with the part. */
     void setDeadlyPart(PromptPartId part) { this->deadlyPart = part; }
     /** Crashes a share of the engines now, whatever they run. */
@@ -141,6 +143,8 @@
     std::size_t randomGateway();
     /** Answers a call that stops a run whose connection broke: no engine runs it any more. */
     void answerStopCall(std::size_t node, const StartMigration& call);
+    /** Answers a probe: an engine that is down refuses the connection. */
+    void answerProbe(std::size_t node, const ProbeEndpoint& probe);
     void sendDatagrams(const SendGossip& gossip);
     void step();
     void advanceRun(std::size_t run);
