Count only refused connections as signs of a crash

What callers saw: a sound request whose answer broke is quarantined although no endpoint crashed. A later connection to the same endpoint that does not come about within its limit, because packets are lost or the endpoint's queue of connections is full, was taken for one that was refused, also when another gateway told of it.

Cause: the socket loop gave one reason for all connections that are not established, and ExchangeEnd one value. Only a refusal shows that no process listens.

Change: ExchangeEnd::Refused beside NotConnected; both mean that nothing was sent and are handled alike but for crashes. The tests that play crashed endpoints (GatewayQuarantinesCrashingRequests, EngineFleet) now refuse their connections, with the checks as they were; the random faults play both ends.

--- a/src/adapters/traffic/EndpointConnections.cpp
+++ b/src/adapters/traffic/EndpointConnections.cpp
@@ -416,7 +416,7 @@
     if (found == this->channels.end())
         return;
     const Channel& channel = found->second;
-    const auto outcome = end == ExchangeEnd::NotConnected ? MigrationOutcome::Unreachable : MigrationOutcome::Failed;
+    const auto outcome = isUnsent(end) ? MigrationOutcome::Unreachable : MigrationOutcome::Failed;
     if (channel.migration)
         this->context.events.emplace_back(
             MigrationResponseReceived { channel.migration->exchange, outcome, {}, false, {} });
@@ -431,13 +431,12 @@
     if (found == this->channels.end())
         return;
     Channel& channel = found->second;
-    if (channel.isProbe) {
-        const bool isRefused = closure.reason == ConnectionClosure::refused;
+    const bool isRefused = closure.reason == ConnectionClosure::refused;
+    if (channel.isProbe)
         return this->endProbe(connection, isRefused ? ProbeOutcome::Refused : ProbeOutcome::Unreachable);
-    }
     const bool isOrderly = closure.reason == ConnectionClosure::closedByPeer;
     if (channel.phase == Phase::Connecting)
-        return this->fail(connection, ExchangeEnd::NotConnected);
+        return this->fail(connection, isRefused ? ExchangeEnd::Refused : ExchangeEnd::NotConnected);
     if (channel.phase == Phase::Busy && isOrderly && channel.decoder && !channel.isStaleResponse) {
         const bool wasComplete = channel.decoder->isComplete();
         channel.decoder->connectionClosed();
--- a/src/core/gateway/ExchangeDispatcher.cpp
+++ b/src/core/gateway/ExchangeDispatcher.cpp
@@ -277,24 +277,24 @@
         StreamMigrator::connectionLost(*active, event.exchange, *exchange, event.end);
     if (event.end == ExchangeEnd::Closed || StreamMigrator::mayBeStopped(*active))
         return this->streamClosed(*active, event.end, now, actions);
-    if (event.end == ExchangeEnd::NotConnected)
+    if (event.end == ExchangeEnd::Refused)
         this->crashes.connectionRefused(exchange->endpoint, now, actions);
-    else {
+    if (!isUnsent(event.end)) {
         this->crashes.runBroke(*active, *exchange, now, actions);
         this->state.rolloutTraffic.broke(*active, *exchange);
     }
     this->migrator.exchangeBroke(*exchange, active->service->name, now);
     this->state.endpoints.recordFailure(exchange->endpoint, now);
     const bool mayResend = !active->mayHaveRun || isIdempotent(*active);
-    if (event.end == ExchangeEnd::NotConnected && mayResend && !active->responseStarted)
+    if (isUnsent(event.end) && mayResend && !active->responseStarted)
         return this->redispatch(*active, now, actions);
-    if (event.end == ExchangeEnd::NotConnected)
+    if (isUnsent(event.end))
         active->replicaEngine.reset();
     else
         active->mayHaveRun = true;
     if (active->stoppedRun) {
         active->stoppedRun->wasRefused = false;
-        if (event.end != ExchangeEnd::NotConnected)
+        if (!isUnsent(event.end))
             active->stoppedRun->mayRunAt = exchange->endpoint;
     }
     StreamMigrator::streamEnded(*active, event.end);
--- a/src/ports/GatewayMessages.h
+++ b/src/ports/GatewayMessages.h
@@ -134,8 +134,10 @@
      * is the end unless the run was stopped; CompleteResponse then completes the caller's response.
      */
     Closed,
-    /** No connection could be established, so nothing was sent. */
+    /** No connection came about in time, so nothing was sent. */
     NotConnected,
+    /** The endpoint refused the connection, so nothing was sent. No process listens at its address. */
+    Refused,
     /** The endpoint ended or reset the connection. It may still work on the request. */
     Broken,
     /** The gateway closed the connection, since it got no valid response. The endpoint may still work on the request.
@@ -143,6 +145,9 @@
     Spoiled,
 };
 
+/** @return true if nothing was sent, since there was no connection. */
+inline bool isUnsent(ExchangeEnd end) { return end == ExchangeEnd::NotConnected || end == ExchangeEnd::Refused; }
+
 /** Last event of an exchange. Follows ResponseReceived when there was a response. */
 struct ExchangeEnded {
     ExchangeId exchange;
--- a/test/error/GatewayQuarantinesCrashingRequests.cpp
+++ b/test/error/GatewayQuarantinesCrashingRequests.cpp
@@ -14,8 +14,11 @@
     return limits;
 }
 
-/** Breaks a request's connection, then sends requests until the same endpoint refuses the connection of one. */
-void crashEndpoint(GatewayScenario& scenario, Fingerprint fingerprint)
+/**
+ * Breaks a request's connection, then sends requests until one goes to the same endpoint, and ends that one.
+ * @param end how the connection of that one ends; an endpoint that crashed refuses it.
+ */
+void breakAndTryAgain(GatewayScenario& scenario, Fingerprint fingerprint, ExchangeEnd end)
 {
     scenario.sendRequestWithFingerprint("/write/1", fingerprint);
     const EndpointId endpoint = scenario.lastExchange()->endpoint;
@@ -27,10 +30,15 @@
             break;
     }
     REQUIRE(scenario.lastExchange()->endpoint == endpoint);
-    scenario.endExchange(ExchangeEnd::NotConnected);
+    scenario.endExchange(end);
     scenario.advance(Milliseconds(3000)).refreshFromStore();
 }
 
+void crashEndpoint(GatewayScenario& scenario, Fingerprint fingerprint)
+{
+    breakAndTryAgain(scenario, fingerprint, ExchangeEnd::Refused);
+}
+
 }
 
 TEST_CASE("A request that was running at two endpoints when they crashed is quarantined")
@@ -62,6 +70,19 @@
     CHECK(scenario.lastAction<StartExchange>());
 }
 
+// Guards against sound requests that are quarantined because their endpoints are cut off or too busy for a connection.
+TEST_CASE("A connection that does not come about in time shows no crash")
+{
+    GatewayScenario scenario(limitsWithoutEjection());
+    scenario.start();
+    const Fingerprint fingerprint(4711);
+    for (int run = 0; run < 3; ++run)
+        breakAndTryAgain(scenario, fingerprint, ExchangeEnd::NotConnected);
+    scenario.clearActions();
+    scenario.sendRequestWithFingerprint("/write/1", fingerprint);
+    CHECK(scenario.lastAction<StartExchange>());
+}
+
 TEST_CASE("A suspect reported by another gateway is refused")
 {
     GatewayScenario scenario;
--- a/test/golden/GatewayUnderRandomFaults.cpp
+++ b/test/golden/GatewayUnderRandomFaults.cpp
@@ -82,7 +82,9 @@
             this->scenario.handle(ResponseReceived { exchange, GatewayScenario::notRunRefusal() });
         } else if (kind == 1) {
             this->running.erase(exchange);
-            this->scenario.handle(ExchangeEnded { exchange, ExchangeEnd::NotConnected });
+            const bool isRefused = exchange.get() % 2 == 0;
+            this->scenario.handle(
+                ExchangeEnded { exchange, isRefused ? ExchangeEnd::Refused : ExchangeEnd::NotConnected });
         } else if (kind == 2) {
             tracked.mayHaveRun = true;
             this->running.erase(exchange);
--- a/test/support/EngineFleet.cpp
+++ b/test/support/EngineFleet.cpp
@@ -262,7 +262,7 @@
     Run& run = this->runs[index];
     const EndpointId engine = run.engine;
     if (this->engines.at(engine).backAt > this->time)
-        return this->endRun(index, ExchangeEnd::NotConnected);
+        return this->endRun(index, ExchangeEnd::Refused);
     const bool isFirst = run.lastEvent == 0;
     if (isFirst && this->isDeadly(this->requests[run.request])) {
         this->crashTimes.push_back(this->time);
