Blame prompt parts for crashes only, not for answers that are cut

What callers saw: a prompt whose answers were cut three times at their start, by engines that went on, was refused for five minutes.

Cause: any run that broke before a second of output counted as a death of its engine. Only sound runs with the same parts, if they happened to come, cleared them.

Change: a broken run is evidence once its engine is known to have crashed, as for requests.

--- a/src/core/gateway/CrashAttribution.cpp
+++ b/src/core/gateway/CrashAttribution.cpp
@@ -31,8 +31,6 @@
     if (active.isPastStart)
         return;
     ++active.brokenStarts;
-    this->state.promptParts.recordBrokenStart(
-        this->state.randomness.next(), endpointHashOf(exchange.endpoint), active.request.sharedPromptParts, now);
     this->addEnd(active, exchange, false, now, actions);
 }
 
@@ -70,9 +68,8 @@
     for (const EarlyEnd& end : verdicts.crashed) {
         ++suspects[end.endpoint];
         this->state.quarantine.recordDeath(end.fingerprint, end.endpoint, end.at);
-        if (!end.mayBeComplete)
-            continue;
-        actions.emplace_back(LogEvent { "unframed_stream_cut", { { "endpoint", end.endpoint.get() } } });
+        if (end.mayBeComplete)
+            actions.emplace_back(LogEvent { "unframed_stream_cut", { { "endpoint", end.endpoint.get() } } });
         this->state.promptParts.recordBrokenStart(
             this->state.randomness.next(), endpointHashOf(end.endpoint), end.promptParts, end.at);
     }
--- a/src/core/gateway/PromptPartQuarantine.h
+++ b/src/core/gateway/PromptPartQuarantine.h
@@ -12,8 +12,8 @@
 
 /**
  * Finds the parts of prompts that crash engines, and refuses requests with such parts. No two of these requests need to
- * be alike otherwise. A part is suspected when a run with it breaks before it got past its start (a death of its
- * engine, as far as a gateway can tell), and cleared when another run with it gets past its start (a survival).
+ * be alike otherwise. A part is suspected when the engine of a run with it crashes before the run got past its start (a
+ * death), and cleared when another run with it gets past its start (a survival).
  * Suspected parts that occurred in the same broken runs cannot be told apart; only requests with all of them are
  * refused, so that other requests can clear the harmless ones.
  */
@@ -27,7 +27,7 @@
     }
 
     /**
-     * Records a run at this gateway that broke before it got past its start.
+     * Records a run at this gateway whose engine crashed before the run got past its start.
      * @param report random id of the report, by which gateways recognize it.
      * @param endpoint lower 32 bits of the hash of the endpoint's id.
      */
--- a/test/error/CrashesInQuietHoursAreRecognized.cpp
+++ b/test/error/CrashesInQuietHoursAreRecognized.cpp
@@ -119,3 +119,21 @@
         }
     }
 }
+
+// Guards against harmless prompt parts that are quarantined because answers were cut and no sound run cleared them.
+TEST_CASE("Prompt parts are not blamed for answers that are cut in a quiet hour")
+{
+    for (const std::size_t gateways : { 1, 2, 5 }) {
+        for (const std::uint64_t seed : { 1, 2, 3, 4 }) {
+            CAPTURE(gateways);
+            CAPTURE(seed);
+            EngineFleet fleet({ gateways, 14, seed, 0 });
+            fleet.makeGrey(14);
+            for (int round = 0; round < rounds; ++round) {
+                fleet.send({ PromptPartId(100), PromptPartId(1000) });
+                fleet.advance(requestInterval);
+            }
+            CHECK(fleet.outcome().quarantined == 0);
+        }
+    }
+}
