Probe an endpoint without delay when a run ends after an earlier verdict

A run that ended within one tick after the verdict on an earlier run of the same endpoint, from an answer that came before the probe's result, took over that run's next probe, up to a second later. Found in the read-through of the new code.

Evidence: "A run that ends after an earlier verdict is probed without delay" in UncertainEndpointsAreProbed fails with CrashDetector.cpp as before, and passes. The file's other three cases describe the class and passed before as well.

--- a/src/core/gateway/CrashDetector.cpp
+++ b/src/core/gateway/CrashDetector.cpp
@@ -28,7 +28,8 @@
 {
     if (this->ends.size() >= maxEnds)
         this->ends.erase(this->ends.begin());
-    this->probes.try_emplace(end.endpoint, Probe { end.at + probeDelay, std::nullopt });
+    if (!this->findEnd(end.endpoint))
+        this->probes[end.endpoint] = { end.at + probeDelay, std::nullopt };
     this->ends.push_back(std::move(end));
 }
 
