Look at a connection that was not established only while it exists

The reason of a failed connection attempt was read from a connection that the handler of an earlier failure in the same pass may have closed.

--- a/src/adapters/net/SocketLoop.cpp
+++ b/src/adapters/net/SocketLoop.cpp
@@ -150,7 +150,7 @@
             closeTimedOut.push_back(id);
     }
     for (const ConnectionId id : connectTimedOut)
-        this->fail(id, this->find(id)->connectFailure);
+        this->failConnect(id);
     for (const ConnectionId id : closeTimedOut)
         this->fail(id, "finished");
 }
@@ -211,6 +211,13 @@
     return id;
 }
 
+void SocketLoop::failConnect(ConnectionId id)
+{
+    // The handler may have closed the connection when an earlier one failed.
+    if (const Connection* connection = this->find(id))
+        this->fail(id, connection->connectFailure);
+}
+
 void SocketLoop::finishConnect(ConnectionId id)
 {
     const Connection* connection = this->find(id);
--- a/src/adapters/net/SocketLoop.h
+++ b/src/adapters/net/SocketLoop.h
@@ -161,6 +161,8 @@
     void closeExpired(Instant now);
     void establish(ConnectionId id);
     void finishConnect(ConnectionId id);
+    /** Reports a connection that was not established by its deadline, unless it is closed. */
+    void failConnect(ConnectionId id);
     void readFrom(ConnectionId id);
     /** @return false when the handler could not take all received messages. */
     bool deliverMessages(ConnectionId id);
