Test that lost, cut and spoiled answers blame no request after a probe

Runs that break or are spoiled, or whose answers never come, followed by news of another gateway that their endpoint refuses connections: the request is still sent.

--- a/test/error/GatewayQuarantinesCrashingRequests.cpp
+++ b/test/error/GatewayQuarantinesCrashingRequests.cpp
@@ -1,3 +1,4 @@
+#include "core/gateway/EndpointHash.h"
 #include "support/GatewayScenario.h"
 
 #include <doctest/doctest.h>
@@ -83,6 +84,57 @@
     CHECK(scenario.lastAction<StartExchange>());
 }
 
+// Guards against sound requests that are quarantined because their answers were cut or spoiled by endpoints that went
+// on, and that refuse connections later for another reason.
+TEST_CASE("A request whose answers are cut or spoiled is not blamed once its endpoint accepts a connection")
+{
+    for (const ExchangeEnd end : { ExchangeEnd::Broken, ExchangeEnd::Spoiled }) {
+        for (const char* path : { "/read/1", "/write/1", "/draft/1" }) {
+            CAPTURE(path);
+            GatewayScenario scenario(limitsWithoutEjection());
+            scenario.start();
+            const Fingerprint fingerprint(4711);
+            for (int run = 0; run < 4; ++run) {
+                scenario.sendRequestWithFingerprint(path, fingerprint);
+                const EndpointId endpoint = scenario.lastExchange()->endpoint;
+                scenario.endExchange(end);
+                scenario.advance(Milliseconds(150));
+                const auto probe = scenario.lastAction<ProbeEndpoint>();
+                REQUIRE(probe);
+                CHECK(probe->endpoint == endpoint);
+                scenario.handle(EndpointProbed { endpoint, ProbeOutcome::Accepted });
+                GossipMessage message;
+                message.instance = GatewayId("gateway-2");
+                message.sequence = static_cast<std::uint64_t>(run) + 1;
+                message.refusedConnections.push_back({ endpointHashOf(endpoint), Milliseconds(0) });
+                scenario.advance(Milliseconds(1000)).handle(GossipReceived { message });
+                scenario.advance(Milliseconds(9000)).refreshFromStore().clearActions();
+            }
+            scenario.sendRequestWithFingerprint(path, fingerprint);
+            CHECK(scenario.lastAction<StartExchange>());
+        }
+    }
+}
+
+// Guards against sound requests that are quarantined because their answers were lost and the endpoints crashed later.
+TEST_CASE("A request whose answers never come is not blamed for a crash after its deadline")
+{
+    GatewayScenario scenario(limitsWithoutEjection());
+    scenario.start();
+    const Fingerprint fingerprint(4711);
+    for (int run = 0; run < 4; ++run) {
+        scenario.sendRequestWithFingerprint("/write/1", fingerprint);
+        GossipMessage message;
+        message.instance = GatewayId("gateway-2");
+        message.sequence = static_cast<std::uint64_t>(run) + 1;
+        message.refusedConnections.push_back({ endpointHashOf(scenario.lastExchange()->endpoint), Milliseconds(0) });
+        scenario.advance(Milliseconds(6000)).handle(GossipReceived { message });
+        scenario.advance(Milliseconds(4000)).refreshFromStore().clearActions();
+    }
+    scenario.sendRequestWithFingerprint("/write/1", fingerprint);
+    CHECK(scenario.lastAction<StartExchange>());
+}
+
 TEST_CASE("A suspect reported by another gateway is refused")
 {
     GatewayScenario scenario;
